--- /dev/null
+++ b/internal/settings/control.go
@@ -0,0 +1,66 @@
+package settings
+
+// Control holds the settings of chicorylever-control.
+type Control struct {
+	// ID names the member in logs; its durable identity lives in the data folder.
+	ID string `json:"id"`
+	// Zone is the availability zone of the VM.
+	Zone string `json:"zone"`
+	// DataDir holds the log, snapshots and the member's identity.
+	DataDir string `json:"data_dir"`
+	// MeshListen takes streams from nodes and other members.
+	MeshListen string `json:"mesh_listen"`
+	// MeshAddress is what nodes and members dial; default is MeshListen.
+	MeshAddress string `json:"mesh_address,omitempty"`
+	// APIListen serves the operators' API and /metrics.
+	APIListen string `json:"api_listen"`
+	// Bootstrap names the mesh addresses of the first members, this one
+	// included. It is read only when the data folder is empty; a member that
+	// joins a running cluster leaves it out.
+	Bootstrap []string `json:"bootstrap,omitempty"`
+	// BootstrapDocument is the file with the first document, read only by the
+	// first leader of a new cluster.
+	BootstrapDocument string `json:"bootstrap_document,omitempty"`
+	// Join lists mesh addresses of running members for a member that joins.
+	Join []string `json:"join,omitempty"`
+	// LogLevel is debug, info, warn or error; default info.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// LoadControl reads and checks the settings of a control member.
+func LoadControl(path string) (*Control, error) {
+	s := &Control{}
+	return s, load(path, s)
+}
+
+func (s *Control) setDefaults() {
+	if s.MeshAddress == "" {
+		s.MeshAddress = s.MeshListen
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+}
+
+func (s *Control) check() *Error {
+	return firstProblem(
+		checkName("id", s.ID),
+		checkName("zone", s.Zone),
+		checkName("data_dir", s.DataDir),
+		checkAddress("mesh_listen", s.MeshListen),
+		checkAddress("mesh_address", s.MeshAddress),
+		checkAddress("api_listen", s.APIListen),
+		s.checkMembers(),
+		checkLogLevel(s.LogLevel),
+	)
+}
+
+func (s *Control) checkMembers() *Error {
+	if len(s.Bootstrap) == 0 && len(s.Join) == 0 {
+		return &Error{Field: "bootstrap", Problem: "either bootstrap or join must name members"}
+	}
+	if len(s.Bootstrap) > 0 {
+		return checkAddresses("bootstrap", s.Bootstrap)
+	}
+	return checkAddresses("join", s.Join)
+}
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,60 @@
+package settings
+
+// Node holds the settings of chicorylever-node.
+type Node struct {
+	// ID names the node and stays the same across restarts.
+	ID string `json:"id"`
+	// Zone is the availability zone of the VM.
+	Zone string `json:"zone"`
+	// EntryListen takes callers' requests over HTTP.
+	EntryListen string `json:"entry_listen"`
+	// LocalListen takes the upstream's calls to other services and its
+	// announcements. It must be a loopback address.
+	LocalListen string `json:"local_listen"`
+	// MeshListen takes streams from other nodes.
+	MeshListen string `json:"mesh_listen"`
+	// MeshAddress is what other nodes dial; default is MeshListen.
+	MeshAddress string `json:"mesh_address,omitempty"`
+	// AdminListen serves /metrics and /v1/status.
+	AdminListen string `json:"admin_listen"`
+	// Control lists the mesh addresses of the control members.
+	Control []string `json:"control"`
+	// LogLevel is debug, info, warn or error; default info.
+	LogLevel string `json:"log_level,omitempty"`
+	// StopTimeoutMs bounds a graceful stop; default 30000.
+	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
+}
+
+// LoadNode reads and checks the settings of a node.
+func LoadNode(path string) (*Node, error) {
+	s := &Node{}
+	return s, load(path, s)
+}
+
+func (s *Node) setDefaults() {
+	if s.MeshAddress == "" {
+		s.MeshAddress = s.MeshListen
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+	if s.StopTimeoutMs == 0 {
+		s.StopTimeoutMs = 30000
+	}
+}
+
+func (s *Node) check() *Error {
+	return firstProblem(
+		checkName("id", s.ID),
+		checkName("zone", s.Zone),
+		checkAddress("entry_listen", s.EntryListen),
+		checkAddress("local_listen", s.LocalListen),
+		checkLoopback("local_listen", s.LocalListen),
+		checkAddress("mesh_listen", s.MeshListen),
+		checkAddress("mesh_address", s.MeshAddress),
+		checkAddress("admin_listen", s.AdminListen),
+		checkAddresses("control", s.Control),
+		checkLogLevel(s.LogLevel),
+		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
+	)
+}
--- /dev/null
+++ b/internal/state/document/document.go
@@ -0,0 +1,188 @@
+// Package document holds the operators' document: its sections, owners and
+// validation.
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrInvalid is the cause of every validation error.
+var ErrInvalid = errors.New("invalid document")
+
+// FieldError names the field that makes a document invalid.
+type FieldError struct {
+	// Path of the field, for example services/drafts/timeout_ms.
+	Path    string
+	Problem string
+}
+
+// Error returns the path and the problem.
+func (e *FieldError) Error() string { return e.Path + ": " + e.Problem }
+
+// Unwrap returns ErrInvalid.
+func (e *FieldError) Unwrap() error { return ErrInvalid }
+
+// Document is the configuration of the whole system.
+type Document struct {
+	Teams    map[string]Team    `json:"teams"`
+	Zones    map[string]Zone    `json:"zones"`
+	Services map[string]Service `json:"services"`
+	Limits   Limits             `json:"limits"`
+}
+
+// Team may edit the sections that it owns.
+type Team struct {
+	// TokenSHA256 holds the hex SHA-256 digests of the team's tokens.
+	TokenSHA256 []string `json:"token_sha256"`
+	// Admin may edit the teams and limits sections and create sections.
+	Admin bool `json:"admin,omitempty"`
+}
+
+// ZoneState tells whether an availability zone takes new work.
+type ZoneState string
+
+const (
+	// ZoneIn takes new work.
+	ZoneIn ZoneState = "in"
+	// ZoneOut takes no new work.
+	ZoneOut ZoneState = "out"
+)
+
+// Zone is an availability zone.
+type Zone struct {
+	Owner string    `json:"owner"`
+	State ZoneState `json:"state"`
+}
+
+// Service is a named set of upstreams with the rules for its requests.
+type Service struct {
+	Owner string `json:"owner"`
+	// Hosts are the Host header values that select the service.
+	Hosts []string `json:"hosts,omitempty"`
+	// TimeoutMs is the default time for a request in milliseconds.
+	TimeoutMs int `json:"timeout_ms"`
+	// Rules are tried in order; the first match decides. Without a match GET,
+	// HEAD and OPTIONS are repeatable.
+	Rules []RequestRule `json:"rules,omitempty"`
+	// Objective is the service-level objective.
+	Objective Objective `json:"objective"`
+	// Measuring bounds the probes of each upstream.
+	Measuring Measuring `json:"measuring"`
+}
+
+// RequestRule says how requests that match it may be treated.
+type RequestRule struct {
+	Methods    []string `json:"methods,omitempty"`
+	PathPrefix string   `json:"path_prefix,omitempty"`
+	Repeatable bool     `json:"repeatable"`
+	// TimeoutMs replaces the service's default when it is not 0.
+	TimeoutMs int `json:"timeout_ms,omitempty"`
+}
+
+// Objective is a share of good responses over a window.
+type Objective struct {
+	// GoodWithinMs is the longest time of a good response in milliseconds.
+	GoodWithinMs int `json:"good_within_ms"`
+	// Share of requests that must be good, between 0 and 1.
+	Share float64 `json:"share"`
+	// WindowHours is the length of the window.
+	WindowHours int `json:"window_hours"`
+}
+
+// Measuring is the budget for probes and connections opened to measure one upstream.
+type Measuring struct {
+	PerSecond float64 `json:"per_second"`
+}
+
+// Limits bound work for the whole system.
+type Limits struct {
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// RetryShare is the share of first attempts that may be retried.
+	RetryShare float64 `json:"retry_share"`
+	// HedgeShare is the share of first attempts that may be hedged.
+	HedgeShare float64 `json:"hedge_share"`
+	// ClaimHours is how long the record of a keyed request is kept.
+	ClaimHours int `json:"claim_hours"`
+}
+
+// DefaultLimits are in force where the document leaves a limit at 0.
+func DefaultLimits() Limits {
+	return Limits{MaxBodyBytes: 256 << 20, RetryShare: 0.2, HedgeShare: 0.02, ClaimHours: 24}
+}
+
+// Parse decodes a document strictly and validates it.
+func Parse(data []byte) (*Document, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	doc := &Document{}
+	if err := decoder.Decode(doc); err != nil {
+		return nil, errors.WithMessage(ErrInvalid, err.Error())
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.WithMessage(ErrInvalid, "data after the document")
+	}
+	doc.setDefaults()
+	return doc, doc.Validate()
+}
+
+func (d *Document) setDefaults() {
+	defaults := DefaultLimits()
+	if d.Limits.MaxBodyBytes == 0 {
+		d.Limits.MaxBodyBytes = defaults.MaxBodyBytes
+	}
+	if d.Limits.RetryShare == 0 {
+		d.Limits.RetryShare = defaults.RetryShare
+	}
+	if d.Limits.HedgeShare == 0 {
+		d.Limits.HedgeShare = defaults.HedgeShare
+	}
+	if d.Limits.ClaimHours == 0 {
+		d.Limits.ClaimHours = defaults.ClaimHours
+	}
+}
+
+// Rule returns the rule in force for a request. The path has no service prefix.
+func (s *Service) Rule(method, path string) RequestRule {
+	for _, rule := range s.Rules {
+		if rule.matches(method, path) {
+			return rule.withTimeout(s.TimeoutMs)
+		}
+	}
+	repeatable := method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+	return RequestRule{Repeatable: repeatable, TimeoutMs: s.TimeoutMs}
+}
+
+// Timeout returns the rule's timeout.
+func (r RequestRule) Timeout() time.Duration {
+	return time.Duration(r.TimeoutMs) * time.Millisecond
+}
+
+func (r RequestRule) withTimeout(serviceMs int) RequestRule {
+	if r.TimeoutMs == 0 {
+		r.TimeoutMs = serviceMs
+	}
+	return r
+}
+
+func (r RequestRule) matches(method, path string) bool {
+	if !strings.HasPrefix(path, r.PathPrefix) {
+		return false
+	}
+	if len(r.Methods) == 0 {
+		return true
+	}
+	for _, m := range r.Methods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/state/document/validate.go
@@ -0,0 +1,133 @@
+package document
+
+import (
+	"regexp"
+	"sort"
+	"strconv"
+)
+
+const maxTimeoutMs = 24 * 60 * 60 * 1000
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Validate returns a *FieldError for the first invalid field in path order.
+func (d *Document) Validate() error {
+	hosts := map[string]string{}
+	for _, name := range sortedKeys(d.Services) {
+		service := d.Services[name]
+		if err := d.validateService("services/"+name, name, &service, hosts); err != nil {
+			return err
+		}
+	}
+	for _, name := range sortedKeys(d.Zones) {
+		if err := d.validateZone("zones/"+name, name, d.Zones[name]); err != nil {
+			return err
+		}
+	}
+	for _, name := range sortedKeys(d.Teams) {
+		if err := validateTeam("teams/"+name, name, d.Teams[name]); err != nil {
+			return err
+		}
+	}
+	return d.Limits.validate()
+}
+
+func (d *Document) validateService(path, name string, s *Service, hosts map[string]string) error {
+	if !namePattern.MatchString(name) {
+		return &FieldError{path, "name must be lower-case letters, digits and hyphens, at most 63"}
+	}
+	if err := d.validateOwner(path, s.Owner); err != nil {
+		return err
+	}
+	if s.TimeoutMs < 1 || s.TimeoutMs > maxTimeoutMs {
+		return &FieldError{path + "/timeout_ms", "must be between 1 and " + strconv.Itoa(maxTimeoutMs)}
+	}
+	for i, rule := range s.Rules {
+		if rule.TimeoutMs < 0 || rule.TimeoutMs > maxTimeoutMs {
+			return &FieldError{path + "/rules/" + strconv.Itoa(i) + "/timeout_ms", "must be between 0 and " + strconv.Itoa(maxTimeoutMs)}
+		}
+	}
+	for _, host := range s.Hosts {
+		if other, taken := hosts[host]; taken {
+			return &FieldError{path + "/hosts", "host " + host + " belongs to service " + other}
+		}
+		hosts[host] = name
+	}
+	if s.Measuring.PerSecond < 0 {
+		return &FieldError{path + "/measuring/per_second", "must not be negative"}
+	}
+	return s.Objective.validate(path + "/objective")
+}
+
+func (o Objective) validate(path string) error {
+	if o == (Objective{}) {
+		return nil
+	}
+	if o.GoodWithinMs < 1 {
+		return &FieldError{path + "/good_within_ms", "must be at least 1"}
+	}
+	if o.Share <= 0 || o.Share >= 1 {
+		return &FieldError{path + "/share", "must be between 0 and 1, both excluded"}
+	}
+	if o.WindowHours < 1 {
+		return &FieldError{path + "/window_hours", "must be at least 1"}
+	}
+	return nil
+}
+
+func (d *Document) validateZone(path, name string, z Zone) error {
+	if !namePattern.MatchString(name) {
+		return &FieldError{path, "name must be lower-case letters, digits and hyphens, at most 63"}
+	}
+	if err := d.validateOwner(path, z.Owner); err != nil {
+		return err
+	}
+	if z.State != ZoneIn && z.State != ZoneOut {
+		return &FieldError{path + "/state", `must be "in" or "out"`}
+	}
+	return nil
+}
+
+func (d *Document) validateOwner(path, owner string) error {
+	if _, ok := d.Teams[owner]; !ok {
+		return &FieldError{path + "/owner", "no team named " + strconv.Quote(owner)}
+	}
+	return nil
+}
+
+func validateTeam(path, name string, team Team) error {
+	if !namePattern.MatchString(name) {
+		return &FieldError{path, "name must be lower-case letters, digits and hyphens, at most 63"}
+	}
+	for i, digest := range team.TokenSHA256 {
+		if len(digest) != 64 {
+			return &FieldError{path + "/token_sha256/" + strconv.Itoa(i), "must be 64 hexadecimal digits"}
+		}
+	}
+	return nil
+}
+
+func (l Limits) validate() error {
+	if l.MaxBodyBytes < 0 {
+		return &FieldError{"limits/max_body_bytes", "must not be negative"}
+	}
+	if l.RetryShare < 0 || l.RetryShare > 1 {
+		return &FieldError{"limits/retry_share", "must be between 0 and 1"}
+	}
+	if l.HedgeShare < 0 || l.HedgeShare > 1 {
+		return &FieldError{"limits/hedge_share", "must be between 0 and 1"}
+	}
+	if l.ClaimHours < 0 {
+		return &FieldError{"limits/claim_hours", "must not be negative"}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
