Serve a request from caller to upstream through separate processes

Cause: no program ran yet. Change: chicorylever-node and chicorylever-control with a thin whole path: announcement, lease, distribution of document and registry, entry, mesh stream, upstream and back. test/e2e starts control, three nodes in three availability zones and fake upstreams as separate processes. Before: nothing ran. After: 60 concurrent requests through three nodes each get their own response; SIGTERM ends every program with exit code 0. Conclusion: the path stands; choice is random, admission is a plain slot count, and control reads a fixed document.

--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,59 @@
+// Package program holds what the main functions of the daemons share.
+package program
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/chicorylever/chicorylever/internal/obs"
+	"github.com/chicorylever/chicorylever/internal/settings"
+)
+
+// exitFailure is the exit code of a program that fails after its settings were accepted.
+const exitFailure = 1
+
+// Daemon starts one of the daemons from its settings file and serves until ctx ends.
+type Daemon func(ctx context.Context, settingsPath string) error
+
+// Main runs a daemon's command line and ends the process. SIGTERM and SIGINT
+// start a graceful stop. The exit code is 0 after a graceful stop, 2 for
+// invalid settings or usage, 1 for other errors.
+func Main(name, usage string, daemon Daemon) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	command := &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "JSON settings `FILE`"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return daemon(ctx, command.String("settings"))
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, name+": "+err.Error())
+		stop()
+		os.Exit(exitCode(err)) //nolint:gocritic // stop was called
+	}
+}
+
+func exitCode(err error) int {
+	var invalid *settings.Error
+	if errors.As(err, &invalid) {
+		return settings.ExitCode
+	}
+	return exitFailure
+}
+
+// Logger writes JSON lines to standard error.
+func Logger(levelName string) (log.Logger, error) {
+	return obs.NewLogger(os.Stderr, levelName)
+}
--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,52 @@
+// Package e2e runs the programs as separate processes.
+package e2e
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestWholePath guards against a broken path from an announced upstream to a
+// caller's response, through every node, and against responses that reach the
+// wrong caller.
+func TestWholePath(t *testing.T) {
+	c := newCluster(t)
+	c.startControl()
+	for i, zone := range []string{"seq-a", "seq-b", "seq-c"} {
+		node := c.startNode(zone)
+		service := "drafts"
+		if i == 2 {
+			service = "approvals"
+		}
+		c.startUpstream(service, fmt.Sprintf("%s-%d", service, i), node)
+	}
+	for _, node := range c.nodes {
+		for _, service := range []string{"drafts", "approvals"} {
+			eventually(t, func() error {
+				status, body, err := call("GET", "http://"+node.EntryListen+"/svc/"+service+"/ping", "")
+				if err == nil && status != 200 {
+					err = fmt.Errorf("%s through %s: %d %s", service, node.ID, status, body)
+				}
+				return err
+			})
+		}
+	}
+	var group sync.WaitGroup
+	for i := range 60 {
+		group.Go(func() {
+			node := c.nodes[i%len(c.nodes)]
+			status, body, err := call("POST", fmt.Sprintf("http://%s/svc/approvals/a/%d?delay_ms=%d", node.EntryListen, i, i%7), fmt.Sprint("body ", i))
+			if assert.Check(t, err) && status != 503 {
+				assert.Check(t, status == 200, body)
+				assert.Check(t, body == fmt.Sprintf("POST /a/%d body %d", i, i), body)
+			}
+		})
+	}
+	group.Wait()
+	for _, name := range []string{"node-1", "node-2", "node-3", "control-1"} {
+		assert.Equal(t, c.stop(name), 0, "%s after SIGTERM", name)
+	}
+}
--- /dev/null
+++ b/test/e2e/process_test.go
@@ -0,0 +1,161 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/settings"
+)
+
+const testDocument = `{
+  "teams": {"platform": {"token_sha256": [], "admin": true}},
+  "zones": {
+    "seq-a": {"owner": "platform", "state": "in"},
+    "seq-b": {"owner": "platform", "state": "in"},
+    "seq-c": {"owner": "platform", "state": "in"}
+  },
+  "services": {
+    "drafts": {"owner": "platform", "hosts": ["drafts.example"], "timeout_ms": 5000},
+    "approvals": {"owner": "platform", "timeout_ms": 5000}
+  },
+  "limits": {}
+}`
+
+// cluster is one control member and nodes, each a process of its own.
+type cluster struct {
+	t         *testing.T
+	bin       string
+	dir       string
+	control   *settings.Control
+	nodes     []*settings.Node
+	processes map[string]*exec.Cmd
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}}
+	c.bin = filepath.Join(c.dir, "bin")
+	assert.NilError(t, os.MkdirAll(c.bin, 0o750))
+	build := exec.Command("go", "build", "-o", c.bin, "../../cmd/...")
+	build.Stderr = os.Stderr
+	assert.NilError(t, build.Run())
+	t.Cleanup(c.kill)
+	return c
+}
+
+func (c *cluster) startControl() {
+	document := filepath.Join(c.dir, "document.json")
+	assert.NilError(c.t, os.WriteFile(document, []byte(testDocument), 0o600))
+	mesh := freeAddress(c.t)
+	c.control = &settings.Control{
+		ID: "control-1", Zone: "seq-a", DataDir: filepath.Join(c.dir, "data-1"),
+		MeshListen: mesh, APIListen: freeAddress(c.t),
+		Bootstrap: []string{mesh}, BootstrapDocument: document,
+	}
+	c.start("chicorylever-control", "control-1", c.control)
+}
+
+func (c *cluster) startNode(zone string) *settings.Node {
+	id := fmt.Sprintf("node-%d", len(c.nodes)+1)
+	node := &settings.Node{
+		ID: id, Zone: zone,
+		EntryListen: freeAddress(c.t), LocalListen: freeAddress(c.t), MeshListen: freeAddress(c.t), AdminListen: freeAddress(c.t),
+		Control: []string{c.control.MeshListen},
+	}
+	c.nodes = append(c.nodes, node)
+	c.start("chicorylever-node", id, node)
+	return node
+}
+
+func (c *cluster) start(program, name string, config any) {
+	data, err := json.Marshal(config)
+	assert.NilError(c.t, err)
+	path := filepath.Join(c.dir, name+".json")
+	assert.NilError(c.t, os.WriteFile(path, data, 0o600))
+	c.run(name, exec.Command(filepath.Join(c.bin, program), "--settings", path))
+}
+
+func (c *cluster) startUpstream(service, instance string, node *settings.Node) {
+	config, err := json.Marshal(upstreamConfig{Service: service, Instance: instance, Node: node.LocalListen})
+	assert.NilError(c.t, err)
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), upstreamEnv+"="+string(config))
+	c.run(instance, command)
+}
+
+func (c *cluster) run(name string, command *exec.Cmd) {
+	log, err := os.Create(filepath.Join(c.dir, name+".log"))
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() {
+		_ = log.Close()
+		if c.t.Failed() {
+			data, _ := os.ReadFile(log.Name())
+			c.t.Logf("%s:\n%s", name, data)
+		}
+	})
+	command.Stdout, command.Stderr = log, log
+	assert.NilError(c.t, command.Start())
+	c.processes[name] = command
+}
+
+// stop sends SIGTERM and returns the exit code.
+func (c *cluster) stop(name string) int {
+	command := c.processes[name]
+	delete(c.processes, name)
+	assert.NilError(c.t, command.Process.Signal(syscall.SIGTERM))
+	_ = command.Wait()
+	return command.ProcessState.ExitCode()
+}
+
+func (c *cluster) kill() {
+	for _, command := range c.processes {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// eventually retries a check while processes start.
+func eventually(t *testing.T, check func() error) {
+	t.Helper()
+	var err error
+	for range 400 {
+		if err = check(); err == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatal(err)
+}
+
+func call(method, url, body string) (status int, response string, err error) {
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(data), err
+}
