--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+const validNode = `{"id":"n","zone":"z","entry_listen":"10.0.0.1:80","local_listen":"127.0.0.1:81",` +
+	`"mesh_listen":"10.0.0.1:82","admin_listen":"10.0.0.1:83","control":["10.0.0.2:7100"]}`
+
+// TestParseNode guards against settings that are accepted with a field that has
+// no effect or cannot work, and against errors that do not name the field.
+func TestParseNode(t *testing.T) {
+	tests := []struct {
+		name, replace, with string
+		problem             string
+	}{
+		{"valid", "", "", ""},
+		{"unknown field", `"id"`, `"idd"`, `unknown field "idd"`},
+		{"wrong type", `"z"`, `7`, "zone: must be string, not number"},
+		{"empty name", `"n"`, `""`, "id: must not be empty"},
+		{"host name", "10.0.0.1:80", "example.org:80", "entry_listen: host must be an IP number"},
+		{"not loopback", "127.0.0.1:81", "10.0.0.1:81", "local_listen: must be a loopback address"},
+		{"port", "10.0.0.2:7100", "10.0.0.2:71000", "control[0]: port must be between 0 and 65535"},
+		{"no control", `["10.0.0.2:7100"]`, `[]`, "control: must name at least one address"},
+		{"log level", `"id":"n"`, `"id":"n","log_level":"loud"`, "log_level: must be debug, info, warn or error"},
+		{"negative", `"id":"n"`, `"id":"n","stop_timeout_ms":-1`, "stop_timeout_ms: must be at least 1"},
+		{"trailing data", `"id":"n"`, `"id":"n"} {"id":"n"`, "data after"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := parse("node.json", []byte(strings.Replace(validNode, test.replace, test.with, 1)), &Node{})
+			if test.problem == "" {
+				assert.NilError(t, err)
+				return
+			}
+			var invalid *Error
+			assert.Assert(t, errors.As(err, &invalid), "%v", err)
+			assert.ErrorContains(t, err, test.problem)
+			assert.ErrorContains(t, err, "node.json: ")
+		})
+	}
+}
+
+// TestExamples guards against examples that the programs refuse.
+func TestExamples(t *testing.T) {
+	for _, deployment := range []string{"moreton", "kingfisher"} {
+		dir := filepath.Join("../../examples", deployment)
+		_, err := LoadNode(filepath.Join(dir, "node.json"))
+		assert.NilError(t, err)
+		_, err = LoadControl(filepath.Join(dir, "control.json"))
+		assert.NilError(t, err)
+		data, err := os.ReadFile(filepath.Join(dir, "document.json"))
+		assert.NilError(t, err)
+		_, err = document.Parse(data)
+		assert.NilError(t, err)
+	}
+}
+
+// jsonBlock matches a JSON block of a page; the word after json says what it holds.
+var jsonBlock = regexp.MustCompile("(?s)```json ([a-z]+)\n(.*?)```")
+
+// TestDocumentationBlocks guards against pages whose settings or documents the
+// programs refuse.
+func TestDocumentationBlocks(t *testing.T) {
+	pages, err := filepath.Glob("../../docs/*.md")
+	assert.NilError(t, err)
+	for _, page := range append(pages, "../../README.md") {
+		data, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(data), "```json\n"), "%s: a JSON block does not say what it holds", page)
+		for _, match := range jsonBlock.FindAllStringSubmatch(string(data), -1) {
+			assert.NilError(t, parseBlock(page, match[1], []byte(match[2])))
+		}
+	}
+}
+
+func parseBlock(page, kind string, data []byte) error {
+	switch kind {
+	case "node":
+		return parse(page, data, &Node{})
+	case "control":
+		return parse(page, data, &Control{})
+	case "document":
+		_, err := document.Parse(data)
+		return errors.WithMessage(err, page)
+	default:
+		return errors.Errorf("%s: unknown kind of JSON block %q", page, kind)
+	}
+}
