--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+)
+
+// section names a part of the replicated state. It is the first byte of each
+// command and never changes its meaning, since commands stay in the log.
+type section byte
+
+const (
+	sectionDocument section = 1
+	sectionClaims   section = 2
+	sectionBurn     section = 3
+)
+
+// errSnapshot reports a snapshot that this version cannot read.
+var errSnapshot = errors.New("control: malformed snapshot")
+
+// machine joins the parts of the replicated state to one state machine.
+type machine struct {
+	parts map[section]replica.StateMachine
+	order []section
+}
+
+func newMachine(document, claims, burn replica.StateMachine) *machine {
+	return &machine{
+		parts: map[section]replica.StateMachine{
+			sectionDocument: document,
+			sectionClaims:   claims,
+			sectionBurn:     burn,
+		},
+		order: []section{sectionDocument, sectionClaims, sectionBurn},
+	}
+}
+
+// Apply hands a command to its part. A command of an unknown part has no effect,
+// which keeps members of one version deterministic.
+func (m *machine) Apply(index uint64, command []byte) []byte {
+	if len(command) == 0 {
+		return nil
+	}
+	part, ok := m.parts[section(command[0])]
+	if !ok {
+		return nil
+	}
+	return part.Apply(index, command[1:])
+}
+
+// Snapshot writes each part as its name, its length and its state.
+func (m *machine) Snapshot() ([]byte, error) {
+	var data []byte
+	for _, name := range m.order {
+		state, err := m.parts[name].Snapshot()
+		if err != nil {
+			return nil, errors.WithMessagef(err, "snapshot of part %d", name)
+		}
+		data = append(data, byte(name))
+		data = binary.AppendUvarint(data, uint64(len(state)))
+		data = append(data, state...)
+	}
+	return data, nil
+}
+
+// Restore replaces the state of every part.
+func (m *machine) Restore(data []byte) error {
+	states, err := splitSnapshot(data)
+	if err != nil {
+		return err
+	}
+	for _, name := range m.order {
+		if err := m.parts[name].Restore(states[name]); err != nil {
+			return errors.WithMessagef(err, "restore part %d", name)
+		}
+	}
+	return nil
+}
+
+func splitSnapshot(data []byte) (map[section][]byte, error) {
+	states := map[section][]byte{}
+	for len(data) > 0 {
+		name := section(data[0])
+		size, n := binary.Uvarint(data[1:])
+		if n <= 0 || size > uint64(len(data)-1-n) {
+			return nil, errSnapshot
+		}
+		data = data[1+n:]
+		states[name] = data[:size]
+		data = data[size:]
+	}
+	return states, nil
+}
+
+// sectionProposer proposes commands of one part.
+type sectionProposer struct {
+	replica.Proposer
+	name section
+}
+
+// Propose marks the command with its part.
+func (p sectionProposer) Propose(ctx context.Context, command []byte) (result []byte, index uint64, err error) {
+	tagged := make([]byte, 0, len(command)+1)
+	tagged = append(tagged, byte(p.name))
+	return p.Proposer.Propose(ctx, append(tagged, command...))
+}
