Add the replicated state machine of the document

Cause: control needs one deterministic state for sections, versions, edit results and history, which every member derives from the log.

Change: document.Machine implements replica.StateMachine. Validation now also refuses tokens that two teams share, digests that are not hexadecimal, and malformed rules.

--- /dev/null
+++ b/internal/state/document/snapshot.go
@@ -0,0 +1,64 @@
+package document
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// snapshotFormat changes when a former Restore could not read the snapshot.
+const snapshotFormat = 1
+
+type snapshot struct {
+	Format   int               `json:"format"`
+	Revision uint64            `json:"revision"`
+	NowMs    int64             `json:"now_ms"`
+	Document *Document         `json:"document"`
+	Versions map[string]uint64 `json:"versions"`
+	History  []Change          `json:"history"`
+	Edits    []editResult      `json:"edits"`
+}
+
+// Snapshot returns the whole state: document, versions, history and the results
+// kept for resends.
+func (m *Machine) Snapshot() ([]byte, error) {
+	view := m.View()
+	data, err := json.Marshal(snapshot{
+		Format:   snapshotFormat,
+		Revision: view.Revision,
+		NowMs:    m.nowMs,
+		Document: view.Document,
+		Versions: view.versions,
+		History:  view.history,
+		Edits:    m.edits.order,
+	})
+	return data, errors.Wrap(err, "encode document snapshot")
+}
+
+// Restore replaces the whole state. After an error the state is unchanged.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(err, "decode document snapshot")
+	}
+	if s.Format != snapshotFormat {
+		return errors.Errorf("document snapshot has format %d, not %d", s.Format, snapshotFormat)
+	}
+	view := newView()
+	view.Revision = s.Revision
+	if s.Document != nil {
+		view.Document = s.Document
+	}
+	if s.Versions != nil {
+		view.versions = s.Versions
+	}
+	view.history = s.History
+	edits := newEditResults()
+	for _, result := range s.Edits {
+		edits.add(result)
+	}
+	m.edits = edits
+	m.nowMs = s.NowMs
+	m.publish(view)
+	return nil
+}
--- a/internal/state/document/validate.go
+++ b/internal/state/document/validate.go
@@ -8,7 +8,13 @@
 
 const maxTimeoutMs = 24 * 60 * 60 * 1000
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+const nameProblem = "name must be lower-case letters, digits and hyphens, at most 63"
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
+)
 
 // Validate returns a *FieldError for the first invalid field in path order.
 func (d *Document) Validate() error {
@@ -24,8 +30,9 @@
 			return err
 		}
 	}
+	digests := map[string]string{}
 	for _, name := range sortedKeys(d.Teams) {
-		if err := validateTeam("teams/"+name, name, d.Teams[name]); err != nil {
+		if err := validateTeam("teams/"+name, name, d.Teams[name], digests); err != nil {
 			return err
 		}
 	}
@@ -34,7 +41,7 @@
 
 func (d *Document) validateService(path, name string, s *Service, hosts map[string]string) error {
 	if !namePattern.MatchString(name) {
-		return &FieldError{path, "name must be lower-case letters, digits and hyphens, at most 63"}
+		return &FieldError{path, nameProblem}
 	}
 	if err := d.validateOwner(path, s.Owner); err != nil {
 		return err
@@ -43,8 +50,8 @@
 		return &FieldError{path + "/timeout_ms", "must be between 1 and " + strconv.Itoa(maxTimeoutMs)}
 	}
 	for i, rule := range s.Rules {
-		if rule.TimeoutMs < 0 || rule.TimeoutMs > maxTimeoutMs {
-			return &FieldError{path + "/rules/" + strconv.Itoa(i) + "/timeout_ms", "must be between 0 and " + strconv.Itoa(maxTimeoutMs)}
+		if err := rule.validate(path + "/rules/" + strconv.Itoa(i)); err != nil {
+			return err
 		}
 	}
 	for _, host := range s.Hosts {
@@ -59,6 +66,21 @@
 	return s.Objective.validate(path + "/objective")
 }
 
+func (r RequestRule) validate(path string) error {
+	if r.TimeoutMs < 0 || r.TimeoutMs > maxTimeoutMs {
+		return &FieldError{path + "/timeout_ms", "must be between 0 and " + strconv.Itoa(maxTimeoutMs)}
+	}
+	if r.PathPrefix != "" && r.PathPrefix[0] != '/' {
+		return &FieldError{path + "/path_prefix", "must begin with /"}
+	}
+	for i, method := range r.Methods {
+		if !methodPattern.MatchString(method) {
+			return &FieldError{path + "/methods/" + strconv.Itoa(i), "must be upper-case letters"}
+		}
+	}
+	return nil
+}
+
 func (o Objective) validate(path string) error {
 	if o == (Objective{}) {
 		return nil
@@ -77,7 +99,7 @@
 
 func (d *Document) validateZone(path, name string, z Zone) error {
 	if !namePattern.MatchString(name) {
-		return &FieldError{path, "name must be lower-case letters, digits and hyphens, at most 63"}
+		return &FieldError{path, nameProblem}
 	}
 	if err := d.validateOwner(path, z.Owner); err != nil {
 		return err
@@ -95,14 +117,20 @@
 	return nil
 }
 
-func validateTeam(path, name string, team Team) error {
+// validateTeam refuses a digest that another team has, since a token identifies one team.
+func validateTeam(path, name string, team Team, digests map[string]string) error {
 	if !namePattern.MatchString(name) {
-		return &FieldError{path, "name must be lower-case letters, digits and hyphens, at most 63"}
+		return &FieldError{path, nameProblem}
 	}
 	for i, digest := range team.TokenSHA256 {
-		if len(digest) != 64 {
-			return &FieldError{path + "/token_sha256/" + strconv.Itoa(i), "must be 64 hexadecimal digits"}
+		field := path + "/token_sha256/" + strconv.Itoa(i)
+		if !digestPattern.MatchString(digest) {
+			return &FieldError{field, "must be 64 lower-case hexadecimal digits"}
+		}
+		if other, taken := digests[digest]; taken {
+			return &FieldError{field, "token belongs to team " + other}
 		}
+		digests[digest] = name
 	}
 	return nil
 }
