--- /dev/null
+++ b/internal/coordination/admission/measure.go
@@ -0,0 +1,85 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// MeasureCounters are the totals of a measurement budget.
+type MeasureCounters struct {
+	// Budget is the number of measurements allowed so far, spent or not.
+	Budget float64
+	Spent  uint64
+	Denied uint64
+}
+
+// MeasureBudget bounds the probes, health checks and connections opened to measure
+// one upstream with a token bucket. It is safe for concurrent use.
+type MeasureBudget struct {
+	mu        sync.Mutex
+	perSecond float64
+	burst     float64
+	tokens    float64
+	at        time.Time
+	counters  MeasureCounters
+}
+
+// NewMeasureBudget returns a budget of perSecond measurements per second. Unused
+// budget is saved for one measurement only, so that any window of w seconds has at
+// most 1 + w*perSecond measurements.
+func NewMeasureBudget(now time.Time, perSecond float64) *MeasureBudget {
+	b := &MeasureBudget{at: now}
+	b.configure(perSecond)
+	b.tokens = b.burst
+	b.counters.Budget = b.burst
+	return b
+}
+
+// SetRate changes the rate in measurements per second from now on.
+func (b *MeasureBudget) SetRate(now time.Time, perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.configure(perSecond)
+	b.tokens = min(b.tokens, b.burst)
+}
+
+// Allow takes one measurement from the budget, or returns false.
+func (b *MeasureBudget) Allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	if b.tokens < 1 {
+		b.counters.Denied++
+		return false
+	}
+	b.tokens--
+	b.counters.Spent++
+	return true
+}
+
+// Counters returns the totals.
+func (b *MeasureBudget) Counters() MeasureCounters {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counters
+}
+
+func (b *MeasureBudget) configure(perSecond float64) {
+	b.perSecond = max(0, perSecond)
+	b.burst = 0
+	if b.perSecond > 0 {
+		b.burst = 1
+	}
+}
+
+func (b *MeasureBudget) refill(now time.Time) {
+	elapsed := now.Sub(b.at)
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	added := elapsed.Seconds() * b.perSecond
+	b.counters.Budget += added
+	b.tokens = min(b.burst, b.tokens+added)
+}
--- /dev/null
+++ b/internal/coordination/admission/queue.go
@@ -0,0 +1,91 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// enqueue decides whether waiting is worthwhile for a request that finds no free
+// permit, and until when.
+func (m *Machine) enqueue(now time.Time, ticket Ticket, req Request) (waiter, wire.RefusalReason) {
+	patience := m.config.Patience * time.Duration(max(1, req.Attempt))
+	wait := m.expectedWait(len(m.queue))
+	if wait > patience {
+		return waiter{}, m.fullReason()
+	}
+	w := waiter{ticket: ticket, expiry: now.Add(patience)}
+	if req.Deadline.IsZero() {
+		return w, notRefused
+	}
+	latest := req.Deadline.Add(-m.ramp.serviceTime())
+	if now.Add(wait).After(latest) {
+		return waiter{}, wire.RefusalReason_REFUSAL_DEADLINE
+	}
+	if latest.Before(w.expiry) {
+		w.expiry = latest
+		w.late = true
+	}
+	return w, notRefused
+}
+
+// expectedWait is the time until a request with ahead others before it is admitted.
+func (m *Machine) expectedWait(ahead int) time.Duration {
+	excess := max(0, len(m.running)-m.ramp.limit)
+	turns := float64(ahead+1+excess) / float64(max(1, m.ramp.limit))
+	return time.Duration(turns * float64(m.ramp.serviceTime()))
+}
+
+func (m *Machine) fullReason() wire.RefusalReason {
+	if m.ramp.cold {
+		return wire.RefusalReason_REFUSAL_COLD
+	}
+	return wire.RefusalReason_REFUSAL_QUEUE_FULL
+}
+
+// settle refuses waiting requests that expired or may not run, then admits as many
+// as the limit allows.
+func (m *Machine) settle(now time.Time) {
+	m.refuseWaiting(now)
+	for len(m.queue) > 0 && len(m.running) < m.ramp.limit {
+		w := m.dequeue()
+		m.running[w.ticket] = m.epoch
+		m.events = append(m.events, Event{Ticket: w.ticket, Admitted: true})
+	}
+}
+
+func (m *Machine) refuseWaiting(now time.Time) {
+	closed := m.closed()
+	kept := m.queue[:0]
+	for _, w := range m.queue {
+		reason := closed
+		if reason == notRefused && !now.Before(w.expiry) {
+			reason = m.expiredReason(w)
+		}
+		if reason == notRefused {
+			kept = append(kept, w)
+			continue
+		}
+		m.events = append(m.events, Event{Ticket: w.ticket, Reason: reason})
+	}
+	m.queue = kept
+}
+
+func (m *Machine) expiredReason(w waiter) wire.RefusalReason {
+	if w.late {
+		return wire.RefusalReason_REFUSAL_DEADLINE
+	}
+	return m.fullReason()
+}
+
+func (m *Machine) dequeue() waiter {
+	last := len(m.queue) - 1
+	if m.config.Order == LIFO {
+		w := m.queue[last]
+		m.queue = m.queue[:last]
+		return w
+	}
+	w := m.queue[0]
+	m.queue = append(m.queue[:0], m.queue[1:]...)
+	return w
+}
