Serve the replicated document instead of a fixed file

Cause: control distributed the bootstrap file as revision 1 for good. Change: control proposes the bootstrap document to the state machine and distributes its view; the proposer keeps commands in memory until the replicated log is in place. Conclusion: the log replaces one type in control.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,8 +15,10 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/settings"
+	"github.com/chicorylever/chicorylever/internal/state/document"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -39,10 +41,15 @@
 
 // New opens the listeners and the state of a member.
 func New(s *settings.Control, logger log.Logger) (*Control, error) {
-	source, err := newFileSource(s.BootstrapDocument)
-	if err != nil {
-		return nil, err
+	documents := document.NewMachine()
+	local := &localProposer{machine: newMachine(map[section]replica.StateMachine{sectionDocument: documents})}
+	proposer := sectionProposer{local, sectionDocument}
+	if s.BootstrapDocument != "" {
+		if err := bootstrapDocument(context.Background(), proposer, s.BootstrapDocument); err != nil {
+			return nil, err
+		}
 	}
+	source := documentSource{machine: documents, proposer: proposer}
 	registry := membership.NewRegistry()
 	c := &Control{
 		settings:   s,
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -15,8 +17,6 @@
 
 const (
 	sectionDocument section = 1
-	sectionClaims   section = 2
-	sectionBurn     section = 3
 )
 
 // errSnapshot reports a snapshot that this version cannot read.
@@ -28,15 +28,8 @@
 	order []section
 }
 
-func newMachine(document, claims, burn replica.StateMachine) *machine {
-	return &machine{
-		parts: map[section]replica.StateMachine{
-			sectionDocument: document,
-			sectionClaims:   claims,
-			sectionBurn:     burn,
-		},
-		order: []section{sectionDocument, sectionClaims, sectionBurn},
-	}
+func newMachine(parts map[section]replica.StateMachine) *machine {
+	return &machine{parts: parts, order: slices.Sorted(maps.Keys(parts))}
 }
 
 // Apply hands a command to its part. A command of an unknown part has no effect,
--- a/internal/control/source.go
+++ b/internal/control/source.go
@@ -5,42 +5,68 @@
 	"encoding/json"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-// fileSource distributes the document of a file as revision 1.
-type fileSource struct {
-	data    []byte
-	changed chan struct{}
+// documentSource distributes the replicated document.
+type documentSource struct {
+	machine  *document.Machine
+	proposer replica.Proposer
 }
 
-func newFileSource(path string) (*fileSource, error) {
+// Confirm returns once everything accepted before the call is applied here.
+func (s documentSource) Confirm(ctx context.Context) error {
+	_, err := s.proposer.Confirm(ctx)
+	return err
+}
+
+// Current returns the revision and the document without token digests.
+func (s documentSource) Current() (revision uint64, data []byte) {
+	view := s.machine.View()
+	if view.Revision == 0 {
+		return 0, nil
+	}
+	data, err := json.Marshal(view.Document.Redacted(""))
+	if err != nil {
+		panic(err) // a document holds only strings, numbers and maps of them
+	}
+	return view.Revision, data
+}
+
+// Changed returns a channel that is closed at the next revision.
+func (s documentSource) Changed() <-chan struct{} { return s.machine.View().Replaced() }
+
+// bootstrapDocument proposes the first document of a new cluster. It has no
+// effect when there is one already.
+func bootstrapDocument(ctx context.Context, proposer replica.Proposer, path string) error {
 	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
-		return nil, errors.Wrap(err, "bootstrap_document")
+		return errors.Wrap(err, "bootstrap_document")
+	}
+	command, err := document.EncodeBootstrap(data, time.Now())
+	if err != nil {
+		return errors.WithMessage(err, "bootstrap_document")
 	}
-	doc, err := document.Parse(data)
+	answer, _, err := proposer.Propose(ctx, command)
 	if err != nil {
-		return nil, errors.WithMessage(err, "bootstrap_document")
+		return errors.WithMessage(err, "bootstrap_document")
 	}
-	doc.Teams = nil
-	public, err := json.Marshal(doc)
+	result, err := document.DecodeResult(answer)
 	if err != nil {
-		return nil, errors.Wrap(err, "bootstrap_document")
+		return errors.WithMessage(err, "bootstrap_document")
+	}
+	if result.Outcome != document.Accepted && result.Outcome != document.NotEmpty {
+		return errors.Errorf("bootstrap_document: %s", result.Problem)
 	}
-	return &fileSource{data: public, changed: make(chan struct{})}, nil
+	return nil
 }
 
-func (s *fileSource) Confirm(context.Context) error { return nil }
-
-func (s *fileSource) Current() (uint64, []byte) { return 1, s.data }
-
-func (s *fileSource) Changed() <-chan struct{} { return s.changed }
-
 func (c *Control) routes() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/v1/nodes", func(w http.ResponseWriter, _ *http.Request) {
