Answer claims of keyed requests at control

Cause: nodes need one owner of the records of keyed requests. Change: control answers Claim, RecordOutcome and ReleaseClaim through the state machine, and marks claims of nodes that are gone or restarted as lost.

--- /dev/null
+++ b/internal/control/claims.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/claims"
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+const (
+	// claimCapacityBytes bounds the records of keyed requests in a member's
+	// memory; beyond it new keys are refused as not run.
+	claimCapacityBytes = 1 << 30
+	// claimTimeout bounds one proposal; the node asks again with the same attempt ID.
+	claimTimeout = 2 * time.Second
+)
+
+// claimService answers the claims of nodes from the replicated log.
+type claimService struct {
+	proposer  replica.Proposer
+	documents *document.Machine
+}
+
+// serveStream answers requests about claims in order until the stream ends.
+func (s *claimService) serveStream(ctx context.Context, first *wire.Envelope, conn *frame.Conn) error {
+	for message := first; ; {
+		answer, err := s.answer(ctx, message)
+		if err != nil {
+			return err
+		}
+		conn.BindAttempt(message.GetAttemptId())
+		if err := conn.SendNow(answer); err != nil {
+			return err
+		}
+		conn.BindAttempt(nil)
+		if message, err = conn.Receive(); err != nil {
+			return nil //nolint:nilerr // the node ends the stream when it has no more requests
+		}
+	}
+}
+
+func (s *claimService) answer(ctx context.Context, message *wire.Envelope) (*wire.Envelope, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	switch {
+	case message.GetClaim() != nil:
+		result := s.claim(ctx, message.GetClaim())
+		return &wire.Envelope{Body: &wire.Envelope_ClaimResult{ClaimResult: result}}, nil
+	case message.GetRecordOutcome() != nil:
+		command, err := claims.EncodeRecord(message.GetRecordOutcome(), time.Now())
+		return s.acknowledge(ctx, command, err)
+	case message.GetReleaseClaim() != nil:
+		command, err := claims.EncodeRelease(message.GetReleaseClaim(), time.Now())
+		return s.acknowledge(ctx, command, err)
+	default:
+		return nil, errors.WithMessage(frame.ErrUnexpected, "on a stream of claims")
+	}
+}
+
+// claim returns CLAIM_UNAVAILABLE when the log gave no answer. The claim may have
+// been granted then; only the same attempt may use it.
+func (s *claimService) claim(ctx context.Context, claim *wire.Claim) *wire.ClaimResult {
+	unavailable := &wire.ClaimResult{State: wire.ClaimState_CLAIM_UNAVAILABLE}
+	command, err := claims.EncodeClaim(claim, s.terms(claim.GetService()))
+	if err != nil {
+		return unavailable
+	}
+	answer, _, err := s.proposer.Propose(ctx, command)
+	if err != nil {
+		return unavailable
+	}
+	result, err := claims.DecodeClaimResult(answer)
+	if err != nil {
+		return unavailable
+	}
+	return result
+}
+
+func (s *claimService) terms(service string) claims.Terms {
+	doc := s.documents.View().Document
+	terms := claims.Terms{At: time.Now(), Capacity: claimCapacityBytes}
+	if doc == nil {
+		terms.Keep = time.Duration(document.DefaultLimits().ClaimHours) * time.Hour
+		return terms
+	}
+	config := doc.Services[service]
+	terms.Timeout = config.LongestTimeout()
+	terms.Keep = time.Duration(doc.Limits.ClaimHours) * time.Hour
+	return terms
+}
+
+func (s *claimService) acknowledge(ctx context.Context, command []byte, err error) (*wire.Envelope, error) {
+	ack := &wire.ClaimAck{}
+	if err == nil {
+		ack, err = s.propose(ctx, command)
+	}
+	if err != nil {
+		ack = &wire.ClaimAck{Error: err.Error()}
+	}
+	return &wire.Envelope{Body: &wire.Envelope_ClaimAck{ClaimAck: ack}}, nil
+}
+
+func (s *claimService) propose(ctx context.Context, command []byte) (*wire.ClaimAck, error) {
+	answer, _, err := s.proposer.Propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	return claims.DecodeAck(answer)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/settings"
+	"github.com/chicorylever/chicorylever/internal/state/claims"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
@@ -34,6 +35,7 @@
 	logger     log.Logger
 	registry   *membership.Registry
 	distribute *distribute.Server
+	claims     *claimService
 
 	meshListener net.Listener
 	apiListener  net.Listener
@@ -42,7 +44,10 @@
 // New opens the listeners and the state of a member.
 func New(s *settings.Control, logger log.Logger) (*Control, error) {
 	documents := document.NewMachine()
-	local := &localProposer{machine: newMachine(map[section]replica.StateMachine{sectionDocument: documents})}
+	local := &localProposer{machine: newMachine(map[section]replica.StateMachine{
+		sectionDocument: documents,
+		sectionClaims:   claims.NewMachine(),
+	})}
 	proposer := sectionProposer{local, sectionDocument}
 	if s.BootstrapDocument != "" {
 		if err := bootstrapDocument(context.Background(), proposer, s.BootstrapDocument); err != nil {
@@ -56,6 +61,7 @@
 		logger:     logger,
 		registry:   registry,
 		distribute: distribute.NewServer(source, registry),
+		claims:     &claimService{proposer: sectionProposer{local, sectionClaims}, documents: documents},
 	}
 	return c, c.listen()
 }
@@ -90,6 +96,7 @@
 	group.Go(func() error { return server.Serve(groupCtx, c.meshListener) })
 	group.Go(func() error { return ignoreClosed(api.Serve(c.apiListener)) })
 	group.Go(func() error { return c.expireLeases(groupCtx) })
+	group.Go(func() error { newLostNodes(c.registry, c.claims.proposer, c.logger).run(groupCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
 		stopCtx, cancel := context.WithTimeout(context.Background(), apiStopTimeout)
@@ -128,6 +135,8 @@
 	switch {
 	case first.GetSubscribe() != nil:
 		err = c.distribute.ServeStream(ctx, first, conn)
+	case first.GetClaim() != nil, first.GetRecordOutcome() != nil, first.GetReleaseClaim() != nil:
+		err = c.claims.serveStream(ctx, first, conn)
 	default:
 		err = errors.WithMessage(frame.ErrUnexpected, "first message of a stream")
 	}
--- /dev/null
+++ b/internal/control/lost.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/membership"
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+	"github.com/chicorylever/chicorylever/internal/state/claims"
+)
+
+const lostNodesInterval = time.Second
+
+// lostNodes reports nodes that are gone or have started anew to the claims, so
+// that a resend of a keyed request is told at once that the outcome is unknown.
+// A loss that no leader notices is covered by the deadline of each claim.
+type lostNodes struct {
+	registry *membership.Registry
+	proposer replica.Proposer
+	logger   log.Logger
+	starts   map[string]uint64
+}
+
+func newLostNodes(registry *membership.Registry, proposer replica.Proposer, logger log.Logger) *lostNodes {
+	return &lostNodes{registry: registry, proposer: proposer, logger: logger, starts: map[string]uint64{}}
+}
+
+func (l *lostNodes) run(ctx context.Context) {
+	ticker := time.NewTicker(lostNodesInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.check(ctx)
+		}
+	}
+}
+
+func (l *lostNodes) check(ctx context.Context) {
+	current := map[string]uint64{}
+	for _, heartbeat := range l.registry.Nodes() {
+		current[heartbeat.GetNodeId()] = heartbeat.GetNodeStart()
+	}
+	former := l.starts
+	l.starts = current
+	status := l.proposer.Status()
+	if status.Leader != status.ID {
+		return
+	}
+	for id, start := range former {
+		if current[id] != start {
+			l.report(ctx, id)
+		}
+	}
+}
+
+func (l *lostNodes) report(ctx context.Context, nodeID string) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	_, _, err := l.proposer.Propose(ctx, claims.EncodeNodeLost(nodeID, time.Now()))
+	_ = level.Info(l.logger).Log("msg", "node is gone or has started anew", "node", nodeID, "err", err)
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -17,6 +17,7 @@
 
 const (
 	sectionDocument section = 1
+	sectionClaims   section = 2
 )
 
 // errSnapshot reports a snapshot that this version cannot read.
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -186,3 +186,13 @@
 	}
 	return false
 }
+
+// LongestTimeout returns the longest time that a request of the service may take
+// by its rules.
+func (s *Service) LongestTimeout() time.Duration {
+	longest := s.TimeoutMs
+	for _, rule := range s.Rules {
+		longest = max(longest, rule.TimeoutMs)
+	}
+	return time.Duration(longest) * time.Millisecond
+}
