Add the operators' HTTP interface

Cause: operators need to read and edit the document, follow a revision until it is in force, and change members, with clear answers when an answer was lost.

Change: internal/control/api serves /v1/document, sections, history, status, revisions, members and burn over a Proposer, the document's views, and injected Fleet and Membership.

--- /dev/null
+++ b/internal/control/api/auth.go
@@ -0,0 +1,69 @@
+package api
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+// caller is the authenticated team of a request.
+type caller struct {
+	team  string
+	admin bool
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c caller)
+
+func (a *api) authenticated(next handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		view := a.Documents.View()
+		if view.Revision == 0 {
+			writeError(w, http.StatusServiceUnavailable, ErrorBody{
+				Error:  "this member has no document yet",
+				Reason: ReasonNoDocument,
+			})
+			return
+		}
+		c, ok := authenticate(view.Document, r)
+		if !ok {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeError(w, http.StatusUnauthorized, ErrorBody{
+				Error:  "a bearer token of a team is required",
+				Reason: ReasonUnauthorized,
+			})
+			return
+		}
+		next(w, r, c)
+	})
+}
+
+// authenticate compares the token's digest with those of all teams, so that the
+// time does not depend on where or whether it matches.
+func authenticate(doc *document.Document, r *http.Request) (caller, bool) {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return caller{}, false
+	}
+	digest := TokenDigest(token)
+	found := caller{}
+	matched := false
+	for name, team := range doc.Teams {
+		for _, known := range team.TokenSHA256 {
+			if subtle.ConstantTimeCompare([]byte(known), []byte(digest)) == 1 {
+				found = caller{team: name, admin: team.Admin}
+				matched = true
+			}
+		}
+	}
+	return found, matched
+}
+
+// TokenDigest returns the hex SHA-256 digest of a token, as teams store it.
+func TokenDigest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/control/api/fake_test.go
@@ -0,0 +1,124 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+// fakeLog applies proposals to one machine in the order of its lock.
+type fakeLog struct {
+	mu         sync.Mutex
+	machine    *document.Machine
+	before     error  // returned without applying
+	after      error  // returned after applying
+	confirmErr error  // returned by Confirm
+	behind     []byte // applied by the next Confirm
+}
+
+func (f *fakeLog) Propose(_ context.Context, command []byte) ([]byte, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.before != nil {
+		return nil, 0, f.before
+	}
+	return f.machine.Apply(0, command), 0, f.after
+}
+
+func (f *fakeLog) Confirm(context.Context) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmErr == nil && f.behind != nil {
+		f.machine.Apply(0, f.behind)
+	}
+	return 0, f.confirmErr
+}
+
+func (f *fakeLog) Status() replica.Status { return replica.Status{ID: 1, Leader: 1} }
+
+type fakeMembership struct {
+	added   []replica.Member
+	removed []uint64
+	err     error
+}
+
+func (f *fakeMembership) AddMember(_ context.Context, m replica.Member) error {
+	f.added = append(f.added, m)
+	return f.err
+}
+
+func (f *fakeMembership) RemoveMember(_ context.Context, id uint64) error {
+	f.removed = append(f.removed, id)
+	return f.err
+}
+
+// fakeFleet has one node that never gets the revision.
+type fakeFleet struct{}
+
+func (fakeFleet) Status() FleetStatus {
+	return FleetStatus{Nodes: []Node{{ID: "n1", Lagging: true}}}
+}
+
+func (fakeFleet) WaitInForce(ctx context.Context, revision uint64) InForce {
+	<-ctx.Done()
+	return InForce{Revision: revision, Nodes: 1, Lagging: 1, LaggingNodes: []string{"n1"}}
+}
+
+const firstDocument = `{
+	"teams": {"ops": {"token_sha256": [%q], "admin": true}, "red": {"token_sha256": [%q]}},
+	"zones": {"seq-a": {"owner": "ops", "state": "in"}},
+	"services": {"drafts": {"owner": "red", "timeout_ms": 100}},
+	"limits": {}}`
+
+type fixture struct {
+	log     *fakeLog
+	members *fakeMembership
+	handler http.Handler
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{log: &fakeLog{machine: document.NewMachine()}, members: &fakeMembership{}}
+	first := fmt.Sprintf(firstDocument, TokenDigest("ops-token"), TokenDigest("red-token"))
+	command, err := document.EncodeBootstrap([]byte(first), time.Unix(0, 0))
+	assert.NilError(t, err)
+	f.log.machine.Apply(0, command)
+	f.handler, err = New(Config{
+		Proposer: f.log, Documents: f.log.machine, Fleet: fakeFleet{}, Membership: f.members,
+		Now: func() time.Time { return time.Unix(1, 0) },
+	})
+	assert.NilError(t, err)
+	return f
+}
+
+// send takes "METHOD path" and headers as "Name: value".
+func (f *fixture) send(token, request, body string, headers ...string) *httptest.ResponseRecorder {
+	method, path, _ := strings.Cut(request, " ")
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	for _, header := range headers {
+		name, value, _ := strings.Cut(header, ": ")
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	return w
+}
+
+func errorBody(t *testing.T, w *httptest.ResponseRecorder) ErrorBody {
+	var body ErrorBody
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &body), w.Body.String())
+	return body
+}
