Add the operators' command line chicoryctl

Cause: operators need to edit sections, take zones out and in, and follow the cluster, and scripts need to tell a conflict from a refusal and from an unknown outcome.

Change: chicoryctl get, edit, apply, remove, zone, status, history, member, report burn, check and token over the operators' API. It tries the members in turn and resends an edit with the same edit ID until a definite answer or the timeout. 'get' prints a section with its version, and 'edit' and 'apply' take the version from that file, so that an edit of an older version is a conflict and not an overwrite.

--- /dev/null
+++ b/cmd/chicoryctl/main.go
@@ -0,0 +1,18 @@
+// Command chicoryctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/chicorylever/chicorylever/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args, ctl.Standard())
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,141 @@
+// Package ctl implements the operators' command line chicoryctl.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// defaultTimeout bounds a request with its resends, and again a wait.
+const defaultTimeout = 30 * time.Second
+
+const description = `Exit codes: 0 success; 1 error; 2 wrong command line or invalid settings file;
+3 conflict: the section has a newer version; 4 refused, nothing was changed;
+5 unknown outcome: a change may or may not have been made, repeat the command
+with the printed --edit-id; 6 accepted, but not in force everywhere in time.`
+
+// Streams are what a command writes to.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+	// Progress gets the progress of long waits; nil shows none. It is a terminal.
+	Progress io.Writer
+}
+
+// Run carries out the command line, args[0] being the program, and returns the exit code.
+func Run(ctx context.Context, args []string, streams Streams) int {
+	err := newCommand(streams).Run(ctx, args)
+	if err != nil {
+		_, _ = fmt.Fprintln(streams.Err, "chicoryctl:", err)
+	}
+	return ExitCode(err)
+}
+
+// program carries the streams to the actions.
+type program struct {
+	Streams
+}
+
+func newCommand(streams Streams) *cli.Command {
+	p := &program{streams}
+	return &cli.Command{
+		Name:           "chicoryctl",
+		Usage:          "operate a chicorylever cluster",
+		Description:    description,
+		Writer:         streams.Out,
+		ErrWriter:      streams.Err,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Flags:          globalFlags(),
+		Commands: []*cli.Command{
+			p.getCommand(), p.editCommand(), p.applyCommand(), p.removeCommand(), p.zoneCommand(),
+			p.statusCommand(), p.historyCommand(), p.memberCommand(), p.reportCommand(),
+			p.checkCommand(), p.tokenCommand(),
+		},
+		Action: unknownCommand,
+	}
+}
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "api", Usage: "URL of a control member's API; several are tried in turn", Sources: cli.EnvVars("CHICORYCTL_API")},
+		&cli.StringFlag{Name: "token-file", Usage: "file with the team's token", Sources: cli.EnvVars("CHICORYCTL_TOKEN_FILE")},
+		&cli.StringFlag{Name: "ca", Usage: "PEM file with the CA certificates that the API's certificate is checked against"},
+		&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"},
+		&cli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "bound on a request with its resends, and again on a wait"},
+	}
+}
+
+// unknownCommand answers a command or group without a known subcommand.
+func unknownCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return usage("unknown command %q; see --help", cmd.Args().First())
+	}
+	return usage("a command is required; see --help")
+}
+
+// connect checks the global flags and returns the client.
+func connect(cmd *cli.Command) (*client, error) {
+	if len(cmd.StringSlice("api")) == 0 {
+		return nil, usage("--api is required")
+	}
+	if cmd.String("token-file") == "" {
+		return nil, usage("--token-file is required")
+	}
+	if cmd.Duration("timeout") <= 0 {
+		return nil, usage("--timeout must be positive")
+	}
+	if _, err := isJSON(cmd); err != nil {
+		return nil, err
+	}
+	return newClient(cmd.StringSlice("api"), cmd.String("token-file"), cmd.String("ca"), cmd.Duration("timeout"))
+}
+
+func isJSON(cmd *cli.Command) (bool, error) {
+	switch output := cmd.String("output"); output {
+	case "json":
+		return true, nil
+	case "text":
+		return false, nil
+	default:
+		return false, usage("--output must be text or json, not %q", output)
+	}
+}
+
+// arguments returns exactly the named arguments.
+func arguments(cmd *cli.Command, names ...string) ([]string, error) {
+	if cmd.Args().Len() != len(names) {
+		return nil, usage("%s takes %d arguments %v, not %d", cmd.Name, len(names), names, cmd.Args().Len())
+	}
+	return cmd.Args().Slice(), nil
+}
+
+// print writes the value as JSON, or by the text function.
+func (p *program) print(cmd *cli.Command, value any, text func(io.Writer)) error {
+	asJSON, err := isJSON(cmd)
+	if err != nil {
+		return err
+	}
+	if !asJSON {
+		text(p.Out)
+		return nil
+	}
+	return p.printJSON(value)
+}
+
+func (p *program) printJSON(value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return fail(ExitError, errors.Wrap(err, "encode the output"))
+	}
+	_, err = fmt.Fprintf(p.Out, "%s\n", data)
+	if err != nil {
+		return fail(ExitError, errors.Wrap(err, "write the output"))
+	}
+	return nil
+}
