Keep a team's tokens when an edit leaves them out

Cause: an admin team sees another team's section without its token digests, so an edit made from what it read would have removed that team's tokens.

Change: an edit of a team without token_sha256 keeps the digests; an empty list removes them. The new test fails without the change.

--- a/internal/state/document/command.go
+++ b/internal/state/document/command.go
@@ -101,7 +101,7 @@
 
 // digest covers all content of the edit but its identity and its time, which
 // differs between resends.
-func (e Edit) digest() [sha256.Size]byte {
+func (e Edit) digest() []byte {
 	h := sha256.New()
 	var base [9]byte
 	binary.BigEndian.PutUint64(base[:8], e.Base)
@@ -112,7 +112,7 @@
 	h.Write([]byte(e.Section))
 	h.Write([]byte{0})
 	h.Write(e.Body)
-	return [sha256.Size]byte(h.Sum(nil))
+	return h.Sum(nil)
 }
 
 func invalid(err error) Result {
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -39,7 +39,8 @@
 
 // Team may edit the sections that it owns.
 type Team struct {
-	// TokenSHA256 holds the hex SHA-256 digests of the team's tokens.
+	// TokenSHA256 holds the hex SHA-256 digests of the team's tokens. An edit that
+	// leaves it out keeps the digests; an empty list removes them.
 	TokenSHA256 []string `json:"token_sha256"`
 	// Admin may edit the teams and limits sections and create sections.
 	Admin bool `json:"admin,omitempty"`
--- a/internal/state/document/edits.go
+++ b/internal/state/document/edits.go
@@ -1,7 +1,6 @@
 package document
 
 import (
-	"crypto/sha256"
 	"time"
 )
 
@@ -19,11 +18,11 @@
 
 // editResult is the first result of an edit, refusals included.
 type editResult struct {
-	Team   string            `json:"team"`
-	EditID string            `json:"edit_id"`
-	Digest [sha256.Size]byte `json:"digest"`
-	AtMs   int64             `json:"at_ms"`
-	Result Result            `json:"result"`
+	Team   string `json:"team"`
+	EditID string `json:"edit_id"`
+	Digest []byte `json:"digest"`
+	AtMs   int64  `json:"at_ms"`
+	Result Result `json:"result"`
 }
 
 type editKey struct {
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"sync/atomic"
@@ -99,7 +100,7 @@
 }
 
 func (m *Machine) resend(edit Edit, earlier editResult) Result {
-	if earlier.Digest != edit.digest() {
+	if !bytes.Equal(earlier.Digest, edit.digest()) {
 		return Result{
 			Outcome:  EditIDReused,
 			Revision: m.View().Revision,
--- a/internal/state/document/machine_test.go
+++ b/internal/state/document/machine_test.go
@@ -235,6 +235,22 @@
 	}
 }
 
+// TestTeamKeepsTokens guards against an edit of another team's section, made from
+// what its editor sees, that removes the team's tokens.
+func TestTeamKeepsTokens(t *testing.T) {
+	m := NewMachine()
+	apply(t, m, firstCommand(t))
+	_, seen, _ := m.View().Section("teams/ops", "red")
+	assert.Equal(t, string(seen), `{"token_sha256":null,"admin":true}`)
+	for i, body := range []string{string(seen), `{"admin":true}`} {
+		info, _, _ := m.View().Section("teams/ops", "")
+		edit := Edit{EditID: body, Team: "ops", Section: "teams/ops", Base: info.Version, Body: []byte(body)}
+		assert.Equal(t, applyEdit(t, m, edit).Outcome, Accepted)
+		assert.Equal(t, m.View().Revision, uint64(i+2))
+		assert.Equal(t, len(m.View().Document.Teams["ops"].TokenSHA256), 1)
+	}
+}
+
 // FuzzDecodeSection guards against a panic, an error without a field, and content
 // that is read differently after it was stored.
 func FuzzDecodeSection(f *testing.F) {
--- a/internal/state/document/view.go
+++ b/internal/state/document/view.go
@@ -159,7 +159,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return v.checked(v.Document.with(p, value))
+	return v.checked(v.Document.with(p, keepTokens(value, current)))
+}
+
+// keepTokens keeps a team's digests when the edit leaves them out, since another
+// team that reads the section does not see them. An empty list removes them.
+func keepTokens(value, current any) any {
+	next, isTeam := value.(Team)
+	former, existed := current.(Team)
+	if isTeam && existed && next.TokenSHA256 == nil {
+		next.TokenSHA256 = former.TokenSHA256
+		return next
+	}
+	return value
 }
 
 func (v *View) removed(p sectionPath, current any) (*Document, error) {
