Answer 503 instead of 401 where the token may not be known yet

Cause: a member that catches up, or has lost the quorum, may lack a team's new token; chicoryctl took its 401 as final instead of asking the next member.

Change: an unknown token gets 503 while the member has no quorum contact or has not applied all that is committed. The test fails without either condition.

--- a/internal/control/api/api_test.go
+++ b/internal/control/api/api_test.go
@@ -124,7 +124,8 @@
 }
 
 // TestReads guards against a read that is older than a confirmed one, a stale read
-// refused without a quorum, and token digests of another team in an answer.
+// refused without a quorum, a token refused by a member that may not know it yet,
+// and token digests of another team in an answer.
 func TestReads(t *testing.T) {
 	f := newFixture(t)
 	edit := document.Edit{EditID: "e", Team: "red", Section: "services/drafts", Base: 1, Body: []byte(goodBody)}
@@ -154,6 +155,11 @@
 		assert.Equal(t, f.send("red-token", "GET "+path+"?stale=1", "").Code, http.StatusOK, path)
 	}
 	assert.Equal(t, f.send("red-token", "GET /v1/status", "").Code, http.StatusOK)
+	f.log.noQuorum = true
+	assert.Equal(t, f.send("new-token", "GET /v1/status", "").Code, http.StatusServiceUnavailable)
+	f.log.noQuorum, f.log.committed = false, 1
+	assert.Equal(t, f.send("new-token", "GET /v1/status", "").Code, http.StatusServiceUnavailable)
+	assert.Equal(t, f.send("red-token", "GET /v1/status", "").Code, http.StatusOK)
 }
 
 // TestWaitInForce guards against a long poll that ends early, never ends, or is
--- a/internal/control/api/auth.go
+++ b/internal/control/api/auth.go
@@ -29,6 +29,13 @@
 			return
 		}
 		c, ok := authenticate(view.Document, r)
+		if !ok && a.behind() {
+			writeError(w, http.StatusServiceUnavailable, ErrorBody{
+				Error:  "this member lacks the latest state and cannot check the token",
+				Reason: ReasonNoQuorum,
+			})
+			return
+		}
 		if !ok {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			writeError(w, http.StatusUnauthorized, ErrorBody{
@@ -41,6 +48,13 @@
 	})
 }
 
+// behind tells that this member may lack a token that the cluster has: it has not
+// applied all that is committed, or has no contact with a quorum.
+func (a *api) behind() bool {
+	status := a.Proposer.Status()
+	return !status.QuorumContact || status.Applied < status.Commit
+}
+
 // authenticate compares the token's digest with those of all teams, so that the
 // time does not depend on where or whether it matches.
 func authenticate(doc *document.Document, r *http.Request) (caller, bool) {
--- a/internal/control/api/fake_test.go
+++ b/internal/control/api/fake_test.go
@@ -25,6 +25,8 @@
 	after      error  // returned after applying
 	confirmErr error  // returned by Confirm
 	behind     []byte // applied by the next Confirm
+	noQuorum   bool   // shown by Status
+	committed  uint64 // shown by Status, with 0 applied
 }
 
 func (f *fakeLog) Propose(_ context.Context, command []byte) ([]byte, uint64, error) {
@@ -45,7 +47,9 @@
 	return 0, f.confirmErr
 }
 
-func (f *fakeLog) Status() replica.Status { return replica.Status{ID: 1, Leader: 1} }
+func (f *fakeLog) Status() replica.Status {
+	return replica.Status{ID: 1, Leader: 1, QuorumContact: !f.noQuorum, Commit: f.committed}
+}
 
 type fakeMembership struct {
 	added   []replica.Member
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -47,7 +47,7 @@
 func (f *fakeLog) Confirm(context.Context) (uint64, error) { return 0, nil }
 
 func (f *fakeLog) Status() replica.Status {
-	return replica.Status{ID: 1, Leader: 1, Members: []replica.Member{{ID: 1, Address: "10.0.0.1:7000"}}}
+	return replica.Status{ID: 1, Leader: 1, QuorumContact: true, Members: []replica.Member{{ID: 1, Address: "10.0.0.1:7000"}}}
 }
 
 // fakeFleet has one node, which gets each revision after a delay, or never when it is 0.
