Distribute differences, pass revisions between peers, merge registries of members

Cause: nodes got the whole state at each change, a member knew only its own nodes, and a burst of expired leases emptied the list of instances. Change: full state once, then changed sections and changed instances of the services that a node uses; a node that holds no revision gets one only after a confirmed read; members exchange leases; the list is kept while it cannot be trusted. Heartbeats carry a sequence and totals of counts.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,6 +32,8 @@
 	logger     log.Logger
 	registry   *membership.Registry
 	distribute *distribute.Server
+	exchange   *membership.Exchange
+	client     *mesh.Client
 
 	meshListener net.Listener
 	apiListener  net.Listener
@@ -48,8 +50,10 @@
 		settings:   s,
 		logger:     logger,
 		registry:   registry,
-		distribute: distribute.NewServer(source, registry),
+		distribute: distribute.NewServer(source, registry, nil, logger),
+		client:     mesh.NewClient(mesh.DefaultConfig()),
 	}
+	c.exchange = c.newExchange()
 	return c, c.listen()
 }
 
@@ -82,7 +86,9 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Serve(groupCtx, c.meshListener) })
 	group.Go(func() error { return ignoreClosed(api.Serve(c.apiListener)) })
-	group.Go(func() error { return c.expireLeases(groupCtx) })
+	group.Go(func() error { c.keepRegistry(groupCtx); return nil })
+	group.Go(func() error { c.distribute.Run(groupCtx); return nil })
+	group.Go(func() error { c.exchange.Run(groupCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
 		stopCtx, cancel := context.WithTimeout(context.Background(), apiStopTimeout)
@@ -90,6 +96,7 @@
 		err := api.Shutdown(stopCtx)
 		_ = c.meshListener.Close()
 		server.Close()
+		c.client.Close()
 		return err
 	})
 	_ = level.Info(c.logger).Log("msg", "control member started", "mesh", c.MeshAddress(), "api", c.APIAddress())
@@ -98,19 +105,6 @@
 	return err
 }
 
-func (c *Control) expireLeases(ctx context.Context) error {
-	ticker := time.NewTicker(membership.HeartbeatInterval / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			c.registry.Expire(now)
-		}
-	}
-}
-
 // serveStream hands a stream to the service that its first message asks for.
 func (c *Control) serveStream(ctx context.Context, stream net.Conn) {
 	conn := frame.NewConn(stream)
@@ -121,6 +115,8 @@
 	switch {
 	case first.GetSubscribe() != nil:
 		err = c.distribute.ServeStream(ctx, first, conn)
+	case first.GetRegistryUpdate() != nil:
+		err = c.exchange.ServeStream(first, conn)
 	default:
 		err = errors.WithMessage(frame.ErrUnexpected, "first message of a stream")
 	}
--- a/internal/control/source.go
+++ b/internal/control/source.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"os"
 
-	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/state/document"
@@ -40,12 +38,3 @@
 func (s *fileSource) Current() (uint64, []byte) { return 1, s.data }
 
 func (s *fileSource) Changed() <-chan struct{} { return s.changed }
-
-func (c *Control) routes() http.Handler {
-	router := mux.NewRouter()
-	router.HandleFunc("/v1/nodes", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(c.registry.Nodes())
-	}).Methods(http.MethodGet)
-	return router
-}
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -18,7 +19,28 @@
 const (
 	reconnectMin = 100 * time.Millisecond
 	reconnectMax = 5 * time.Second
-	streamBuffer = 16
+	// spreadAfterLoss is the range of the random wait after a working session
+	// ended. All nodes of a lost member reconnect within it; it leaves most of
+	// the lease for the attempts themselves.
+	spreadAfterLoss = 2 * time.Second
+	// sessionMin and sessionMax bound the random length of a session. Nodes move
+	// to another member at its end, so that a member that returns gets its share
+	// of nodes within about 20 minutes without a rush.
+	sessionMin = 10 * time.Minute
+	sessionMax = 20 * time.Minute
+	// firstStateTimeout bounds the wait for the first state of a session. It
+	// covers the member's confirmed read.
+	firstStateTimeout = confirmTimeout + 2*time.Second
+	// goodbyeTimeout bounds the wait for control to take the last heartbeat.
+	goodbyeTimeout = 500 * time.Millisecond
+	streamBuffer   = 16
+)
+
+var (
+	// errSessionOver ends a session that has reached its planned length.
+	errSessionOver = errors.New("distribute: session is over")
+	errStreamEnded = errors.New("distribute: stream ended")
+	errNoState     = errors.New("distribute: member gave no state")
 )
 
 // Sink takes what control distributes and supplies what a node tells control.
@@ -26,6 +48,11 @@
 type Sink interface {
 	// Apply takes a state; it ignores a document of a lower revision.
 	Apply(state *wire.StateFull)
+	// ApplyDiff takes a difference. It returns false when the document part does
+	// not start at the revision that the node holds.
+	ApplyDiff(diff *wire.StateDiff) bool
+	// Revision returns the revision in force.
+	Revision() uint64
 	// Heartbeat returns the node's next heartbeat.
 	Heartbeat() *wire.Heartbeat
 	// Acknowledged reports that control has taken the heartbeat.
@@ -53,29 +80,38 @@
 	return &Client{nodeID: nodeID, members: members, dial: dial, sink: sink, logger: logger}
 }
 
-// Run keeps the subscription until ctx ends. It starts at a random member and
-// waits a random time between attempts, so that the loss of a member does not
-// send all its nodes to another one at once.
+// Run keeps the subscription until ctx ends; then it tells control that the node
+// stops. It starts at a random member and waits a random time between attempts,
+// so that the loss of a member does not send all its nodes to another one at once.
 func (c *Client) Run(ctx context.Context) {
 	next := rand.IntN(len(c.members))
 	backoff := reconnectMin
 	for ctx.Err() == nil {
 		address := c.members[next%len(c.members)]
-		next++
-		started := time.Now()
-		err := c.session(ctx, address)
-		if ctx.Err() != nil {
+		worked, err := c.session(ctx, address)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		_ = level.Warn(c.logger).Log("msg", "subscription ended", "member", address, "err", err)
-		if time.Since(started) > reconnectMax {
+		case errors.Is(err, errSessionOver):
+			next = rand.IntN(len(c.members))
+			continue
+		case worked:
 			backoff = reconnectMin
+			c.logEnd(address, err)
+			sleep(ctx, rand.N(spreadAfterLoss))
+		default:
+			c.logEnd(address, err)
+			sleep(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, reconnectMax)
 		}
-		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, reconnectMax)
+		next++
 	}
 }
 
+func (c *Client) logEnd(address string, err error) {
+	_ = level.Warn(c.logger).Log("msg", "subscription ended", "member", address, "err", err)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -85,66 +121,175 @@
 	}
 }
 
-func (c *Client) session(ctx context.Context, address string) error {
+// session is one stream to a member.
+type session struct {
+	client   *Client
+	conn     *frame.Conn
+	incoming chan *wire.Envelope
+	ended    chan struct{}
+	// version is the registry version on this stream; known is set by the first state.
+	version uint64
+	known   bool
+	// services are those of the last subscription, in order.
+	services []string
+}
+
+// session serves one stream. It returns whether the member gave a state.
+func (c *Client) session(ctx context.Context, address string) (worked bool, err error) {
 	stream, err := c.dial(ctx, address)
 	if err != nil {
-		return errors.Wrap(err, "distribute: connect")
+		return false, errors.Wrap(err, "distribute: connect")
 	}
 	defer func() { _ = stream.Close() }()
-	conn := frame.NewConn(stream)
-	if err := c.sendSubscribe(conn); err != nil {
-		return err
+	s := &session{
+		client:   c,
+		conn:     frame.NewConn(stream),
+		incoming: make(chan *wire.Envelope, streamBuffer),
+		ended:    make(chan struct{}),
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	readCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	incoming := make(chan *wire.Envelope, streamBuffer)
-	go receive(ctx, cancel, conn, incoming)
-	return c.exchange(ctx, conn, incoming)
+	go s.receive(readCtx)
+	err = s.exchange(ctx)
+	if ctx.Err() != nil {
+		s.goodbye()
+	}
+	return s.known, err
 }
 
-func (c *Client) exchange(ctx context.Context, conn *frame.Conn, incoming <-chan *wire.Envelope) error {
-	ticker := time.NewTicker(membership.HeartbeatInterval)
-	defer ticker.Stop()
-	if err := c.sendHeartbeat(conn); err != nil {
+// receive passes messages on; a full channel holds the stream back.
+func (s *session) receive(ctx context.Context) {
+	defer close(s.ended)
+	for {
+		message, err := s.conn.Receive()
+		if err != nil {
+			return
+		}
+		select {
+		case s.incoming <- message:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *session) exchange(ctx context.Context) error {
+	if err := s.sendSubscribe(); err != nil {
+		return err
+	}
+	if err := s.sendHeartbeat(); err != nil {
 		return err
 	}
+	ticker := time.NewTicker(membership.HeartbeatInterval)
+	defer ticker.Stop()
+	over := time.NewTimer(sessionMin + rand.N(sessionMax-sessionMin))
+	defer over.Stop()
+	firstState := time.NewTimer(firstStateTimeout)
+	defer firstState.Stop()
 	for {
+		var err error
 		select {
 		case <-ctx.Done():
-			return errors.New("distribute: stream ended")
-		case <-ticker.C:
-			if err := c.sendHeartbeat(conn); err != nil {
-				return err
-			}
-		case <-c.sink.Changed():
-			if err := c.sendHeartbeat(conn); err != nil {
-				return err
+			return ctx.Err()
+		case <-s.ended:
+			return errStreamEnded
+		case <-over.C:
+			return errSessionOver
+		case <-firstState.C:
+			if !s.known {
+				return errNoState
 			}
-			if err := c.sendSubscribe(conn); err != nil {
-				return err
+		case <-ticker.C:
+			err = s.sendHeartbeat()
+		case <-s.client.sink.Changed():
+			err = s.sendNews()
+		case message := <-s.incoming:
+			err = s.handle(message)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// sendNews sends a heartbeat, and a subscription when the services changed.
+func (s *session) sendNews() error {
+	if err := s.sendHeartbeat(); err != nil {
+		return err
+	}
+	if slices.Equal(s.services, sortedServices(s.client.sink)) {
+		return nil
+	}
+	return s.sendSubscribe()
+}
+
+func sortedServices(sink Sink) []string {
+	services := slices.Clone(sink.Services())
+	slices.Sort(services)
+	return services
+}
+
+// handle takes a message of the member. A difference that does not follow on
+// what the node holds makes it ask for a full state.
+func (s *session) handle(message *wire.Envelope) error {
+	switch {
+	case message.GetStateFull() != nil:
+		state := message.GetStateFull()
+		if !state.GetDocumentOnly() {
+			s.version, s.known = state.GetRegistryVersion(), true
+		}
+		s.client.sink.Apply(state)
+	case message.GetStateDiff() != nil:
+		diff := message.GetStateDiff()
+		if diff.GetRegistryVersion() != 0 {
+			if !s.known || diff.GetBaseVersion() != s.version {
+				return s.sendSubscribe()
 			}
-		case message := <-incoming:
-			c.handle(message)
+			s.version = diff.GetRegistryVersion()
+		}
+		if !s.client.sink.ApplyDiff(diff) {
+			return s.sendSubscribe()
 		}
+	case message.GetHeartbeatAck() != nil:
+		s.client.sink.Acknowledged(message.GetHeartbeatAck().GetSequence())
+	default:
+		return errors.WithMessage(frame.ErrUnexpected, "from a control member")
 	}
+	return nil
 }
 
-func (c *Client) handle(message *wire.Envelope) {
-	if state := message.GetStateFull(); state != nil {
-		c.sink.Apply(state)
+// goodbye tells control that the node stops and waits until it is taken.
+func (s *session) goodbye() {
+	heartbeat := s.client.sink.Heartbeat()
+	heartbeat.Stopping = true
+	if s.conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: heartbeat}}) != nil {
+		return
 	}
-	if ack := message.GetHeartbeatAck(); ack != nil {
-		c.sink.Acknowledged(ack.GetSequence())
+	timeout := time.NewTimer(goodbyeTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-timeout.C:
+			return
+		case <-s.ended:
+			return
+		case message := <-s.incoming:
+			if ack := message.GetHeartbeatAck(); ack.GetSequence() == heartbeat.GetSequence() && ack != nil {
+				return
+			}
+		}
 	}
 }
 
-func (c *Client) sendSubscribe(conn *frame.Conn) error {
-	return conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Subscribe{Subscribe: &wire.Subscribe{
-		NodeId:   c.nodeID,
-		Services: c.sink.Services(),
+func (s *session) sendSubscribe() error {
+	s.services = sortedServices(s.client.sink)
+	return s.conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Subscribe{Subscribe: &wire.Subscribe{
+		NodeId:       s.client.nodeID,
+		Services:     s.services,
+		HaveRevision: s.client.sink.Revision(),
 	}}})
 }
 
-func (c *Client) sendHeartbeat(conn *frame.Conn) error {
-	return conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: c.sink.Heartbeat()}})
+func (s *session) sendHeartbeat() error {
+	return s.conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: s.client.sink.Heartbeat()}})
 }
--- /dev/null
+++ b/internal/coordination/distribute/sections.go
@@ -0,0 +1,171 @@
+package distribute
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// heldRevisions is the number of past revisions that a difference can start
+// from. At 15,000 changes a day it covers about 98 minutes, longer than a
+// partition of an hour.
+const heldRevisions = 1024
+
+// ErrDocument reports a document that is no JSON object of sections.
+var ErrDocument = errors.New("distribute: document cannot be split into sections")
+
+// splitKeys are the top-level fields whose entries are sections of their own.
+var splitKeys = map[string]bool{"services": true, "zones": true}
+
+// Sections is an immutable revision of the document, split into sections, with
+// what is needed to work out the difference from earlier revisions.
+type Sections struct {
+	revision uint64
+	parts    map[string]part
+	// held lists the revisions that were in force here, in ascending order.
+	// A difference may only start at one of them: a section that changed twice
+	// between two of them may look unchanged here.
+	held []uint64
+}
+
+// part is one section; json is nil when the section was removed.
+type part struct {
+	json      []byte
+	changedAt uint64
+}
+
+// NewSections returns revision 0, which has no section.
+func NewSections() *Sections {
+	return &Sections{parts: map[string]part{}}
+}
+
+// Revision returns the revision of the document.
+func (s *Sections) Revision() uint64 { return s.revision }
+
+// Advance returns the sections of a later document, and the sections that
+// changed. A revision that is not higher returns s unchanged. It returns
+// ErrDocument for a document that is no JSON object.
+func (s *Sections) Advance(revision uint64, document []byte) (*Sections, []*wire.Section, error) {
+	if revision <= s.revision {
+		return s, nil, nil
+	}
+	parts, err := split(document)
+	if err != nil {
+		return s, nil, err
+	}
+	var changes []*wire.Section
+	for path, old := range s.parts {
+		if _, ok := parts[path]; !ok && old.json != nil {
+			changes = append(changes, &wire.Section{Path: path})
+		}
+	}
+	for path, data := range parts {
+		if old, ok := s.parts[path]; !ok || !bytes.Equal(old.json, data) {
+			changes = append(changes, &wire.Section{Path: path, Json: data})
+		}
+	}
+	sortSections(changes)
+	return s.with(revision, changes), changes, nil
+}
+
+// Patch returns the sections after a difference. It returns false when the
+// difference does not start at the revision of s.
+func (s *Sections) Patch(diff *wire.StateDiff) (*Sections, bool) {
+	if diff.GetBaseRevision() != s.revision || diff.GetRevision() <= s.revision {
+		return s, false
+	}
+	return s.with(diff.GetRevision(), diff.GetSections()), true
+}
+
+func (s *Sections) with(revision uint64, changes []*wire.Section) *Sections {
+	next := &Sections{revision: revision, parts: maps.Clone(s.parts)}
+	next.held = append(slices.Clip(s.held), revision)
+	if excess := len(next.held) - heldRevisions; excess > 0 {
+		next.held = slices.Clone(next.held[excess:])
+	}
+	for _, change := range changes {
+		data := change.GetJson()
+		if len(data) == 0 {
+			data = nil
+		}
+		next.parts[change.GetPath()] = part{json: data, changedAt: revision}
+	}
+	for path, p := range next.parts {
+		if p.json == nil && p.changedAt < next.held[0] {
+			delete(next.parts, path)
+		}
+	}
+	return next
+}
+
+// Since returns the sections that differ from an earlier revision. It returns
+// false when the revision was not in force here or is too old.
+func (s *Sections) Since(revision uint64) ([]*wire.Section, bool) {
+	if _, ok := slices.BinarySearch(s.held, revision); !ok {
+		return nil, false
+	}
+	var changes []*wire.Section
+	for path, p := range s.parts {
+		if p.changedAt > revision {
+			changes = append(changes, &wire.Section{Path: path, Json: p.json})
+		}
+	}
+	sortSections(changes)
+	return changes, true
+}
+
+// JSON returns the whole document.
+func (s *Sections) JSON() ([]byte, error) {
+	root := map[string]any{}
+	for path, p := range s.parts {
+		if p.json == nil {
+			continue
+		}
+		key, name, nested := strings.Cut(path, "/")
+		if !nested {
+			root[key] = json.RawMessage(p.json)
+			continue
+		}
+		entries, ok := root[key].(map[string]json.RawMessage)
+		if !ok {
+			entries = map[string]json.RawMessage{}
+			root[key] = entries
+		}
+		entries[name] = p.json
+	}
+	data, err := json.Marshal(root)
+	return data, errors.Wrap(err, "distribute: join sections")
+}
+
+func split(document []byte) (map[string][]byte, error) {
+	root := map[string]json.RawMessage{}
+	if err := json.Unmarshal(document, &root); err != nil {
+		return nil, errors.WithMessage(ErrDocument, err.Error())
+	}
+	parts := map[string][]byte{}
+	for key, data := range root {
+		if !splitKeys[key] {
+			parts[key] = data
+			continue
+		}
+		entries := map[string]json.RawMessage{}
+		if err := json.Unmarshal(data, &entries); err != nil {
+			return nil, errors.WithMessage(ErrDocument, err.Error())
+		}
+		for name, entry := range entries {
+			parts[key+"/"+name] = entry
+		}
+	}
+	return parts, nil
+}
+
+func sortSections(sections []*wire.Section) {
+	sort.Slice(sections, func(i, j int) bool { return sections[i].GetPath() < sections[j].GetPath() })
+}
--- a/internal/coordination/distribute/server.go
+++ b/internal/coordination/distribute/server.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
@@ -13,6 +16,14 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
+const (
+	// coalesceDelay collects changes, so that a burst costs one message per node.
+	coalesceDelay = 50 * time.Millisecond
+	// confirmTimeout bounds the confirmed read before the first state of a node;
+	// a node that gets none tries another member.
+	confirmTimeout = 3 * time.Second
+)
+
 // Source is the configuration that a server distributes.
 type Source interface {
 	// Confirm returns once everything accepted before the call is visible in Current.
@@ -23,110 +34,195 @@
 	Changed() <-chan struct{}
 }
 
+// CountSink takes the counts of a heartbeat. It must not block.
+type CountSink func(heartbeat *wire.Heartbeat)
+
 // Server serves the subscriptions of nodes.
 type Server struct {
 	source   Source
 	registry *membership.Registry
-}
+	logger   log.Logger
+	counts   CountSink
 
-// NewServer returns a server for the source and the registry.
-func NewServer(source Source, registry *membership.Registry) *Server {
-	return &Server{source: source, registry: registry}
-}
+	mu       sync.Mutex
+	sections *Sections
+	subs     map[*subscription]struct{}
+	cache    encodeCache
 
-// subscription is the state of one node's stream.
-type subscription struct {
-	services map[string]bool
-	revision uint64
-	version  uint64
+	// version and stale are those of the last publish; only Run uses them.
+	version uint64
+	stale   bool
 }
 
-// ServeStream serves one node until the stream ends. The first message is the
-// node's Subscribe.
-func (s *Server) ServeStream(ctx context.Context, first *wire.Envelope, conn *frame.Conn) error {
-	if first.GetSubscribe() == nil {
-		return errors.WithMessage(frame.ErrUnexpected, "first message is no subscription")
-	}
-	if err := s.source.Confirm(ctx); err != nil {
-		return errors.Wrap(err, "distribute: confirm before the first state")
+// NewServer returns a server for the source and the registry. Counts may be nil.
+func NewServer(source Source, registry *membership.Registry, counts CountSink, logger log.Logger) *Server {
+	return &Server{
+		source:   source,
+		registry: registry,
+		logger:   logger,
+		counts:   counts,
+		sections: NewSections(),
+		subs:     map[*subscription]struct{}{},
+		cache:    encodeCache{},
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	incoming := make(chan *wire.Envelope, 16)
-	go receive(ctx, cancel, conn, incoming)
+}
 
-	sub := &subscription{}
-	if err := s.subscribe(conn, sub, first.GetSubscribe()); err != nil {
-		return err
-	}
+// Run wakes the subscriptions that a change concerns until ctx ends.
+func (s *Server) Run(ctx context.Context) {
 	for {
 		registryChanged, documentChanged := s.registry.Changed(), s.source.Changed()
-		if err := s.sendState(conn, sub, false); err != nil {
-			return err
-		}
+		s.publish()
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case <-registryChanged:
 		case <-documentChanged:
-		case message := <-incoming:
-			if err := s.handle(conn, sub, message); err != nil {
-				return err
-			}
+		}
+		sleep(ctx, coalesceDelay)
+	}
+}
+
+// publish wakes each subscription that a change since the last publish concerns.
+func (s *Server) publish() {
+	document := s.refresh()
+	touched, version, stale, ok := s.registry.Touched(s.version)
+	all := document || !ok || stale != s.stale
+	s.version, s.stale = version, stale
+	if !all && len(touched) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.cache)
+	for sub := range s.subs {
+		if all || sub.uses(touched) {
+			sub.signal()
+		}
+	}
+}
+
+// refresh takes the current document of the source. It returns true when it is new.
+func (s *Server) refresh() bool {
+	revision, document := s.source.Current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, _, err := s.sections.Advance(revision, document)
+	if err != nil {
+		_ = level.Error(s.logger).Log("msg", "revision is not distributed", "revision", revision, "err", err)
+		return false
+	}
+	changed := next != s.sections
+	s.sections = next
+	return changed
+}
+
+func (s *Server) current() *Sections {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sections
+}
+
+// ServeStream serves one node until the stream ends. The first message is the
+// node's Subscribe. A node that holds no revision gets its first state only
+// after a confirmed read, because this member may lag behind what the node had
+// in force before it restarted. It returns the error of the confirmed read or
+// of the stream.
+func (s *Server) ServeStream(ctx context.Context, first *wire.Envelope, conn *frame.Conn) error {
+	subscribe := first.GetSubscribe()
+	if subscribe == nil {
+		return errors.WithMessage(frame.ErrUnexpected, "first message is no subscription")
+	}
+	if subscribe.GetHaveRevision() == 0 {
+		if err := s.confirm(ctx); err != nil {
+			return err
 		}
 	}
+	s.refresh()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sub := newSubscription(s, conn, subscribe)
+	s.add(sub)
+	defer s.drop(sub)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		defer cancel()
+		sub.write(ctx)
+	}()
+	err := s.read(ctx, sub)
+	cancel()
+	<-written
+	return err
 }
 
-func receive(ctx context.Context, cancel context.CancelFunc, conn *frame.Conn, incoming chan<- *wire.Envelope) {
+func (s *Server) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	for {
-		message, err := conn.Receive()
+	return errors.Wrap(s.source.Confirm(ctx), "distribute: confirm before the first state")
+}
+
+// read takes what the node sends. It ends when the stream does.
+func (s *Server) read(ctx context.Context, sub *subscription) error {
+	for ctx.Err() == nil {
+		message, err := sub.conn.Receive()
 		if err != nil {
-			return
+			return err
 		}
-		select {
-		case incoming <- message:
-		case <-ctx.Done():
-			return
+		switch {
+		case message.GetHeartbeat() != nil:
+			s.heartbeat(sub, message.GetHeartbeat())
+		case message.GetSubscribe() != nil:
+			sub.subscribe(message.GetSubscribe())
+		default:
+			return errors.WithMessage(frame.ErrUnexpected, "on a subscription")
 		}
 	}
+	return ctx.Err()
 }
 
-func (s *Server) handle(conn *frame.Conn, sub *subscription, message *wire.Envelope) error {
-	switch {
-	case message.GetHeartbeat() != nil:
-		heartbeat := message.GetHeartbeat()
-		s.registry.Renew(time.Now(), heartbeat)
-		return conn.SendNow(&wire.Envelope{Body: &wire.Envelope_HeartbeatAck{
-			HeartbeatAck: &wire.HeartbeatAck{Sequence: heartbeat.GetSequence()},
-		}})
-	case message.GetSubscribe() != nil:
-		return s.subscribe(conn, sub, message.GetSubscribe())
-	default:
-		return errors.WithMessage(frame.ErrUnexpected, "on a subscription")
+func (s *Server) heartbeat(sub *subscription, heartbeat *wire.Heartbeat) {
+	s.registry.Renew(time.Now(), heartbeat)
+	if s.counts != nil && len(heartbeat.GetCounts()) > 0 {
+		s.counts(heartbeat)
 	}
+	sub.acknowledge(heartbeat)
 }
 
-func (s *Server) subscribe(conn *frame.Conn, sub *subscription, message *wire.Subscribe) error {
-	sub.services = map[string]bool{}
-	for _, service := range message.GetServices() {
-		sub.services[service] = true
-	}
-	return s.sendState(conn, sub, true)
+func (s *Server) add(sub *subscription) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subs[sub] = struct{}{}
 }
 
-func (s *Server) sendState(conn *frame.Conn, sub *subscription, force bool) error {
-	revision, document := s.source.Current()
-	instances, version := s.registry.Instances(sub.services)
-	if !force && revision == sub.revision && version == sub.version {
-		return nil
+func (s *Server) drop(sub *subscription) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.subs, sub)
+}
+
+// Progress tells how far the nodes of this member have followed.
+type Progress struct {
+	Revision uint64 `json:"revision"`
+	Nodes    int    `json:"nodes"`
+	// Behind counts nodes whose acknowledged revision is lower than Revision.
+	Behind int `json:"behind"`
+	// Lowest is the lowest acknowledged revision.
+	Lowest uint64 `json:"lowest"`
+}
+
+// Progress returns what the nodes of this member have acknowledged.
+func (s *Server) Progress() Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Progress{Revision: s.sections.Revision(), Nodes: len(s.subs)}
+	for sub := range s.subs {
+		acknowledged := sub.acknowledged()
+		if p.Lowest == 0 || acknowledged < p.Lowest {
+			p.Lowest = acknowledged
+		}
+		if acknowledged < p.Revision {
+			p.Behind++
+		}
 	}
-	sub.revision, sub.version = revision, version
-	return conn.SendNow(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{
-		Revision:        revision,
-		Document:        document,
-		Instances:       instances,
-		RegistryVersion: version,
-		Confirmed:       true,
-	}}})
+	return p
 }
--- /dev/null
+++ b/internal/coordination/membership/exchange.go
@@ -0,0 +1,167 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+const (
+	// exchangeDelay collects changes, so that a burst costs one message.
+	exchangeDelay = 50 * time.Millisecond
+	// exchangeInterval is the longest time between two updates; an empty update
+	// shows the sender that the stream still works.
+	exchangeInterval = 2 * time.Second
+	// exchangeRetry is the time between two attempts to reach a member.
+	exchangeRetry = time.Second
+)
+
+// Dialer opens a stream to a control member.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Exchange sends the leases of this member to the other members and takes theirs.
+type Exchange struct {
+	registry *Registry
+	member   string
+	epoch    uint64
+	dial     Dialer
+	peers    func() []string
+	logger   log.Logger
+
+	mu      sync.Mutex
+	streams map[string]uint64
+}
+
+// NewExchange returns an exchange that is not yet running. The epoch must grow
+// with each start of the member. Peers returns the addresses of the other members
+// at the time of the call.
+func NewExchange(registry *Registry, member string, epoch uint64, dial Dialer, peers func() []string, logger log.Logger) *Exchange {
+	return &Exchange{
+		registry: registry, member: member, epoch: epoch, dial: dial, peers: peers, logger: logger,
+		streams: map[string]uint64{},
+	}
+}
+
+// Run keeps a stream to each of the other members until ctx ends.
+func (e *Exchange) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	senders := map[string]context.CancelFunc{}
+	ticker := time.NewTicker(exchangeRetry)
+	defer ticker.Stop()
+	for {
+		wanted := map[string]bool{}
+		for _, address := range e.peers() {
+			wanted[address] = true
+			if senders[address] == nil {
+				senderCtx, cancel := context.WithCancel(ctx)
+				senders[address] = cancel
+				group.Go(func() { e.sendTo(senderCtx, address) })
+			}
+		}
+		for address, cancel := range senders {
+			if !wanted[address] {
+				cancel()
+				delete(senders, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Exchange) sendTo(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		err := e.send(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		_ = level.Debug(e.logger).Log("msg", "registry stream ended", "member", address, "err", err)
+		wait(ctx, exchangeRetry)
+	}
+}
+
+func (e *Exchange) send(ctx context.Context, address string) error {
+	stream, err := e.dial(ctx, address)
+	if err != nil {
+		return errors.Wrap(err, "membership: connect")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	defer func() { _ = stream.Close() }()
+	conn := frame.NewConn(stream)
+	version := uint64(0)
+	for ctx.Err() == nil {
+		update, next, changed := e.registry.Update(version)
+		update.Member, update.Epoch = e.member, e.epoch
+		if err := conn.SendNow(&wire.Envelope{Body: &wire.Envelope_RegistryUpdate{RegistryUpdate: update}}); err != nil {
+			return errors.Wrap(err, "membership: send update")
+		}
+		version = next
+		timer := time.NewTimer(exchangeInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-changed:
+			wait(ctx, exchangeDelay)
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+// ServeStream takes the updates of another member until the stream ends. The
+// first message is its first update.
+func (e *Exchange) ServeStream(first *wire.Envelope, conn *frame.Conn) error {
+	member := first.GetRegistryUpdate().GetMember()
+	if member == "" || member == e.member {
+		return errors.WithMessage(frame.ErrUnexpected, "registry update of no other member")
+	}
+	e.mu.Lock()
+	e.streams[member]++
+	stream := e.streams[member]
+	e.mu.Unlock()
+	defer e.ended(member, stream)
+	for message := first; ; {
+		update := message.GetRegistryUpdate()
+		if update.GetMember() != member {
+			return errors.WithMessage(frame.ErrUnexpected, "on a registry stream")
+		}
+		e.registry.Merge(time.Now(), update)
+		var err error
+		if message, err = conn.Receive(); err != nil {
+			return errors.Wrap(err, "membership: receive update")
+		}
+	}
+}
+
+// ended reports a lost member unless it has opened a newer stream.
+func (e *Exchange) ended(member string, stream uint64) {
+	e.mu.Lock()
+	latest := e.streams[member] == stream
+	e.mu.Unlock()
+	if latest {
+		e.registry.PeerLost(time.Now(), member)
+		_ = level.Warn(e.logger).Log("msg", "registry of a member lost", "member", member)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -1,8 +1,10 @@
 // Package membership keeps the leases of nodes and the registry of the upstreams
-// that they announce.
+// that they announce. Each control member is the authority for the nodes that
+// are connected to it; the members exchange their leases.
 package membership
 
 import (
+	"sort"
 	"sync"
 	"time"
 
@@ -14,100 +16,233 @@
 	HeartbeatInterval = 2 * time.Second
 	// LeaseDuration is how long a node stays registered without a heartbeat.
 	LeaseDuration = 8 * time.Second
+	// OrphanDuration is how long the nodes of a lost member stay registered. It
+	// covers a lease and the time that clients take to reach another member.
+	OrphanDuration = LeaseDuration + 12*time.Second
+	// tombstoneDuration is how long an orderly removal outranks older leases
+	// that another member may still send.
+	tombstoneDuration = time.Minute
 )
 
-// Registry holds the leases of nodes. It is safe for concurrent use.
+// Registry holds the leases of nodes. It is safe for concurrent use. Times are
+// passed in, so that it runs in virtual time.
 type Registry struct {
 	mu      sync.Mutex
 	leases  map[string]*lease
-	version uint64
+	claims  claimIndex
+	removed map[string]tombstone
+	log     changeLog
+	own     ownLog
 	changed chan struct{}
+	guard   guard
+	peers   map[string]uint64
 }
 
+// lease is a node's registration.
 type lease struct {
-	expires   time.Time
-	heartbeat *wire.Heartbeat
+	*wire.Lease
+	// owner is the member that vouches for the node, empty for this one.
+	owner string
+	// expires is zero while another member vouches for the node.
+	expires time.Time
+	// shown is the instance that subscribers know, nil when it is hidden by a
+	// newer claim to its ID or address.
+	shown *wire.Instance
+}
+
+type tombstone struct {
+	start, sequence uint64
+	until           time.Time
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{leases: map[string]*lease{}, changed: make(chan struct{})}
+	return &Registry{
+		leases:  map[string]*lease{},
+		claims:  claimIndex{},
+		removed: map[string]tombstone{},
+		own:     newOwnLog(),
+		changed: make(chan struct{}),
+		peers:   map[string]uint64{},
+	}
 }
 
-// Renew takes a node's heartbeat. A heartbeat of an earlier start of the same
-// node is ignored.
-func (r *Registry) Renew(now time.Time, heartbeat *wire.Heartbeat) {
+// Renew takes a heartbeat of a node that is connected to this member. It returns
+// false for a heartbeat that is older than what is known of the node.
+func (r *Registry) Renew(now time.Time, heartbeat *wire.Heartbeat) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old := r.leases[heartbeat.GetNodeId()]
-	if old != nil && old.heartbeat.GetNodeStart() > heartbeat.GetNodeStart() {
-		return
+	next := &wire.Lease{
+		NodeId:    heartbeat.GetNodeId(),
+		NodeStart: heartbeat.GetNodeStart(),
+		Sequence:  heartbeat.GetSequence(),
+		Zone:      heartbeat.GetZone(),
+		Revision:  heartbeat.GetRevision(),
+		Instance:  heartbeat.GetInstance(),
+	}
+	old := r.leases[next.GetNodeId()]
+	if r.outranked(old, next) {
+		return false
 	}
 	if heartbeat.GetStopping() {
-		r.remove(heartbeat.GetNodeId())
-		return
+		r.stop(now, next)
+		return true
 	}
-	r.leases[heartbeat.GetNodeId()] = &lease{expires: now.Add(LeaseDuration), heartbeat: heartbeat}
-	if old == nil || !sameInstance(old.heartbeat.GetInstance(), heartbeat.GetInstance()) {
-		r.bump()
+	expires := now.Add(LeaseDuration)
+	if old != nil && old.owner == "" && old.GetNodeStart() == next.GetNodeStart() &&
+		sameInstance(old.GetInstance(), next.GetInstance()) {
+		// The usual renewal changes nothing that others need to know.
+		old.Sequence, old.Revision, old.expires = next.GetSequence(), next.GetRevision(), expires
+		return true
 	}
+	r.put(&lease{Lease: next, expires: expires})
+	r.own.add(next.GetNodeId())
+	return true
 }
 
-// Expire removes nodes whose lease has run out.
-func (r *Registry) Expire(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, l := range r.leases {
-		if now.After(l.expires) {
-			r.remove(id)
+// outranked tells whether a lease is older than what is known of its node.
+func (r *Registry) outranked(old *lease, next *wire.Lease) bool {
+	if old != nil && newer(old.GetNodeStart(), old.GetSequence(), next.GetNodeStart(), next.GetSequence()) {
+		return true
+	}
+	t, ok := r.removed[next.GetNodeId()]
+	return ok && !newer(next.GetNodeStart(), next.GetSequence(), t.start, t.sequence)
+}
+
+// stop removes a node that has told that it stops.
+func (r *Registry) stop(now time.Time, last *wire.Lease) {
+	r.bury(now, last)
+	r.own.stopped(last)
+	r.remove(last.GetNodeId())
+}
+
+func (r *Registry) bury(now time.Time, last *wire.Lease) {
+	for id, t := range r.removed {
+		if now.After(t.until) {
+			delete(r.removed, id)
 		}
 	}
+	r.removed[last.GetNodeId()] = tombstone{
+		start: last.GetNodeStart(), sequence: last.GetSequence(), until: now.Add(tombstoneDuration),
+	}
 }
 
-// Instances returns the announced upstreams of the services and the version of
-// the registry that they belong to.
-func (r *Registry) Instances(services map[string]bool) ([]*wire.Instance, uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var instances []*wire.Instance
-	for _, l := range r.leases {
-		if instance := l.heartbeat.GetInstance(); instance != nil && services[instance.GetService()] {
-			instances = append(instances, instance)
+// put replaces a node's lease and brings what subscribers see up to date.
+func (r *Registry) put(next *lease) {
+	id := next.GetNodeId()
+	touched := map[string]bool{id: true}
+	if old := r.leases[id]; old != nil {
+		next.shown = old.shown
+		r.claims.drop(old.Lease, touched)
+	}
+	r.leases[id] = next
+	r.claims.add(next.Lease, touched)
+	r.show(touched)
+}
+
+func (r *Registry) remove(id string) {
+	old := r.leases[id]
+	if old == nil {
+		return
+	}
+	touched := map[string]bool{}
+	r.claims.drop(old.Lease, touched)
+	delete(r.leases, id)
+	delete(touched, id)
+	bumped := r.replaceShown(old.shown, nil)
+	if r.show(touched) || bumped {
+		return
+	}
+	r.signal()
+}
+
+// show recalculates which instances subscribers see.
+func (r *Registry) show(nodes map[string]bool) bool {
+	bumped := false
+	ids := make([]string, 0, len(nodes))
+	for id := range nodes {
+		ids = append(ids, id)
+	}
+	// Removals go first, because an instance ID may move from one node to another.
+	sort.Strings(ids)
+	for _, hide := range []bool{true, false} {
+		for _, id := range ids {
+			l := r.leases[id]
+			if l == nil {
+				continue
+			}
+			want := r.visible(l)
+			if (want == nil) != hide || sameInstance(l.shown, want) {
+				continue
+			}
+			bumped = r.replaceShown(l.shown, want) || bumped
+			l.shown = want
 		}
 	}
-	return instances, r.version
+	return bumped
 }
 
-// Nodes returns the last heartbeat of each node.
-func (r *Registry) Nodes() []*wire.Heartbeat {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	nodes := make([]*wire.Heartbeat, 0, len(r.leases))
-	for _, l := range r.leases {
-		nodes = append(nodes, l.heartbeat)
+func (r *Registry) visible(l *lease) *wire.Instance {
+	if l.GetInstance() == nil || r.claims.hidden(l.Lease, r.leases) {
+		return nil
 	}
-	return nodes
+	return l.GetInstance()
+}
+
+// replaceShown records the change from one instance to another.
+func (r *Registry) replaceShown(old, next *wire.Instance) bool {
+	if old == nil && next == nil {
+		return false
+	}
+	if old != nil && (next == nil || old.GetId() != next.GetId() || old.GetService() != next.GetService()) {
+		r.log.add(change{service: old.GetService(), id: old.GetId()})
+	}
+	if next != nil {
+		r.log.add(change{service: next.GetService(), id: next.GetId(), instance: next})
+	}
+	r.signal()
+	return true
+}
+
+func (r *Registry) signal() {
+	close(r.changed)
+	r.changed = make(chan struct{})
 }
 
-// Changed returns a channel that is closed at the next change of an instance.
+// Changed returns a channel that is closed at the next change that subscribers see.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.changed
 }
 
-func (r *Registry) remove(id string) {
-	if _, ok := r.leases[id]; !ok {
-		return
+// Nodes returns what is known of each node, in order of node IDs. The sequence
+// and revision of nodes of other members are those of the last change.
+func (r *Registry) Nodes() []*wire.Lease {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	nodes := make([]*wire.Lease, 0, len(r.leases))
+	for _, l := range r.leases {
+		nodes = append(nodes, copyLease(l.Lease))
 	}
-	delete(r.leases, id)
-	r.bump()
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].GetNodeId() < nodes[j].GetNodeId() })
+	return nodes
 }
 
-func (r *Registry) bump() {
-	r.version++
-	close(r.changed)
-	r.changed = make(chan struct{})
+func copyLease(l *wire.Lease) *wire.Lease {
+	return &wire.Lease{
+		NodeId: l.GetNodeId(), NodeStart: l.GetNodeStart(), Sequence: l.GetSequence(),
+		Zone: l.GetZone(), Revision: l.GetRevision(), Instance: l.GetInstance(),
+	}
+}
+
+// newer compares the heartbeats of one node: the later start wins, then the
+// higher sequence.
+func newer(start, sequence, otherStart, otherSequence uint64) bool {
+	if start != otherStart {
+		return start > otherStart
+	}
+	return sequence > otherSequence
 }
 
 func sameInstance(a, b *wire.Instance) bool {
@@ -115,5 +250,6 @@
 		return a == b
 	}
 	return a.GetId() == b.GetId() && a.GetStartId() == b.GetStartId() && a.GetVersion() == b.GetVersion() &&
-		a.GetState() == b.GetState() && a.GetNodeAddress() == b.GetNodeAddress() && a.GetService() == b.GetService()
+		a.GetState() == b.GetState() && a.GetNodeAddress() == b.GetNodeAddress() && a.GetService() == b.GetService() &&
+		a.GetNodeId() == b.GetNodeId() && a.GetNodeStart() == b.GetNodeStart()
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
@@ -15,23 +16,33 @@
 	doc      *document.Document
 	hosts    map[string]string
 	services map[string][]*wire.Instance
+	// stale marks a list of instances that control could not bring up to date.
+	stale bool
 }
 
 // directory holds what control has distributed to this node.
 type directory struct {
 	current atomic.Pointer[view]
 
-	mu      sync.Mutex
-	wanted  map[string]bool
-	changed chan struct{}
-	updated chan struct{}
+	mu       sync.Mutex
+	sections *distribute.Sections
+	wanted   map[string]bool
+	changed  chan struct{}
+	updated  chan struct{}
+	fetch    fetcher
+	fetching atomic.Bool
+
+	// sequence numbers the heartbeats of this start.
+	sequence atomic.Uint64
+	counts   burnCounts
 }
 
 func newDirectory() *directory {
 	d := &directory{
-		wanted:  map[string]bool{},
-		changed: make(chan struct{}, 1),
-		updated: make(chan struct{}),
+		sections: distribute.NewSections(),
+		wanted:   map[string]bool{},
+		changed:  make(chan struct{}, 1),
+		updated:  make(chan struct{}),
 	}
 	d.current.Store(&view{doc: &document.Document{}})
 	return d
@@ -40,39 +51,83 @@
 // view returns the state in force.
 func (d *directory) view() *view { return d.current.Load() }
 
-// apply takes a state from control. A document of a lower revision is ignored,
-// so that a member that lags cannot take a node back.
+// apply takes a state from control or the document of a peer. A document of a
+// lower revision is ignored, so that a member that lags cannot take a node back.
 func (d *directory) apply(state *wire.StateFull) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.current.Load()
-	if state.GetRevision() > next.revision {
-		doc := &document.Document{}
-		if err := json.Unmarshal(state.GetDocument(), doc); err == nil {
-			next.revision, next.doc, next.hosts = state.GetRevision(), doc, hostIndex(doc)
-		}
+	sections := d.sections
+	if state.GetRevision() > next.revision && len(state.GetDocument()) > 0 {
+		sections = d.replaceDocument(&next, state)
+	}
+	if !state.GetDocumentOnly() {
+		next.stale = state.GetStale()
+		next.services = mergeInstances(next.services, state)
+		close(d.updated)
+		d.updated = make(chan struct{})
+	}
+	d.store(sections, &next)
+}
+
+// replaceDocument puts a whole document into the view. A document that cannot be
+// decoded leaves the one in force.
+func (d *directory) replaceDocument(next *view, state *wire.StateFull) *distribute.Sections {
+	doc := &document.Document{}
+	if err := json.Unmarshal(state.GetDocument(), doc); err != nil {
+		return d.sections
+	}
+	sections, _, err := d.sections.Advance(state.GetRevision(), state.GetDocument())
+	if err != nil {
+		return d.sections
+	}
+	next.revision, next.doc, next.hosts = state.GetRevision(), doc, hostIndex(doc)
+	return sections
+}
+
+// applyDiff takes a difference. It returns false when the changed sections do
+// not follow on the revision in force; the registry part is taken regardless.
+func (d *directory) applyDiff(diff *wire.StateDiff) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := *d.current.Load()
+	sections, followed := d.patchDocument(&next, diff)
+	if diff.GetRegistryVersion() != 0 {
+		next.stale = diff.GetStale()
+		next.services = patchInstances(next.services, diff.GetChanged(), diff.GetRemoved())
+	}
+	d.store(sections, &next)
+	return followed
+}
+
+func (d *directory) patchDocument(next *view, diff *wire.StateDiff) (*distribute.Sections, bool) {
+	if diff.GetRevision() <= next.revision {
+		return d.sections, true
+	}
+	sections, ok := d.sections.Patch(diff)
+	if !ok {
+		return d.sections, false
 	}
-	next.services = map[string][]*wire.Instance{}
-	for _, instance := range state.GetInstances() {
-		next.services[instance.GetService()] = append(next.services[instance.GetService()], instance)
+	doc, err := patchSections(next.doc, diff.GetSections())
+	if err != nil {
+		return d.sections, false
 	}
-	d.current.Store(&next)
-	close(d.updated)
-	d.updated = make(chan struct{})
+	next.revision, next.doc, next.hosts = diff.GetRevision(), doc, hostIndex(doc)
+	return sections, true
 }
 
-func hostIndex(doc *document.Document) map[string]string {
-	hosts := map[string]string{}
-	for name, service := range doc.Services {
-		for _, host := range service.Hosts {
-			hosts[host] = name
-		}
+// store puts a view in force. The caller holds the lock.
+func (d *directory) store(sections *distribute.Sections, next *view) {
+	raised := next.revision > d.current.Load().revision
+	d.sections = sections
+	d.current.Store(next)
+	if raised {
+		d.notify()
 	}
-	return hosts
 }
 
 // want subscribes to a service and returns a channel that is closed at the next
-// state, or nil when the node was subscribed before.
+// full registry, or nil when the node was subscribed before.
 func (d *directory) want(service string) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 		upstream:  newUpstream(),
 		client:    mesh.NewClient(mesh.DefaultConfig()),
 	}
+	n.directory.fetch = n.fetchRevision
 	n.server = mesh.NewServer(mesh.DefaultConfig(), n.serveStream)
 	return n, n.listen()
 }
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -20,7 +20,14 @@
 func (n *Node) serveStream(ctx context.Context, stream net.Conn) {
 	conn := frame.NewConn(stream)
 	first, err := conn.Receive()
-	if err != nil || first.GetRequestHead() == nil {
+	if err != nil {
+		return
+	}
+	if fetch := first.GetFetchRevision(); fetch != nil {
+		n.serveRevision(conn, fetch)
+		return
+	}
+	if first.GetRequestHead() == nil {
 		return
 	}
 	conn.BindAttempt(first.GetAttemptId())
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -8,6 +8,12 @@
 // Apply takes a state from control.
 func (s *controlSink) Apply(state *wire.StateFull) { s.directory.apply(state) }
 
+// ApplyDiff takes a difference from control.
+func (s *controlSink) ApplyDiff(diff *wire.StateDiff) bool { return s.directory.applyDiff(diff) }
+
+// Revision returns the revision in force.
+func (s *controlSink) Revision() uint64 { return s.directory.view().revision }
+
 // Heartbeat returns the node's lease renewal.
 func (s *controlSink) Heartbeat() *wire.Heartbeat {
 	return &wire.Heartbeat{
@@ -16,6 +22,8 @@
 		Zone:      s.settings.Zone,
 		Revision:  s.directory.view().revision,
 		Instance:  s.upstream.instance(s.settings.ID, s.settings.Zone, s.settings.MeshAddress, s.start),
+		Counts:    s.directory.counts.totals(),
+		Sequence:  s.directory.sequence.Add(1),
 	}
 }
 
