Test the registry of members in virtual time

Cause: leases, duplicate IDs, moved nodes and mass expiry had no test. They found two faults: a removal that followed the addition of the same instance ID, and a hold that its own removals renewed. Both are fixed.

--- a/internal/coordination/membership/guard.go
+++ b/internal/coordination/membership/guard.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// lateness counts late nodes, those that became late within massWindow or were
-// removed in it, and all nodes whose lease this member watches.
+// lateness counts late nodes, those that became late within massWindow whether
+// removed or not, and all nodes whose lease this member watches.
 func (r *Registry) lateness(now time.Time) (late, recent, clocked int) {
 	kept := r.guard.removals[:0]
 	for _, at := range r.guard.removals {
@@ -157,7 +157,7 @@
 			continue
 		}
 		clocked++
-		since := now.Sub(l.expires.Add(lateAfter - LeaseDuration))
+		since := now.Sub(l.lateSince())
 		if since <= 0 {
 			continue
 		}
@@ -169,6 +169,9 @@
 	return late, recent, clocked
 }
 
+// lateSince returns the time from which a silent node counts as late.
+func (l *lease) lateSince() time.Time { return l.expires.Add(lateAfter - LeaseDuration) }
+
 // expire removes nodes whose lease has run out, at a limited rate.
 func (r *Registry) expire(now time.Time, elapsed time.Duration) {
 	burst := math.Max(1, expiryShare*float64(len(r.leases)))
@@ -181,7 +184,7 @@
 			return
 		}
 		r.guard.allowance--
-		r.guard.removals = append(r.guard.removals, now)
+		r.guard.removals = append(r.guard.removals, l.lateSince())
 		r.own.add(id)
 		r.remove(id)
 	}
--- /dev/null
+++ b/internal/coordination/membership/main_test.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fakeNode is a node with one upstream.
+type fakeNode struct {
+	name     string
+	start    uint64
+	sequence uint64
+	version  uint64
+	instance string
+	address  string
+}
+
+func newFakeNode(i int) *fakeNode {
+	name := fmt.Sprintf("node-%04d", i)
+	return &fakeNode{name: name, start: 1, instance: "instance-" + name, address: "address-" + name}
+}
+
+func (n *fakeNode) heartbeat() *wire.Heartbeat {
+	n.sequence++
+	return &wire.Heartbeat{
+		NodeId: n.name, NodeStart: n.start, Sequence: n.sequence, Zone: "seq-a",
+		Instance: &wire.Instance{
+			Id: n.instance, StartId: fmt.Sprint(n.start), Service: "drafts", NodeAddress: n.address,
+			NodeId: n.name, NodeStart: n.start, Version: n.version,
+		},
+	}
+}
+
+func (n *fakeNode) stopping() *wire.Heartbeat {
+	heartbeat := n.heartbeat()
+	heartbeat.Stopping = true
+	return heartbeat
+}
+
+// listed returns the instances of the registry as ID@address#start.
+func listed(r *Registry) []string {
+	list := []string{}
+	for _, instance := range r.Instances(map[string]bool{"drafts": true}).Instances {
+		list = append(list, describe(instance))
+	}
+	return list
+}
+
+func describe(i *wire.Instance) string {
+	return fmt.Sprintf("%s@%s#%d.%d", i.GetId(), i.GetNodeAddress(), i.GetNodeStart(), i.GetVersion())
+}
+
+func (n *fakeNode) listed() string {
+	return fmt.Sprintf("%s@%s#%d.%d", n.instance, n.address, n.start, n.version)
+}
+
+func expected(nodes ...*fakeNode) []string {
+	list := []string{}
+	for _, n := range nodes {
+		list = append(list, n.listed())
+	}
+	slices.Sort(list)
+	return list
+}
+
+// clock drives one registry in virtual time.
+type clock struct {
+	now      time.Time
+	registry *Registry
+	contact  bool
+}
+
+func newClock() *clock {
+	return &clock{now: epochStart, registry: NewRegistry(), contact: true}
+}
+
+// run lets the nodes send heartbeats for a time in whole seconds.
+func (c *clock) run(d time.Duration, nodes ...*fakeNode) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(TickInterval)
+		if c.now.Second()%2 == 0 {
+			for _, n := range nodes {
+				c.registry.Renew(c.now, n.heartbeat())
+			}
+		}
+		c.registry.Tick(c.now, c.contact)
+	}
+}
+
+func fleet(size int) []*fakeNode {
+	nodes := make([]*fakeNode, size)
+	for i := range nodes {
+		nodes[i] = newFakeNode(i)
+	}
+	return nodes
+}
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -149,37 +149,36 @@
 	r.claims.drop(old.Lease, touched)
 	delete(r.leases, id)
 	delete(touched, id)
-	bumped := r.replaceShown(old.shown, nil)
-	if r.show(touched) || bumped {
-		return
+	r.recordRemoval(old.shown, nil)
+	if !r.show(touched) {
+		r.signal()
 	}
-	r.signal()
 }
 
-// show recalculates which instances subscribers see.
+// show recalculates which instances subscribers see. All removals are recorded
+// before the first addition, because an instance ID may move between nodes.
 func (r *Registry) show(nodes map[string]bool) bool {
-	bumped := false
-	ids := make([]string, 0, len(nodes))
+	changes := map[*lease]*wire.Instance{}
 	for id := range nodes {
-		ids = append(ids, id)
-	}
-	// Removals go first, because an instance ID may move from one node to another.
-	sort.Strings(ids)
-	for _, hide := range []bool{true, false} {
-		for _, id := range ids {
-			l := r.leases[id]
-			if l == nil {
-				continue
-			}
-			want := r.visible(l)
-			if (want == nil) != hide || sameInstance(l.shown, want) {
-				continue
-			}
-			bumped = r.replaceShown(l.shown, want) || bumped
-			l.shown = want
+		l := r.leases[id]
+		if l == nil {
+			continue
+		}
+		if want := r.visible(l); !sameInstance(l.shown, want) {
+			changes[l] = want
 		}
 	}
-	return bumped
+	for l, want := range changes {
+		r.recordRemoval(l.shown, want)
+	}
+	for l, want := range changes {
+		r.recordAddition(want)
+		l.shown = want
+	}
+	if len(changes) > 0 {
+		r.signal()
+	}
+	return len(changes) > 0
 }
 
 func (r *Registry) visible(l *lease) *wire.Instance {
@@ -189,19 +188,17 @@
 	return l.GetInstance()
 }
 
-// replaceShown records the change from one instance to another.
-func (r *Registry) replaceShown(old, next *wire.Instance) bool {
-	if old == nil && next == nil {
-		return false
-	}
+// recordRemoval records that an instance went, unless next replaces it in place.
+func (r *Registry) recordRemoval(old, next *wire.Instance) {
 	if old != nil && (next == nil || old.GetId() != next.GetId() || old.GetService() != next.GetService()) {
 		r.log.add(change{service: old.GetService(), id: old.GetId()})
 	}
+}
+
+func (r *Registry) recordAddition(next *wire.Instance) {
 	if next != nil {
 		r.log.add(change{service: next.GetService(), id: next.GetId(), instance: next})
 	}
-	r.signal()
-	return true
 }
 
 func (r *Registry) signal() {
