Count good and bad requests for the SLO burn report

Cause: operators had no view of objectives and error budgets. Change: package slo keeps mergeable counts per service in time buckets as a replicated state machine, computes burn rates over several windows with the multi-window alert rule, and renders JSON and a self-contained HTML page.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/settings"
+	"github.com/chicorylever/chicorylever/internal/state/slo"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -30,10 +31,13 @@
 type Control struct {
 	settings   *settings.Control
 	logger     log.Logger
+	source     distribute.Source
 	registry   *membership.Registry
 	distribute *distribute.Server
 	exchange   *membership.Exchange
 	client     *mesh.Client
+	burn       *slo.Machine
+	collector  *slo.Collector
 
 	meshListener net.Listener
 	apiListener  net.Listener
@@ -47,12 +51,15 @@
 	}
 	registry := membership.NewRegistry()
 	c := &Control{
-		settings:   s,
-		logger:     logger,
-		registry:   registry,
-		distribute: distribute.NewServer(source, registry, nil, logger),
-		client:     mesh.NewClient(mesh.DefaultConfig()),
+		settings:  s,
+		logger:    logger,
+		source:    source,
+		registry:  registry,
+		client:    mesh.NewClient(mesh.DefaultConfig()),
+		burn:      slo.NewMachine(),
+		collector: slo.NewCollector(),
 	}
+	c.distribute = distribute.NewServer(source, registry, c.collectCounts, logger)
 	c.exchange = c.newExchange()
 	return c, c.listen()
 }
@@ -88,6 +95,7 @@
 	group.Go(func() error { return ignoreClosed(api.Serve(c.apiListener)) })
 	group.Go(func() error { c.keepRegistry(groupCtx); return nil })
 	group.Go(func() error { c.distribute.Run(groupCtx); return nil })
+	group.Go(func() error { c.collector.Run(groupCtx, unreplicated{c.burn}, c.logger); return nil })
 	group.Go(func() error { c.exchange.Run(groupCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
+	"github.com/chicorylever/chicorylever/internal/state/slo"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -84,6 +85,9 @@
 			Member: c.settings.ID, Registry: c.registry.Status(time.Now()), Distribution: c.distribute.Progress(),
 		})
 	}).Methods(http.MethodGet)
+	burn := slo.NewHandler(c.burn, c.objectives, time.Now)
+	router.Handle("/v1/burn", burn)
+	router.Handle("/v1/burn.html", burn)
 	return router
 }
 
