--- /dev/null
+++ b/internal/coordination/distribute/server_test.go
@@ -0,0 +1,261 @@
+package distribute
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/membership"
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// fakeSource is a document that tests replace. Without quorum Confirm fails.
+type fakeSource struct {
+	mu       sync.Mutex
+	revision uint64
+	document []byte
+	changed  chan struct{}
+	noQuorum bool
+}
+
+func newFakeSource() *fakeSource {
+	return &fakeSource{revision: 1, document: testDocument(3, 1), changed: make(chan struct{})}
+}
+
+func testDocument(services int, revision uint64) []byte {
+	document := `{"zones":{"seq-a":{"state":"in"}},"services":{`
+	for i := range services {
+		if i > 0 {
+			document += ","
+		}
+		timeout := 1
+		if i == int(revision)%services {
+			timeout = int(revision)
+		}
+		document += fmt.Sprintf(`"service-%d":{"owner":"platform","timeout_ms":%d}`, i, timeout)
+	}
+	return []byte(document + `}}`)
+}
+
+func (s *fakeSource) Confirm(ctx context.Context) error {
+	if s.noQuorum {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (s *fakeSource) Current() (uint64, []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.document
+}
+
+func (s *fakeSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *fakeSource) set(document []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.document = document
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// harness is a server in virtual time with one node's end of a stream.
+type harness struct {
+	t        *testing.T
+	source   *fakeSource
+	registry *membership.Registry
+	server   *Server
+	stream   net.Conn
+	conn     *frame.Conn
+	served   chan error
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{t: t, source: newFakeSource(), registry: membership.NewRegistry(), served: make(chan error, 1)}
+	h.server = NewServer(h.source, h.registry, nil, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	go h.server.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		if h.stream != nil {
+			_ = h.stream.Close()
+		}
+		time.Sleep(time.Second)
+	})
+	// The list of a member counts as incomplete until it has settled.
+	for range 20 {
+		h.registry.Tick(time.Now(), true)
+		time.Sleep(membership.TickInterval)
+	}
+	synctest.Wait()
+	return h
+}
+
+func (h *harness) subscribe(have uint64, services ...string) {
+	near, far := net.Pipe()
+	h.stream, h.conn = near, frame.NewConn(near)
+	go func() {
+		defer func() { _ = far.Close() }()
+		conn := frame.NewConn(far)
+		first, err := conn.Receive()
+		if err == nil {
+			err = h.server.ServeStream(context.Background(), first, conn)
+		}
+		h.served <- err
+	}()
+	assert.NilError(h.t, h.conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Subscribe{
+		Subscribe: &wire.Subscribe{NodeId: "node", Services: services, HaveRevision: have},
+	}}))
+}
+
+// received returns all messages that are due now.
+func (h *harness) received() []*wire.Envelope {
+	var messages []*wire.Envelope
+	for {
+		time.Sleep(2 * coalesceDelay)
+		assert.NilError(h.t, h.stream.SetReadDeadline(time.Now().Add(time.Second)))
+		message, err := h.conn.Receive()
+		if err != nil {
+			return messages
+		}
+		messages = append(messages, message)
+	}
+}
+
+func (h *harness) announce(i int, service string) {
+	id := fmt.Sprint("node-", i)
+	h.registry.Renew(time.Now(), &wire.Heartbeat{NodeId: id, NodeStart: 1, Sequence: 1, Instance: &wire.Instance{
+		Id: id, Service: service, NodeAddress: id, NodeId: id, NodeStart: 1,
+	}})
+}
+
+// TestDistribution guards against a whole document where a section would do, and
+// against instances of services that a node does not use.
+func TestDistribution(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.announce(1, "service-1")
+		h.announce(2, "service-2")
+		h.subscribe(0, "service-1")
+		first := h.received()
+		assert.Equal(t, len(first), 2)
+		assert.Equal(t, first[0].GetStateFull().GetRevision(), uint64(1))
+		assert.Assert(t, first[0].GetStateFull().GetDocumentOnly())
+		instances := first[1].GetStateFull().GetInstances()
+		assert.Assert(t, len(instances) == 1 && instances[0].GetId() == "node-1" && !first[1].GetStateFull().GetStale())
+
+		h.source.set(testDocument(3, 2))
+		h.announce(3, "service-2")
+		change := h.received()
+		assert.Equal(t, len(change), 1)
+		diff := change[0].GetStateDiff()
+		assert.Assert(t, diff.GetBaseRevision() == 1 && diff.GetRevision() == 2 && len(diff.GetDocument()) == 0)
+		paths := []string{}
+		for _, section := range diff.GetSections() {
+			paths = append(paths, section.GetPath())
+		}
+		assert.DeepEqual(t, paths, []string{"services/service-2"})
+
+		h.announce(4, "service-1")
+		diff = h.received()[0].GetStateDiff()
+		assert.Assert(t, len(diff.GetChanged()) == 1 && diff.GetChanged()[0].GetId() == "node-4")
+		assert.Equal(t, diff.GetBaseVersion(), first[1].GetStateFull().GetRegistryVersion())
+	})
+}
+
+// TestSlowSubscriber guards against a queue that grows for a node that does not
+// read: 1,000 changes while it is blocked must cost it a few messages.
+func TestSlowSubscriber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.subscribe(0, "service-1")
+		state := map[string]bool{}
+		for i := range 1000 {
+			h.source.set(testDocument(3, uint64(i+2)))
+			h.announce(i, "service-1")
+			time.Sleep(coalesceDelay)
+		}
+		messages := h.received()
+		assert.Assert(t, len(messages) <= 6, "%d messages", len(messages))
+		var revision uint64
+		for _, message := range messages {
+			revision = max(revision, message.GetStateFull().GetRevision(), message.GetStateDiff().GetRevision())
+			for _, instance := range slices.Concat(message.GetStateFull().GetInstances(), message.GetStateDiff().GetChanged()) {
+				state[instance.GetId()] = true
+			}
+		}
+		assert.Equal(t, revision, uint64(1001))
+		assert.Equal(t, len(state), 1000)
+	})
+}
+
+// TestBurst guards against one message for each change of a burst to a node that
+// reads at once.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.subscribe(0, "service-1")
+		h.received()
+		assert.NilError(t, h.stream.SetReadDeadline(time.Time{}))
+		messages := make(chan int)
+		go func() {
+			count := 0
+			for {
+				if _, err := h.conn.Receive(); err != nil {
+					messages <- count
+					return
+				}
+				count++
+			}
+		}()
+		for i := range 100 {
+			h.source.set(testDocument(3, uint64(i+2)))
+			h.announce(i, "service-1")
+			time.Sleep(coalesceDelay / 100)
+		}
+		time.Sleep(time.Second)
+		_ = h.stream.Close()
+		// Each of document and registry may be sent at the start and after the delay.
+		count := <-messages
+		assert.Assert(t, count <= 4, "%d messages", count)
+	})
+}
+
+// TestWithoutQuorum guards against a restarted node that gets a state which no
+// quorum confirmed, and against a known node that is not served meanwhile.
+func TestWithoutQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.source.noQuorum = true
+		h.subscribe(0, "service-1")
+		assert.Equal(t, len(h.received()), 0)
+		assert.ErrorIs(t, <-h.served, context.DeadlineExceeded)
+
+		h.announce(1, "service-1")
+		for _, have := range []uint64{1, 7} {
+			h.subscribe(have, "service-1")
+			messages := h.received()
+			assert.Equal(t, len(messages), 1, "the revision %d is not replaced by a lower or equal one", have)
+			assert.Equal(t, len(messages[0].GetStateFull().GetInstances()), 1)
+			assert.Equal(t, len(messages[0].GetStateFull().GetDocument()), 0)
+			_ = h.stream.Close()
+			<-h.served
+		}
+	})
+}
