--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -33,6 +33,9 @@
 	firstStateTimeout = confirmTimeout + 2*time.Second
 	// goodbyeTimeout bounds the wait for control to take the last heartbeat.
 	goodbyeTimeout = 500 * time.Millisecond
+	// silenceTimeout ends a session with a member that acknowledges no heartbeat.
+	// It leaves time to reach another member before the lease ends.
+	silenceTimeout = 2*membership.HeartbeatInterval + time.Second
 	streamBuffer   = 16
 )
 
@@ -40,6 +43,7 @@
 	// errSessionOver ends a session that has reached its planned length.
 	errSessionOver = errors.New("distribute: session is over")
 	errStreamEnded = errors.New("distribute: stream ended")
+	errSilent      = errors.New("distribute: member acknowledges no heartbeat")
 	errNoState     = errors.New("distribute: member gave no state")
 )
 
@@ -130,6 +134,8 @@
 	// version is the registry version on this stream; known is set by the first state.
 	version uint64
 	known   bool
+	// heard is the time of the last message.
+	heard time.Time
 	// services are those of the last subscription, in order.
 	services []string
 }
@@ -199,11 +205,15 @@
 			if !s.known {
 				return errNoState
 			}
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if s.known && now.Sub(s.heard) > silenceTimeout {
+				return errSilent
+			}
 			err = s.sendHeartbeat()
 		case <-s.client.sink.Changed():
 			err = s.sendNews()
 		case message := <-s.incoming:
+			s.heard = time.Now()
 			err = s.handle(message)
 		}
 		if err != nil {
--- /dev/null
+++ b/internal/coordination/membership/exchange_test.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+)
+
+// TestExchange guards against nodes of a member that the others do not learn of,
+// against the loss of all nodes of a member whose stream is replaced, and against
+// nodes that stay for ever after their member is lost.
+func TestExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		here, there := NewRegistry(), NewRegistry()
+		receiver := NewExchange(there, "there", 1, nil, nil, log.NewNopLogger())
+		var mu sync.Mutex
+		var streams []net.Conn
+		refuse := false
+		dial := func(context.Context, string) (net.Conn, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if refuse {
+				return nil, errors.New("refused")
+			}
+			near, far := net.Pipe()
+			streams = append(streams, far)
+			running.Go(func() {
+				conn := frame.NewConn(far)
+				if first, err := conn.Receive(); err == nil {
+					_ = receiver.ServeStream(first, conn)
+				}
+			})
+			return near, nil
+		}
+		peers := func() []string { return []string{"there"} }
+		sender := NewExchange(here, "here", 1, dial, peers, log.NewNopLogger())
+		running.Go(func() { sender.Run(ctx) })
+		running.Go(func() {
+			for ctx.Err() == nil {
+				there.Tick(time.Now(), true)
+				wait(ctx, TickInterval)
+			}
+		})
+		nodes := fleet(5)
+		for _, n := range nodes {
+			here.Renew(time.Now(), n.heartbeat())
+		}
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, listed(there), expected(nodes...))
+		here.Renew(time.Now(), nodes[0].stopping())
+		time.Sleep(2 * exchangeDelay)
+		assert.DeepEqual(t, listed(there), expected(nodes[1:]...))
+
+		// A second stream of the member begins before the first one is seen to end.
+		extra := NewExchange(here, "here", 1, dial, peers, log.NewNopLogger())
+		extraCtx, stopExtra := context.WithCancel(ctx)
+		running.Go(func() { extra.Run(extraCtx) })
+		time.Sleep(time.Second)
+		mu.Lock()
+		refuse = true
+		_ = streams[0].Close()
+		mu.Unlock()
+		time.Sleep(OrphanDuration + massHold + massWindow + time.Minute)
+		assert.DeepEqual(t, listed(there), expected(nodes[1:]...))
+
+		mu.Lock()
+		for _, stream := range streams {
+			_ = stream.Close()
+		}
+		mu.Unlock()
+		time.Sleep(OrphanDuration - time.Second)
+		assert.DeepEqual(t, listed(there), expected(nodes[1:]...))
+		time.Sleep(massHold + massWindow + time.Minute)
+		assert.DeepEqual(t, listed(there), expected())
+		stopExtra()
+		cancel()
+		running.Wait()
+	})
+}
