Merge distribution and assemble control from its parts

Distribution by differences, merged registries of members, burn counts and the operators' API run in chicorylever-control. A changed revision of a node is exchanged among members, since an operator's wait needs it from all nodes.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,27 +13,33 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chicorylever/chicorylever/internal/control/api"
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
-	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/claims"
 	"github.com/chicorylever/chicorylever/internal/state/document"
+	"github.com/chicorylever/chicorylever/internal/state/slo"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
-const (
-	apiHeaderTimeout = 5 * time.Second
-	apiStopTimeout   = 10 * time.Second
-	maxHeaderBytes   = 32 << 10
-)
+// apiStopTimeout bounds the requests of operators that run at a stop.
+const apiStopTimeout = 10 * time.Second
 
 // Control is one control member.
 type Control struct {
-	settings   *settings.Control
-	logger     log.Logger
+	settings *settings.Control
+	logger   log.Logger
+	client   *mesh.Client
+	log      replica.Proposer
+
+	documents *document.Machine
+	burn      *slo.Machine
+	collector *slo.Collector
+
 	registry   *membership.Registry
+	exchange   *membership.Exchange
 	distribute *distribute.Server
 	claims     *claimService
 
@@ -43,27 +49,40 @@
 
 // New opens the listeners and the state of a member.
 func New(s *settings.Control, logger log.Logger) (*Control, error) {
-	documents := document.NewMachine()
-	local := &localProposer{machine: newMachine(map[section]replica.StateMachine{
-		sectionDocument: documents,
-		sectionClaims:   claims.NewMachine(),
-	})}
-	proposer := sectionProposer{local, sectionDocument}
-	if s.BootstrapDocument != "" {
-		if err := bootstrapDocument(context.Background(), proposer, s.BootstrapDocument); err != nil {
-			return nil, err
-		}
-	}
-	source := documentSource{machine: documents, proposer: proposer}
-	registry := membership.NewRegistry()
 	c := &Control{
-		settings:   s,
-		logger:     logger,
-		registry:   registry,
-		distribute: distribute.NewServer(source, registry),
-		claims:     &claimService{proposer: sectionProposer{local, sectionClaims}, documents: documents},
+		settings:  s,
+		logger:    log.With(logger, "member", s.ID),
+		client:    mesh.NewClient(mesh.DefaultConfig()),
+		documents: document.NewMachine(),
+		burn:      slo.NewMachine(),
+		collector: slo.NewCollector(),
+		registry:  membership.NewRegistry(),
+	}
+	if err := checkFirstDocument(s.BootstrapDocument); err != nil {
+		return nil, err
+	}
+	if err := c.listen(); err != nil {
+		return nil, err
 	}
-	return c, c.listen()
+	c.log = &localProposer{machine: c.machine()}
+	source := documentSource{machine: c.documents, proposer: c.log}
+	c.distribute = distribute.NewServer(source, c.registry, c.collectCounts, c.logger)
+	c.exchange = c.newExchange()
+	c.claims = &claimService{proposer: c.part(sectionClaims), documents: c.documents}
+	return c, nil
+}
+
+func (c *Control) machine() *machine {
+	return newMachine(map[section]replica.StateMachine{
+		sectionDocument: c.documents,
+		sectionClaims:   claims.NewMachine(),
+		sectionBurn:     c.burn,
+	})
+}
+
+// part returns a proposer of commands for one part of the state.
+func (c *Control) part(name section) replica.Proposer {
+	return sectionProposer{c.log, name}
 }
 
 func (c *Control) listen() error {
@@ -86,68 +105,49 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (c *Control) Run(ctx context.Context) error {
-	server := mesh.NewServer(mesh.DefaultConfig(), c.serveStream)
-	api := &http.Server{
-		Handler:           c.routes(),
-		ReadHeaderTimeout: apiHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	handler, err := c.apiHandler()
+	if err != nil {
+		return err
 	}
+	streams := mesh.NewServer(mesh.DefaultConfig(), c.serveStream)
+	operators := api.NewServer(handler, nil)
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Serve(groupCtx, c.meshListener) })
-	group.Go(func() error { return ignoreClosed(api.Serve(c.apiListener)) })
-	group.Go(func() error { return c.expireLeases(groupCtx) })
-	group.Go(func() error { newLostNodes(c.registry, c.claims.proposer, c.logger).run(groupCtx); return nil })
+	group.Go(func() error { return streams.Serve(groupCtx, c.meshListener) })
+	group.Go(func() error { return api.Serve(operators, c.apiListener) })
+	for _, duty := range c.duties() {
+		group.Go(func() error { duty(groupCtx); return nil })
+	}
 	group.Go(func() error {
 		<-groupCtx.Done()
-		stopCtx, cancel := context.WithTimeout(context.Background(), apiStopTimeout)
-		defer cancel()
-		err := api.Shutdown(stopCtx)
-		_ = c.meshListener.Close()
-		server.Close()
-		return err
+		return c.stop(operators, streams)
 	})
 	_ = level.Info(c.logger).Log("msg", "control member started", "mesh", c.MeshAddress(), "api", c.APIAddress())
-	err := group.Wait()
+	err = group.Wait()
 	_ = level.Info(c.logger).Log("msg", "control member stopped", "err", err)
 	return err
 }
 
-func (c *Control) expireLeases(ctx context.Context) error {
-	ticker := time.NewTicker(membership.HeartbeatInterval / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			c.registry.Expire(now)
-		}
-	}
-}
-
-// serveStream hands a stream to the service that its first message asks for.
-func (c *Control) serveStream(ctx context.Context, stream net.Conn) {
-	conn := frame.NewConn(stream)
-	first, err := conn.Receive()
-	if err != nil {
-		return
+// duties returns what a member does until its context ends.
+func (c *Control) duties() []func(ctx context.Context) {
+	duties := []func(ctx context.Context){
+		c.keepRegistry,
+		c.distribute.Run,
+		c.exchange.Run,
+		func(ctx context.Context) { c.collector.Run(ctx, c.part(sectionBurn), c.logger) },
+		newLostNodes(c.registry, c.part(sectionClaims), c.logger).run,
 	}
-	switch {
-	case first.GetSubscribe() != nil:
-		err = c.distribute.ServeStream(ctx, first, conn)
-	case first.GetClaim() != nil, first.GetRecordOutcome() != nil, first.GetReleaseClaim() != nil:
-		err = c.claims.serveStream(ctx, first, conn)
-	default:
-		err = errors.WithMessage(frame.ErrUnexpected, "first message of a stream")
-	}
-	if err != nil && ctx.Err() == nil {
-		_ = level.Debug(c.logger).Log("msg", "stream ended", "peer", stream.RemoteAddr(), "err", err)
+	if c.settings.BootstrapDocument != "" {
+		duties = append(duties, c.proposeFirstDocument)
 	}
+	return duties
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+func (c *Control) stop(operators *http.Server, streams *mesh.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), apiStopTimeout)
+	defer cancel()
+	err := operators.Shutdown(ctx)
+	_ = c.meshListener.Close()
+	streams.Close()
+	c.client.Close()
+	return errors.Wrap(err, "control: stop")
 }
--- /dev/null
+++ b/internal/control/fleet.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/chicorylever/chicorylever/internal/control/api"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/slo"
+)
+
+const (
+	// inForcePoll is the time between two looks at the acknowledged revisions.
+	inForcePoll = 100 * time.Millisecond
+	// maxLaggingNames bounds the names of lagging nodes in an answer.
+	maxLaggingNames = 20
+)
+
+// fleet describes nodes and upstreams to the operators' API.
+type fleet Control
+
+// Status describes nodes and upstreams.
+func (f *fleet) Status() api.FleetStatus {
+	revision := f.documents.View().Revision
+	status := api.FleetStatus{Stale: f.registry.Status(time.Now()).Stale}
+	for _, lease := range f.registry.Nodes() {
+		status.Nodes = append(status.Nodes, api.Node{
+			ID:       lease.GetNodeId(),
+			Zone:     lease.GetZone(),
+			Revision: lease.GetRevision(),
+			Lagging:  lease.GetRevision() < revision,
+		})
+		if instance := lease.GetInstance(); instance != nil {
+			status.Upstreams = append(status.Upstreams, api.Upstream{
+				Instance: instance.GetId(),
+				Service:  instance.GetService(),
+				Zone:     instance.GetZone(),
+				Node:     lease.GetNodeId(),
+				State:    stateName(instance.GetState()),
+			})
+		}
+	}
+	return status
+}
+
+func stateName(state wire.InstanceState) string {
+	switch state {
+	case wire.InstanceState_INSTANCE_COLD:
+		return "cold"
+	case wire.InstanceState_INSTANCE_LEAVING:
+		return "leaving"
+	default:
+		return "warm"
+	}
+}
+
+// WaitInForce returns when every node has the revision or a later one, or when
+// ctx ends.
+func (f *fleet) WaitInForce(ctx context.Context, revision uint64) api.InForce {
+	ticker := time.NewTicker(inForcePoll)
+	defer ticker.Stop()
+	for {
+		state := f.inForce(revision)
+		if state.InForce {
+			return state
+		}
+		select {
+		case <-ctx.Done():
+			return state
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *fleet) inForce(revision uint64) api.InForce {
+	state := api.InForce{Revision: revision, Stale: f.registry.Status(time.Now()).Stale}
+	for _, lease := range f.registry.Nodes() {
+		state.Nodes++
+		if lease.GetRevision() >= revision {
+			continue
+		}
+		state.Lagging++
+		if len(state.LaggingNodes) < maxLaggingNames {
+			state.LaggingNodes = append(state.LaggingNodes, lease.GetNodeId())
+		}
+	}
+	state.InForce = state.Lagging == 0
+	return state
+}
+
+func (c *Control) apiHandler() (http.Handler, error) {
+	return api.New(api.Config{
+		Proposer:  c.part(sectionDocument),
+		Documents: c.documents,
+		Fleet:     (*fleet)(c),
+		Burn:      slo.NewHandler(c.burn, c.objectives, time.Now),
+		Logger:    c.logger,
+	})
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -18,6 +18,7 @@
 const (
 	sectionDocument section = 1
 	sectionClaims   section = 2
+	sectionBurn     section = 3
 )
 
 // errSnapshot reports a snapshot that this version cannot read.
--- a/internal/control/source.go
+++ b/internal/control/source.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"os"
 	"time"
 
-	"github.com/gorilla/mux"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
+// bootstrapInterval is the time between two proposals of the first document.
+const bootstrapInterval = time.Second
+
+// bootstrapTimeout bounds one proposal of the first document.
+const bootstrapTimeout = 5 * time.Second
+
 // documentSource distributes the replicated document.
 type documentSource struct {
 	machine  *document.Machine
@@ -42,9 +48,42 @@
 // Changed returns a channel that is closed at the next revision.
 func (s documentSource) Changed() <-chan struct{} { return s.machine.View().Replaced() }
 
+// checkFirstDocument returns a *settings.Error for an invalid bootstrap document.
+// A missing file is no error, since the file is needed only once.
+func checkFirstDocument(path string) error {
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if path == "" || errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err == nil {
+		_, err = document.Parse(data)
+	}
+	if err != nil {
+		return &settings.Error{File: path, Field: "bootstrap_document", Problem: err.Error()}
+	}
+	return nil
+}
+
+// proposeFirstDocument proposes the bootstrap document until a document is in force.
+func (c *Control) proposeFirstDocument(ctx context.Context) {
+	for c.documents.View().Revision == 0 {
+		err := bootstrapDocument(ctx, c.part(sectionDocument), c.settings.BootstrapDocument)
+		if err != nil {
+			_ = level.Warn(c.logger).Log("msg", "first document is not in force", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(bootstrapInterval):
+		}
+	}
+}
+
 // bootstrapDocument proposes the first document of a new cluster. It has no
 // effect when there is one already.
 func bootstrapDocument(ctx context.Context, proposer replica.Proposer, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
 	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
 		return errors.Wrap(err, "bootstrap_document")
@@ -66,12 +105,3 @@
 	}
 	return nil
 }
-
-func (c *Control) routes() http.Handler {
-	router := mux.NewRouter()
-	router.HandleFunc("/v1/nodes", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(c.registry.Nodes())
-	}).Methods(http.MethodGet)
-	return router
-}
--- /dev/null
+++ b/internal/control/streams.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"context"
+	"net"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// serveStream hands a stream to the service that its first message asks for.
+func (c *Control) serveStream(ctx context.Context, stream net.Conn) {
+	conn := frame.NewConn(stream)
+	first, err := conn.Receive()
+	if err != nil {
+		return
+	}
+	if err := c.dispatch(ctx, first, conn); err != nil && ctx.Err() == nil {
+		_ = level.Debug(c.logger).Log("msg", "stream ended", "peer", stream.RemoteAddr(), "err", err)
+	}
+}
+
+func (c *Control) dispatch(ctx context.Context, first *wire.Envelope, conn *frame.Conn) error {
+	switch first.GetBody().(type) {
+	case *wire.Envelope_Subscribe:
+		return c.distribute.ServeStream(ctx, first, conn)
+	case *wire.Envelope_RegistryUpdate:
+		return c.exchange.ServeStream(first, conn)
+	case *wire.Envelope_Claim, *wire.Envelope_RecordOutcome, *wire.Envelope_ReleaseClaim:
+		return c.claims.serveStream(ctx, first, conn)
+	default:
+		return errors.WithMessage(frame.ErrUnexpected, "first message of a stream")
+	}
+}
