Detect silent mesh connections without blocking others, add handshake and TLS

A dial held the peer's lock, so one slow dial blocked requests that had a live connection; it now runs on its own and is shared by its waiters. Connections silent for two thirds of the dead time take no new streams. Idle connections have no ticker and are closed after 5 minutes. Time during which the process itself was frozen does not count as silence of the peer. Long-lived control streams have a class with a slower watchdog. Frames that announce a stream, and headers, share a write with the message that follows. Each connection starts with a hello (version, identity); mutual TLS checks that the identity is the certificate's. A shared key is not offered.

--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 )
 
+// openTries bounds the connections tried by Open: a connection may end between
+// its selection and the opening of a stream on it.
+const openTries = 2
+
 // Client opens streams to peers and keeps one connection for each peer and class.
 type Client struct {
-	config Config
+	config   Config
+	replaced atomic.Uint64
 
 	mu     sync.Mutex
 	peers  map[peerKey]*peer
@@ -24,9 +29,22 @@
 	class   Class
 }
 
+// peer holds the connection to one address for one class.
 type peer struct {
+	client *Client
+	key    peerKey
+
 	mu      sync.Mutex
-	session *yamux.Session
+	session *session
+	dialing *dialing
+	closed  bool
+}
+
+// dialing is an attempt to connect that all streams waiting for it share.
+type dialing struct {
+	done    chan struct{}
+	session *session
+	err     error
 }
 
 // NewClient returns a client without connections.
@@ -34,68 +52,112 @@
 	return &Client{config: config, peers: map[peerKey]*peer{}}
 }
 
+// Replaced counts the connections that were closed because they went silent.
+func (c *Client) Replaced() uint64 { return c.replaced.Load() }
+
 // Open returns a new stream to the peer, dialling when there is no connection.
 // It returns ErrDial, ErrOpen or ErrClosed; no byte of the caller was sent then.
+// The opener must be the first to send on the stream: opening is announced to the
+// peer together with its first bytes.
 func (c *Client) Open(ctx context.Context, address string, class Class) (net.Conn, error) {
-	p, err := c.peer(address, class)
-	if err != nil {
-		return nil, err
-	}
-	session, err := p.connect(ctx, c.config, address)
+	p, err := c.peer(peerKey{address, class})
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.OpenStream()
-	if err != nil {
-		return nil, errors.WithMessagef(ErrOpen, "%s: %v", address, err)
+	for range openTries {
+		var s *session
+		if s, err = p.connect(ctx); err != nil {
+			return nil, err
+		}
+		var stream net.Conn
+		if stream, err = s.open(); err == nil {
+			return stream, nil
+		}
+		s.retire()
 	}
-	return stream, nil
+	return nil, errors.WithMessagef(ErrOpen, "%s: %v", address, err)
 }
 
-func (c *Client) peer(address string, class Class) (*peer, error) {
+func (c *Client) peer(key peerKey) (*peer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil, ErrClosed
 	}
-	key := peerKey{address, class}
 	p, ok := c.peers[key]
 	if !ok {
-		p = &peer{}
+		p = &peer{client: c, key: key}
 		c.peers[key] = p
 	}
 	return p, nil
 }
 
-func (p *peer) connect(ctx context.Context, config Config, address string) (*yamux.Session, error) {
+// connect returns a usable connection. The lock is not held while dialling.
+func (p *peer) connect(ctx context.Context) (*session, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.session != nil && !p.session.IsClosed() {
+	if p.session != nil && p.session.isUsable() {
+		defer p.mu.Unlock()
 		return p.session, nil
 	}
-	conn, err := dial(ctx, config, address)
-	if err != nil {
-		return nil, errors.WithMessagef(ErrDial, "%s: %v", address, err)
+	d := p.dialing
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		p.dialing = d
+		go p.dial(d)
 	}
-	tracked := newActivityConn(conn)
-	session, err := yamux.Client(tracked, config.yamux())
-	if err != nil {
-		_ = conn.Close()
-		return nil, errors.WithMessagef(ErrDial, "%s: %v", address, err)
+	p.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.session, d.err
+	case <-ctx.Done():
+		return nil, errors.WithMessagef(ErrDial, "%s: %v", p.key.address, ctx.Err())
 	}
-	go watch(session, tracked, config)
-	p.session = session
-	return session, nil
 }
 
-func dial(ctx context.Context, config Config, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, config.DialTimeout)
+// dial is independent of the requests that wait for it: the end of one must not
+// fail the others.
+func (p *peer) dial(d *dialing) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.client.config.DialTimeout)
 	defer cancel()
+	s, err := dialSession(ctx, p.client.config, p.key)
+	if err != nil {
+		err = errors.WithMessagef(ErrDial, "%s: %v", p.key.address, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && p.closed {
+		s.close()
+		s, err = nil, ErrClosed
+	}
+	if err == nil {
+		p.session = s
+		go p.watch(s)
+	}
+	p.dialing = nil
+	d.session, d.err = s, err
+	close(d.done)
+}
+
+func (p *peer) watch(s *session) {
+	ping, dead := p.client.config.watchTimes(p.key.class)
+	if s.watch(ping, dead, p.client.config.IdleTimeout) == endSilent {
+		p.client.replaced.Add(1)
+	}
+}
+
+func dialSession(ctx context.Context, config Config, key peerKey) (*session, error) {
 	dialer := &net.Dialer{KeepAlive: -1}
-	if config.TLS != nil {
-		return (&tls.Dialer{NetDialer: dialer, Config: config.TLS}).DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", key.address)
+	if err != nil {
+		return nil, err
 	}
-	return dialer.DialContext(ctx, "tcp", address)
+	deadline, _ := ctx.Deadline()
+	s, err := newSession(raw, config, deadline, clientSide)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return s, nil
 }
 
 // Close ends all connections; open streams fail.
@@ -107,9 +169,13 @@
 	c.mu.Unlock()
 	for _, p := range peers {
 		p.mu.Lock()
+		p.closed = true
 		if p.session != nil {
-			_ = p.session.Close()
+			p.session.close()
 		}
 		p.mu.Unlock()
 	}
 }
+
+// handshakeDeadline bounds the handshake of an accepted connection.
+func handshakeDeadline(config Config) time.Time { return time.Now().Add(config.DialTimeout) }
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -12,15 +12,18 @@
 	"github.com/pkg/errors"
 )
 
-// Class separates traffic so that bulk transfers do not delay small requests on
-// the same TCP connection.
+// Class separates traffic with different needs; each class of a peer has its own
+// TCP connection.
 type Class int
 
 const (
-	// Small carries requests whose body is held whole, and control traffic.
+	// Small carries requests whose body is held whole.
 	Small Class = iota
-	// Bulk carries streamed bodies.
+	// Bulk carries streamed bodies, so that they do not delay small requests.
 	Bulk
+	// Control carries long-lived streams that are mostly idle. A silent connection
+	// is found later, which keeps the traffic of idle streams low.
+	Control
 )
 
 var (
@@ -30,38 +33,66 @@
 	ErrDial = errors.New("mesh: dial failed")
 	// ErrOpen reports that no stream could be opened on a connection.
 	ErrOpen = errors.New("mesh: open stream failed")
+	// ErrHandshake reports a peer that speaks another protocol or version, or
+	// whose certificate is for another identity.
+	ErrHandshake = errors.New("mesh: handshake failed")
 )
 
 // Config holds the settings of a mesh endpoint.
 type Config struct {
-	// TLS secures connections when it is not nil.
+	// TLS secures connections when it is not nil; see LoadTLS.
 	TLS *tls.Config
-	// DialTimeout bounds opening a connection.
+	// Identity is sent to the peer when a connection opens, at most 255 bytes. With
+	// TLS it must be a name in the certificate.
+	Identity string
+	// DialTimeout bounds opening a connection, the handshake included.
 	DialTimeout time.Duration
 	// PingAfter is the silence on a connection with open streams that causes a ping.
 	PingAfter time.Duration
 	// DeadAfter is the silence on a connection with open streams after which it is closed.
 	DeadAfter time.Duration
+	// SlowPingAfter and SlowDeadAfter replace PingAfter and DeadAfter on accepted
+	// connections and for the Control class.
+	SlowPingAfter time.Duration
+	SlowDeadAfter time.Duration
+	// IdleTimeout closes a dialled connection that had no stream for that long.
+	IdleTimeout time.Duration
 	// MaxStreams bounds the streams that one accepted connection may hold open.
 	MaxStreams int
+	// MaxSessions bounds the accepted connections of a server.
+	MaxSessions int
 }
 
 // DefaultConfig detects a silent connection in about one second.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout: time.Second,
-		PingAfter:   300 * time.Millisecond,
-		DeadAfter:   900 * time.Millisecond,
-		MaxStreams:  4096,
+		DialTimeout:   time.Second,
+		PingAfter:     300 * time.Millisecond,
+		DeadAfter:     900 * time.Millisecond,
+		SlowPingAfter: time.Second,
+		SlowDeadAfter: 3 * time.Second,
+		IdleTimeout:   5 * time.Minute,
+		MaxStreams:    4096,
+		MaxSessions:   16384,
 	}
 }
 
+// watchTimes returns the ping and dead times of a dialled connection.
+func (c Config) watchTimes(class Class) (ping, dead time.Duration) {
+	if class == Control {
+		return c.SlowPingAfter, c.SlowDeadAfter
+	}
+	return c.PingAfter, c.DeadAfter
+}
+
 func (c Config) yamux() *yamux.Config {
 	config := yamux.DefaultConfig()
 	// The watchdog pings only connections with open streams, which keeps idle
 	// connections free of traffic.
 	config.EnableKeepAlive = false
-	config.ConnectionWriteTimeout = c.DeadAfter
+	// The watchdog closes a connection that makes no progress. A write that only
+	// waits for its turn behind others is no fault of the connection.
+	config.ConnectionWriteTimeout = 10 * time.Second
 	config.StreamOpenTimeout = 0
 	config.StreamCloseTimeout = time.Minute
 	config.AcceptBacklog = 1024
--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"sync"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 )
 
@@ -19,20 +17,21 @@
 	handler Handler
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
-	streams  sync.WaitGroup
+	conns    int
+	sessions map[*session]struct{}
+	closed   bool
+	active   int           // running handlers
+	idle     chan struct{} // closed when active falls to 0, nil while nobody waits
 }
 
 // NewServer returns a server that is not yet listening.
 func NewServer(config Config, handler Handler) *Server {
-	return &Server{config: config, handler: handler, sessions: map[*yamux.Session]struct{}{}}
+	return &Server{config: config, handler: handler, sessions: map[*session]struct{}{}}
 }
 
-// Serve accepts connections until the listener is closed. Handlers get ctx.
+// Serve accepts connections until the listener is closed. Handlers get a context
+// that ends with ctx or with their connection.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	if s.config.TLS != nil {
-		listener = tls.NewListener(listener, s.config.TLS)
-	}
 	for {
 		conn, err := listener.Accept()
 		switch {
@@ -42,57 +41,138 @@
 		default:
 			return errors.Wrap(err, "mesh: accept")
 		}
+		if !s.reserve() {
+			_ = conn.Close()
+			continue
+		}
 		go s.serveConn(ctx, conn)
 	}
 }
 
+// reserve counts a connection, or returns false when there are too many.
+func (s *Server) reserve() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.conns >= s.config.MaxSessions {
+		return false
+	}
+	s.conns++
+	return true
+}
+
+func (s *Server) release(ended *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns--
+	delete(s.sessions, ended)
+}
+
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	tracked := newActivityConn(conn)
-	session, err := yamux.Server(tracked, s.config.yamux())
+	accepted, err := newSession(conn, s.config, handshakeDeadline(s.config), serverSide)
+	defer s.release(accepted)
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	s.track(session)
-	defer s.untrack(session)
-	go watch(session, tracked, s.config)
+	defer accepted.close()
+	if !s.track(accepted) {
+		return
+	}
+	// Idle connections are closed by the side that dialled.
+	go accepted.watch(s.config.SlowPingAfter, s.config.SlowDeadAfter, 0)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for {
-		stream, err := session.AcceptStream()
+		stream, err := accepted.AcceptStream()
 		if err != nil {
 			return
 		}
-		if session.NumStreams() > s.config.MaxStreams {
+		accepted.wakeWatchdog()
+		if accepted.NumStreams() > s.config.MaxStreams {
 			_ = stream.Close()
 			continue
 		}
-		s.streams.Add(1)
+		s.begin()
 		go func() {
-			defer s.streams.Done()
+			defer s.finish()
 			defer func() { _ = stream.Close() }()
 			s.handler(ctx, stream)
 		}()
 	}
 }
 
-func (s *Server) track(session *yamux.Session) {
+func (s *Server) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sessions[session] = struct{}{}
+	s.active++
 }
 
-func (s *Server) untrack(session *yamux.Session) {
+func (s *Server) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, session)
-	_ = session.Close()
+	s.active--
+	if s.active == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// idleChannel returns a channel that is closed once no handler runs.
+func (s *Server) idleChannel() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active == 0 {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	return s.idle
+}
+
+func (s *Server) track(accepted *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.sessions[accepted] = struct{}{}
+	return true
+}
+
+// Drain asks peers to open no more streams and waits until the handlers have
+// returned or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	for _, accepted := range s.list() {
+		go func() { _ = accepted.GoAway() }()
+	}
+	select {
+	case <-s.idleChannel():
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "mesh: drain")
+	}
 }
 
 // Close ends all connections and waits for the handlers.
 func (s *Server) Close() {
 	s.mu.Lock()
-	for session := range s.sessions {
-		_ = session.Close()
-	}
+	s.closed = true
 	s.mu.Unlock()
-	s.streams.Wait()
+	for _, accepted := range s.list() {
+		accepted.close()
+	}
+	<-s.idleChannel()
+}
+
+func (s *Server) list() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sessions := make([]*session, 0, len(s.sessions))
+	for accepted := range s.sessions {
+		sessions = append(sessions, accepted)
+	}
+	return sessions
 }
--- /dev/null
+++ b/internal/transport/mesh/session.go
@@ -0,0 +1,113 @@
+package mesh
+
+import (
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+type side int
+
+const (
+	clientSide side = iota
+	serverSide
+)
+
+// session is one connection with its streams.
+type session struct {
+	*yamux.Session
+	activity *activityConn
+	// wake tells the watchdog that a stream was opened or accepted.
+	wake    chan struct{}
+	retired atomic.Bool
+	// opening keeps closeUnused from ending the connection under a new stream.
+	opening sync.RWMutex
+}
+
+// newSession secures the connection and exchanges the handshake until the
+// deadline. The caller closes the connection after an error.
+func newSession(raw net.Conn, config Config, deadline time.Time, s side) (*session, error) {
+	if err := raw.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	activity := newActivityConn(raw)
+	secured, err := secure(activity, config, s)
+	if err != nil {
+		return nil, err
+	}
+	if err := handshake(secured, config, s); err != nil {
+		return nil, err
+	}
+	if err := raw.SetDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	start := yamux.Client
+	if s == serverSide {
+		start = yamux.Server
+	}
+	muxed, err := start(&frameConn{Conn: secured}, config.yamux())
+	if err != nil {
+		return nil, err
+	}
+	return &session{Session: muxed, activity: activity, wake: make(chan struct{}, 1)}, nil
+}
+
+func secure(conn net.Conn, config Config, s side) (net.Conn, error) {
+	if config.TLS == nil {
+		return conn, nil
+	}
+	secured := tls.Client(conn, config.TLS)
+	if s == serverSide {
+		secured = tls.Server(conn, config.TLS)
+	}
+	return secured, secured.Handshake()
+}
+
+func (s *session) open() (net.Conn, error) {
+	s.opening.RLock()
+	defer s.opening.RUnlock()
+	if !s.isUsable() {
+		return nil, yamux.ErrSessionShutdown
+	}
+	stream, err := s.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	s.wakeWatchdog()
+	return stream, nil
+}
+
+func (s *session) wakeWatchdog() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// retire keeps new streams off the connection; open ones continue.
+func (s *session) retire() { s.retired.Store(true) }
+
+func (s *session) isUsable() bool { return !s.retired.Load() && !s.IsClosed() }
+
+// closeUnused closes a connection without streams.
+func (s *session) closeUnused() bool {
+	s.opening.Lock()
+	defer s.opening.Unlock()
+	if s.NumStreams() > 0 {
+		return false
+	}
+	s.close()
+	return true
+}
+
+// close ends the connection. The raw connection is closed first, because a TLS
+// close may wait for a peer that no longer reads.
+func (s *session) close() {
+	s.retire()
+	_ = s.activity.Close()
+	_ = s.Close()
+}
--- a/internal/transport/mesh/watchdog.go
+++ b/internal/transport/mesh/watchdog.go
@@ -4,10 +4,11 @@
 	"net"
 	"sync/atomic"
 	"time"
-
-	"github.com/hashicorp/yamux"
 )
 
+// ticksPerPing is the number of checks in the silence that causes a ping.
+const ticksPerPing = 3
+
 // activityConn records when bytes last arrived.
 type activityConn struct {
 	net.Conn
@@ -16,57 +17,120 @@
 
 func newActivityConn(conn net.Conn) *activityConn {
 	c := &activityConn{Conn: conn}
-	c.lastRead.Store(time.Now().UnixNano())
+	c.touch(time.Now())
 	return c
 }
 
 func (c *activityConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.touch(time.Now())
 	}
 	return n, err
 }
 
-func (c *activityConn) silence() time.Duration {
-	return time.Duration(time.Now().UnixNano() - c.lastRead.Load())
+func (c *activityConn) touch(now time.Time) { c.lastRead.Store(now.UnixNano()) }
+
+func (c *activityConn) silence(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - c.lastRead.Load())
 }
 
-// watch closes the session when it holds open streams and no byte has arrived
-// for DeadAfter. It pings after PingAfter, so that a peer that only works on a
-// long request is not taken for a dead one. It returns when the session ends.
-func watch(session *yamux.Session, conn *activityConn, config Config) {
-	ticker := time.NewTicker(config.PingAfter / 3)
+// end tells why a watchdog ended.
+type end int
+
+const (
+	endClosed end = iota
+	endSilent
+	endIdle
+)
+
+// watch closes the session when it holds open streams and no byte has arrived for
+// the dead time. It pings after the ping time, so that a peer that only works on a
+// long request is not taken for a dead one. From two thirds of the dead time on, new
+// streams are kept off the connection. Without open streams there is no traffic;
+// after the idle timeout, when it is not 0, the session is closed.
+func (s *session) watch(ping, dead, idle time.Duration) end {
+	for {
+		switch s.waitForStream(idle) {
+		case wakeClosed:
+			return endClosed
+		case wakeIdle:
+			if s.closeUnused() {
+				return endIdle
+			}
+		case wakeStream:
+		}
+		if reason, ended := s.watchActive(ping, dead); ended {
+			return reason
+		}
+		if s.retired.Load() && s.closeUnused() {
+			return endIdle
+		}
+	}
+}
+
+// wakeReason tells why the watchdog stopped waiting for a stream.
+type wakeReason int
+
+const (
+	wakeStream wakeReason = iota
+	wakeIdle
+	wakeClosed
+)
+
+// waitForStream returns when a stream was opened, the idle timeout has passed, or the
+// session has ended. The stream may have ended meanwhile.
+func (s *session) waitForStream(idle time.Duration) wakeReason {
+	var expired <-chan time.Time
+	if idle > 0 {
+		timer := time.NewTimer(idle)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-s.CloseChan():
+		return wakeClosed
+	case <-s.wake:
+		return wakeStream
+	case <-expired:
+		return wakeIdle
+	}
+}
+
+// watchActive watches while streams are open. Silence before that says nothing
+// about the peer, and neither does silence while this process itself was frozen.
+func (s *session) watchActive(ping, dead time.Duration) (reason end, ended bool) {
+	interval := ping / ticksPerPing
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	var pinging atomic.Bool
-	idle := true
-	for {
+	last := time.Now()
+	s.activity.touch(last)
+	for s.NumStreams() > 0 {
 		select {
-		case <-session.CloseChan():
-			return
+		case <-s.CloseChan():
+			return endClosed, true
 		case <-ticker.C:
 		}
-		if session.NumStreams() == 0 {
-			idle = true
-			continue
+		now := time.Now()
+		if now.Sub(last) > ping {
+			s.activity.touch(now)
 		}
-		if idle {
-			// Silence while the connection was idle says nothing about the peer.
-			idle = false
-			conn.lastRead.Store(time.Now().UnixNano())
-			continue
+		last = now
+		silence := s.activity.silence(now)
+		if silence > dead {
+			s.close()
+			return endSilent, true
 		}
-		silence := conn.silence()
-		if silence > config.DeadAfter {
-			_ = conn.Close()
-			_ = session.Close()
-			return
+		if silence > dead*2/3 {
+			s.retire()
 		}
-		if silence > config.PingAfter && pinging.CompareAndSwap(false, true) {
+		if silence > ping && pinging.CompareAndSwap(false, true) {
 			go func() {
 				defer pinging.Store(false)
-				_, _ = session.Ping()
+				_, _ = s.Ping()
 			}()
 		}
 	}
+	return endClosed, false
 }
