--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -4,10 +4,11 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
 	"io"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -19,6 +20,8 @@
 	ChunkBytes = 32 << 10
 	// bufferBytes covers a small request with its head in one read or write.
 	bufferBytes = 4 << 10
+	// maxScratchBytes bounds the memory that a connection keeps between messages.
+	maxScratchBytes = 48 << 10
 )
 
 var (
@@ -36,6 +39,8 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	attemptID []byte
+	sending   []byte // reused for encoding
+	receiving []byte // reused for messages larger than the reader's buffer
 }
 
 // NewConn wraps a stream.
@@ -52,10 +57,21 @@
 	c.attemptID = attemptID
 }
 
-// Send buffers a message; Flush writes it.
+// Send buffers a message; Flush writes it. The message is not used after Send
+// returns.
 func (c *Conn) Send(message *wire.Envelope) error {
 	message.AttemptId = c.attemptID
-	_, err := protodelim.MarshalTo(c.writer, message)
+	options := proto.MarshalOptions{UseCachedSize: true}
+	size := proto.Size(message)
+	encoded := binary.AppendUvarint(c.sending[:0], uint64(size)) //nolint:gosec // never negative
+	encoded, err := options.MarshalAppend(encoded, message)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	if cap(encoded) <= maxScratchBytes {
+		c.sending = encoded
+	}
+	_, err = c.writer.Write(encoded)
 	return errors.Wrap(err, "send message")
 }
 
@@ -72,26 +88,75 @@
 	return c.Flush()
 }
 
+// HasMore reports whether bytes of a further message have arrived.
+func (c *Conn) HasMore() bool { return c.reader.Buffered() > 0 }
+
 // Receive returns the next message. It returns io.EOF when the stream ends
-// between two messages, ErrAttemptMismatch for a message of another attempt, and
-// ErrMalformed for bytes that are no message.
+// between two messages, io.ErrUnexpectedEOF when it ends within one,
+// ErrAttemptMismatch for a message of another attempt, and ErrMalformed for bytes
+// that are no message.
 func (c *Conn) Receive() (*wire.Envelope, error) {
-	message := &wire.Envelope{}
-	options := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
-	if err := options.UnmarshalFrom(c.reader, message); err != nil {
+	size, err := binary.ReadUvarint(c.reader)
+	if err != nil {
 		return nil, receiveError(err)
 	}
+	if size > MaxMessageBytes {
+		return nil, errors.WithMessagef(ErrMalformed, "%d bytes", size)
+	}
+	message := &wire.Envelope{}
+	if err := c.decode(int(size), message); err != nil {
+		return nil, err
+	}
 	if c.attemptID != nil && !bytes.Equal(message.GetAttemptId(), c.attemptID) {
 		return nil, ErrAttemptMismatch
 	}
 	return message, nil
 }
 
-func receiveError(err error) error {
-	var tooLarge *protodelim.SizeTooLargeError
-	if errors.As(err, &tooLarge) {
+func (c *Conn) decode(size int, message *wire.Envelope) error {
+	encoded, err := c.next(size)
+	if err != nil {
+		return receiveError(err)
+	}
+	if err := proto.Unmarshal(encoded, message); err != nil {
 		return errors.WithMessage(ErrMalformed, err.Error())
 	}
+	return nil
+}
+
+// next returns size bytes, valid until the next call. Memory for a large message
+// grows with the bytes that arrive, not with the size that the peer states.
+func (c *Conn) next(size int) ([]byte, error) {
+	if size <= bufferBytes {
+		encoded, err := c.reader.Peek(size)
+		if err != nil {
+			return nil, noEOF(err)
+		}
+		_, err = c.reader.Discard(size)
+		return encoded, err
+	}
+	if size <= maxScratchBytes {
+		if cap(c.receiving) < size {
+			c.receiving = make([]byte, size)
+		}
+		encoded := c.receiving[:size]
+		_, err := io.ReadFull(c.reader, encoded)
+		return encoded, noEOF(err)
+	}
+	var buffer bytes.Buffer
+	_, err := io.CopyN(&buffer, c.reader, int64(size))
+	return buffer.Bytes(), noEOF(err)
+}
+
+// noEOF turns the end of the stream within a message into io.ErrUnexpectedEOF.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func receiveError(err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return err
 	}
