--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// stateInterval is the interval at which state changes are looked for. It bounds the
+// log lines about them.
+const stateInterval = 500 * time.Millisecond
+
+// status is the body of GET /v1/status.
+type status struct {
+	Node         string                `json:"node"`
+	Zone         string                `json:"zone"`
+	Revision     uint64                `json:"revision"`
+	Upstream     *httpapi.Announcement `json:"upstream,omitempty"`
+	State        string                `json:"state"`
+	InFlight     uint32                `json:"in_flight"`
+	Queued       uint32                `json:"queued"`
+	Limit        uint32                `json:"limit"`
+	ServiceTime  string                `json:"service_time"`
+	Services     map[string]int        `json:"services"`
+	Replaced     uint64                `json:"connections_replaced"`
+	Measurements measurements          `json:"measurements"`
+}
+
+type measurements struct {
+	Budget float64 `json:"budget"`
+	Spent  uint64  `json:"spent"`
+	Denied uint64  `json:"denied"`
+}
+
+// adminRoutes serves metrics and status.
+func (n *Node) adminRoutes() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.metrics.write(w)
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.status())
+	}).Methods(http.MethodGet)
+	return router
+}
+
+func (n *Node) status() status {
+	current := n.directory.view()
+	report := n.upstream.gate.Report()
+	counters := n.upstream.measure.Counters()
+	s := status{
+		Node:         n.settings.ID,
+		Zone:         n.settings.Zone,
+		Revision:     current.revision,
+		Upstream:     n.upstream.announced(),
+		State:        stateName(report.GetState()),
+		InFlight:     report.GetInFlight(),
+		Queued:       report.GetQueued(),
+		Limit:        report.GetLimit(),
+		ServiceTime:  (time.Duration(report.GetServiceTimeUs()) * time.Microsecond).String(), //nolint:gosec // a mean time
+		Services:     map[string]int{},
+		Replaced:     n.client.Replaced(),
+		Measurements: measurements{Budget: counters.Budget, Spent: counters.Spent, Denied: counters.Denied},
+	}
+	for service, instances := range current.services {
+		s.Services[service] = len(instances)
+	}
+	return s
+}
+
+func stateName(state wire.InstanceState) string {
+	switch state {
+	case wire.InstanceState_INSTANCE_WARM:
+		return "warm"
+	case wire.InstanceState_INSTANCE_COLD:
+		return "cold"
+	default:
+		return "closed"
+	}
+}
+
+// watchState logs changes of the upstream's state and tells control about them. It
+// also applies the configuration in force to the upstream.
+func (n *Node) watchState(ctx context.Context) {
+	ticker := time.NewTicker(stateInterval)
+	defer ticker.Stop()
+	last := n.upstream.gate.Report().GetState()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.syncZone()
+		n.syncMeasuring()
+		state := n.upstream.gate.Report().GetState()
+		if state == last {
+			continue
+		}
+		last = state
+		n.directory.notify()
+		_ = level.Info(n.logger).Log("msg", "upstream state changed", "state", stateName(state))
+	}
+}
+
+// syncMeasuring applies the measurement budget of the upstream's service.
+func (n *Node) syncMeasuring() {
+	if a := n.upstream.announced(); a != nil {
+		n.upstream.measure.SetRate(time.Now(), n.directory.view().doc.Services[a.Service].Measuring.PerSecond)
+	}
+}
--- /dev/null
+++ b/internal/node/answer.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/node/egress"
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// trailerUpstreamTime carries the microseconds between dispatch and the end of the
+// response from the node beside the upstream to the entry. It is not passed on.
+const trailerUpstreamTime = "Chicory-Upstream-Us"
+
+// answer passes the response back. An incomplete response gets no ResponseEnd.
+func (r *received) answer(ctx context.Context, response *egress.Response) admission.Outcome {
+	r.node.upstream.setHeaderLoad(response.Header.Get(httpapi.HeaderLoad))
+	recorder := newRecorder(r.claim, response)
+	sent, err := r.sendResponse(response, recorder)
+	outcome := admission.Outcome{ServiceTime: time.Since(r.dispatchedAt)}
+	if err != nil {
+		r.settleClaim(nil)
+		outcome.Result = r.interruptedResult(ctx, err)
+		return outcome
+	}
+	r.state.Store(int32(stateAnswered))
+	outcome.Result = statusResult(response.StatusCode)
+	// Connection and permit are free before the caller can send its next request.
+	response.Close()
+	r.permit.Release(outcome)
+	r.settleClaim(recorder.response())
+	trailers := encodeHeaders(response.Trailer, nil)
+	trailers = append(trailers, &wire.Header{
+		Name:   trailerUpstreamTime,
+		Values: []string{strconv.FormatInt(outcome.ServiceTime.Microseconds(), 10)},
+	})
+	_ = sendNow(r.stream, responseEnd(&wire.ResponseEnd{
+		ByteCount: sent,
+		Trailers:  trailers,
+		Load:      r.node.upstream.report(),
+		Revision:  r.node.directory.view().revision,
+	}))
+	return outcome
+}
+
+// sendResponse sends head and body. Messages are flushed only when the rest of the
+// response has not arrived yet, so that a small response is one write.
+func (r *received) sendResponse(response *egress.Response, recorder *recorder) (sent uint64, err error) {
+	head := &wire.ResponseHead{
+		Status:  uint32(response.StatusCode), //nolint:gosec // three digits
+		Headers: encodeHeaders(response.Header, reserved),
+	}
+	if err := r.stream.Send(responseHead(head)); err != nil {
+		return 0, err
+	}
+	buffer := chunkBuffers.Get().(*[frame.ChunkBytes]byte)
+	defer chunkBuffers.Put(buffer)
+	for {
+		if !response.HasMore() && response.ContentLength != 0 {
+			if err := r.stream.Flush(); err != nil {
+				return sent, err
+			}
+		}
+		size, err := response.Read(buffer[:])
+		if size > 0 {
+			sent += uint64(size) //nolint:gosec // never negative
+			recorder.add(buffer[:size])
+			if err := r.stream.Send(bodyChunk(buffer[:size])); err != nil {
+				return sent, err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return sent, nil
+		}
+		if err != nil {
+			return sent, err
+		}
+	}
+}
+
+func (r *received) interruptedResult(ctx context.Context, err error) admission.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return admission.ResultTimeout
+	case errors.Is(err, egress.ErrIncomplete) && ctx.Err() == nil:
+		return admission.ResultError
+	default:
+		return admission.ResultCancelled
+	}
+}
+
+func statusResult(status int) admission.Result {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return admission.ResultOverloaded
+	case status >= http.StatusInternalServerError:
+		return admission.ResultError
+	default:
+		return admission.ResultSuccess
+	}
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
-	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/coordination/balance"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
@@ -17,107 +19,209 @@
 const (
 	// outcomeNotRun promises that nothing was written to the upstream.
 	outcomeNotRun outcome = iota
-	// outcomeAnswered means that the response was passed on.
+	// outcomeAnswered means that a response has begun.
 	outcomeAnswered
 	// outcomeUnknown means that the request may have run.
 	outcomeUnknown
 )
 
+// attemptResult is how an attempt went up to the head of its response.
 type attemptResult struct {
-	outcome outcome
-	reason  wire.RefusalReason
-	detail  string
+	outcome   outcome
+	reason    wire.RefusalReason
+	uploadErr error
+	// head and attempt are set when the outcome is outcomeAnswered.
+	head    *wire.ResponseHead
+	attempt *attempt
 }
 
-// attempt sends the call to the node beside an instance and passes its response on.
-func (n *Node) attempt(ctx context.Context, w http.ResponseWriter, c *call, instance *wire.Instance) attemptResult {
-	stream, err := n.client.Open(ctx, instance.GetNodeAddress(), mesh.Small)
-	if err != nil {
-		return attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_CONNECT}
+// finish ends an answered attempt whose response is not used.
+func (r *attemptResult) finish() {
+	if r.outcome == outcomeAnswered {
+		r.attempt.finish(balance.Outcome{Result: statusOutcome(r.head.GetStatus())})
 	}
-	defer func() { _ = stream.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+}
 
-	conn := frame.NewConn(stream)
-	id := uuid.New()
-	conn.BindAttempt(id[:])
-	if err := sendRequest(ctx, conn, c, instance); err != nil {
-		return attemptResult{outcome: outcomeUnknown, detail: "send"}
+// statusOutcome blames the instance for server errors.
+func statusOutcome(status uint32) balance.Result {
+	if status >= http.StatusInternalServerError {
+		return balance.ResultError
 	}
-	first, err := conn.Receive()
-	if err != nil {
-		return attemptResult{outcome: outcomeUnknown, detail: "receive"}
+	return balance.ResultSuccess
+}
+
+// attempt is one sending of a call to one instance, seen from the entry.
+type attempt struct {
+	node     *Node
+	call     *call
+	instance *wire.Instance
+	stream   messageStream
+	id       uuid.UUID
+	started  time.Time
+	load     *wire.LoadReport
+
+	stopAbort func() bool
+	cancel    context.CancelFunc // nil unless the attempt has a context of its own
+	upload    chan struct{}      // closed at the end of the upload, nil without one
+	uploadErr error              // valid once upload is closed
+	once      sync.Once
+}
+
+// attempt sends the call to an instance and waits for the head of the response. The
+// caller finishes an answered attempt; others are finished on return.
+func (n *Node) attempt(ctx context.Context, c *call, instance *wire.Instance, number int) attemptResult {
+	a := &attempt{node: n, call: c, instance: instance, id: uuid.New(), started: time.Now()}
+	if !a.started.Before(c.deadline) {
+		// This process may have been frozen since the call arrived.
+		n.peers.done(instance, balance.Outcome{Result: balance.ResultCancelled}, nil)
+		return attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_DEADLINE}
 	}
-	if refused := first.GetRefused(); refused != nil && refused.GetNotRun() {
-		return attemptResult{outcome: outcomeNotRun, reason: refused.GetReason()}
+	if err := a.open(ctx); err != nil {
+		n.peers.done(instance, balance.Outcome{Result: connectOutcome(ctx)}, nil)
+		return attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_CONNECT}
 	}
-	head := first.GetResponseHead()
-	if head == nil {
-		return attemptResult{outcome: outcomeUnknown, detail: "upstream"}
+	a.stopAbort = context.AfterFunc(ctx, a.stream.Abort)
+	result := a.run(number)
+	if result.outcome != outcomeAnswered {
+		a.finish(failureOutcome(ctx, result))
+		result.uploadErr = a.uploadErr
 	}
-	passResponse(w, conn, head)
-	return attemptResult{outcome: outcomeAnswered}
+	return result
 }
 
-func sendRequest(ctx context.Context, conn *frame.Conn, c *call, instance *wire.Instance) error {
-	deadline, _ := ctx.Deadline()
-	head := &wire.RequestHead{
-		RequestId:  c.id[:],
-		Service:    c.service,
-		Instance:   instance.GetId(),
-		Method:     c.request.Method,
-		Target:     c.target,
-		Host:       c.request.Host,
-		Headers:    encodeHeaders(c.request.Header),
-		TimeoutUs:  uint64(max(0, time.Until(deadline).Microseconds())),
-		Depth:      c.depth,
-		Repeatable: c.rule.Repeatable,
-		BodyLength: int64(len(c.body)),
-	}
-	if err := conn.Send(&wire.Envelope{Body: &wire.Envelope_RequestHead{RequestHead: head}}); err != nil {
-		return err
+func connectOutcome(ctx context.Context) balance.Result {
+	if ctx.Err() != nil {
+		return balance.ResultCancelled
 	}
-	if err := sendBody(conn, c.body); err != nil {
-		return err
+	return balance.ResultError
+}
+
+func failureOutcome(ctx context.Context, result attemptResult) balance.Outcome {
+	switch {
+	case result.reason == wire.RefusalReason_REFUSAL_CONNECT && ctx.Err() == nil:
+		return balance.Outcome{Result: balance.ResultError, Reason: result.reason}
+	case result.outcome == outcomeNotRun:
+		return balance.Outcome{Result: balance.ResultRefused, Reason: result.reason}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balance.Outcome{Result: balance.ResultTimeout}
+	case ctx.Err() != nil:
+		return balance.Outcome{Result: balance.ResultCancelled}
+	default:
+		return balance.Outcome{Result: balance.ResultError}
 	}
-	return conn.Flush()
 }
 
-func sendBody(conn *frame.Conn, body []byte) error {
-	for rest := body; len(rest) > 0; {
-		size := min(len(rest), frame.ChunkBytes)
-		chunk := &wire.BodyChunk{Data: rest[:size]}
-		if err := conn.Send(&wire.Envelope{Body: &wire.Envelope_BodyChunk{BodyChunk: chunk}}); err != nil {
-			return err
-		}
-		rest = rest[size:]
+// open connects the attempt to the node beside the instance. For this node's own
+// upstream there is no hop, but the same admission.
+func (a *attempt) open(ctx context.Context) error {
+	n := a.node
+	if a.instance.GetNodeId() == n.settings.ID {
+		near, far := newPipe()
+		a.stream = near
+		n.local.Go(func() { n.serveLocal(far, a.id) })
+		return nil
 	}
-	end := &wire.BodyEnd{ByteCount: uint64(len(body))}
-	return conn.Send(&wire.Envelope{Body: &wire.Envelope_BodyEnd{BodyEnd: end}})
+	class := mesh.Small
+	if a.call.streamed {
+		class = mesh.Bulk
+	}
+	raw, err := n.client.Open(ctx, a.instance.GetNodeAddress(), class)
+	if err != nil {
+		return err
+	}
+	stream := newMeshStream(raw)
+	stream.BindAttempt(a.id[:])
+	a.stream = stream
+	return nil
 }
 
-// passResponse copies the response to the caller. When the response is
-// incomplete it aborts the caller's connection.
-func passResponse(w http.ResponseWriter, conn *frame.Conn, head *wire.ResponseHead) {
-	decodeHeaders(w.Header(), head.GetHeaders())
-	w.WriteHeader(int(head.GetStatus()))
-	var written uint64
+// run sends the request and waits for the head of the response or a refusal.
+func (a *attempt) run(number int) attemptResult {
+	unknown := attemptResult{outcome: outcomeUnknown}
+	if err := a.send(number); err != nil {
+		return unknown
+	}
 	for {
-		message, err := conn.Receive()
+		message, err := a.stream.Receive()
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			return unknown
 		}
-		if end := message.GetResponseEnd(); end != nil {
-			if end.GetByteCount() != written {
-				panic(http.ErrAbortHandler)
-			}
-			return
+		if refusal := message.GetRefused(); refusal != nil {
+			return a.refusedResult(refusal)
 		}
-		size, err := w.Write(message.GetBodyChunk().GetData())
-		if err != nil {
-			panic(http.ErrAbortHandler)
+		head := message.GetResponseHead()
+		switch {
+		case head == nil:
+			return unknown
+		case head.GetStatus() != http.StatusContinue:
+			return attemptResult{outcome: outcomeAnswered, head: head, attempt: a}
+		case !a.call.streamed || a.upload != nil:
+			return unknown
+		}
+		a.startUpload()
+	}
+}
+
+func (a *attempt) refusedResult(refusal *wire.Refused) attemptResult {
+	a.load = refusal.GetLoad()
+	result := attemptResult{outcome: outcomeUnknown, reason: refusal.GetReason()}
+	if refusal.GetNotRun() {
+		result.outcome = outcomeNotRun
+	}
+	return result
+}
+
+func (a *attempt) send(number int) error {
+	c := a.call
+	if err := a.stream.Send(requestHead(c.head(a.instance, a.node.settings.Zone, number))); err != nil {
+		return err
+	}
+	if !c.streamed {
+		if err := sendHeldBody(a.stream, c.body); err != nil {
+			return err
 		}
-		written += uint64(size) //nolint:gosec // never negative
 	}
+	return a.stream.Flush()
+}
+
+// startUpload sends a streamed body while the response is awaited. It begins once
+// the instance has admitted the request, so that a refused one can go elsewhere.
+func (a *attempt) startUpload() {
+	a.call.uploading = true
+	a.upload = make(chan struct{})
+	go func() {
+		defer close(a.upload)
+		a.uploadErr = sendStreamedBody(a.stream, a.call.streamedBody())
+		if a.uploadErr != nil {
+			a.stream.Abort()
+		}
+	}()
+}
+
+// finish closes the stream, which cancels the attempt when it has not ended, and
+// reports the outcome. It waits for the end of an upload.
+func (a *attempt) finish(outcome balance.Outcome) {
+	a.once.Do(func() {
+		a.stopAbort()
+		a.stopUpload()
+		a.stream.Close()
+		if a.cancel != nil {
+			a.cancel()
+		}
+		a.node.peers.done(a.instance, outcome, a.load)
+	})
+}
+
+func (a *attempt) stopUpload() {
+	if a.upload == nil {
+		return
+	}
+	select {
+	case <-a.upload:
+		return
+	default:
+	}
+	a.stream.Abort()
+	a.call.stopReading()
+	<-a.upload
 }
--- /dev/null
+++ b/internal/node/call.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+const (
+	servicePrefix = "/svc/"
+	// heldBodyBytes is the largest body that is held whole for another attempt.
+	heldBodyBytes = 64 << 10
+	// maxKeyBytes is the longest idempotency key.
+	maxKeyBytes = 255
+)
+
+var (
+	errNoService  = errors.New("no such service")
+	errTimeout    = errors.New(httpapi.HeaderTimeout + " must be a number of milliseconds")
+	errKey        = errors.New(httpapi.HeaderIdempotencyKey + " must have 1 to 255 bytes and occur once")
+	errDepth      = errors.New("chain of calls is too deep")
+	errBodyLength = errors.New("body is too large")
+)
+
+// call is one request of a caller at its entry node.
+type call struct {
+	id       uuid.UUID
+	service  string
+	target   string
+	request  *http.Request
+	view     *view
+	limits   document.Limits
+	rule     document.RequestRule
+	key      string
+	depth    uint32
+	started  time.Time
+	deadline time.Time
+	headers  []*wire.Header
+
+	// body is the whole body, or its beginning when streamed is set.
+	body     []byte
+	streamed bool
+	// length is -1 when it is unknown.
+	length int64
+	// rest is the part of a streamed body after body.
+	rest io.Reader
+	// uploading is set once rest may have been read; the body can't be sent again.
+	uploading bool
+	retries   int
+	// status of the response that was passed on.
+	status int
+	// stopReading makes a pending read of rest fail.
+	stopReading func()
+	// resetWrite removes the write deadline from the caller's connection.
+	resetWrite func()
+}
+
+// newCall reads everything of the request but its body.
+func newCall(current *view, r *http.Request, now time.Time) (*call, error) {
+	service, target, ok := route(current, r)
+	if !ok {
+		return nil, errNoService
+	}
+	config := current.doc.Services[service]
+	path, _, _ := strings.Cut(target, "?")
+	c := &call{
+		id:      requestID(r),
+		service: service,
+		target:  target,
+		request: r,
+		view:    current,
+		limits:  limitsOf(current.doc),
+		rule:    config.Rule(r.Method, path),
+		depth:   requestDepth(r) + 1,
+		started: now,
+		length:  r.ContentLength,
+	}
+	if c.depth > httpapi.MaxDepth {
+		return nil, errDepth
+	}
+	if c.length > c.limits.MaxBodyBytes {
+		return nil, errBodyLength
+	}
+	if keys := r.Header.Values(httpapi.HeaderIdempotencyKey); len(keys) > 0 {
+		c.key = keys[0]
+		if len(keys) > 1 || c.key == "" || len(c.key) > maxKeyBytes {
+			return nil, errKey
+		}
+	}
+	timeout, err := requestTimeout(r, c.rule.Timeout())
+	c.deadline = now.Add(timeout)
+	c.headers = append(encodeHeaders(r.Header, nil), &wire.Header{Name: httpapi.HeaderRequestID, Values: []string{c.id.String()}})
+	return c, err
+}
+
+func limitsOf(doc *document.Document) document.Limits {
+	limits, defaults := doc.Limits, document.DefaultLimits()
+	if limits.MaxBodyBytes == 0 {
+		limits.MaxBodyBytes = defaults.MaxBodyBytes
+	}
+	if limits.RetryShare == 0 {
+		limits.RetryShare = defaults.RetryShare
+	}
+	if limits.HedgeShare == 0 {
+		limits.HedgeShare = defaults.HedgeShare
+	}
+	return limits
+}
+
+// hold reads the body when it is small enough to be held whole.
+func (c *call) hold(w http.ResponseWriter) error {
+	if c.request.Body == nil || c.request.Body == http.NoBody || c.length == 0 {
+		c.length = 0
+		return nil
+	}
+	body := http.MaxBytesReader(w, c.request.Body, c.limits.MaxBodyBytes)
+	if c.length > heldBodyBytes {
+		c.stream(w, body)
+		return nil
+	}
+	if c.length > 0 {
+		c.body = make([]byte, c.length)
+		_, err := io.ReadFull(body, c.body)
+		return err
+	}
+	var held bytes.Buffer
+	_, err := io.CopyN(&held, body, heldBodyBytes+1)
+	c.body = held.Bytes()
+	if errors.Is(err, io.EOF) {
+		c.length = int64(len(c.body))
+		return nil
+	}
+	c.stream(w, body)
+	return err
+}
+
+// stream prepares the exchange of a body while the response is written. HTTP/1.1
+// servers otherwise read the rest of a body before they write.
+func (c *call) stream(w http.ResponseWriter, rest io.Reader) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	c.streamed, c.rest = true, rest
+	c.stopReading = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
+}
+
+// streamedBody returns the whole body.
+func (c *call) streamedBody() io.Reader {
+	return io.MultiReader(bytes.NewReader(c.body), c.rest)
+}
+
+// isRepeatable reports whether the request may run more than once. A keyed request
+// may not: its second attempt would find the key taken.
+func (c *call) isRepeatable() bool { return c.rule.Repeatable && c.key == "" }
+
+func (c *call) isHedgeable() bool { return c.isRepeatable() && !c.streamed }
+
+// head returns the first message of an attempt.
+func (c *call) head(instance *wire.Instance, zone string, number int) *wire.RequestHead {
+	return &wire.RequestHead{
+		RequestId:      c.id[:],
+		Service:        c.service,
+		Instance:       instance.GetId(),
+		Method:         c.request.Method,
+		Target:         c.target,
+		Host:           c.request.Host,
+		Headers:        c.headers,
+		TimeoutUs:      uint64(max(0, time.Until(c.deadline).Microseconds())), //nolint:gosec // not negative
+		Depth:          c.depth,
+		IdempotencyKey: c.key,
+		Repeatable:     c.rule.Repeatable,
+		BodyLength:     c.length,
+		Revision:       c.view.revision,
+		EntryZone:      zone,
+		AttemptNumber:  uint32(number), //nolint:gosec // small
+	}
+}
+
+// route returns the service and the request target without the service prefix.
+func route(current *view, r *http.Request) (service, target string, ok bool) {
+	target = r.URL.RequestURI()
+	if rest, found := strings.CutPrefix(target, servicePrefix); found {
+		name, path, _ := strings.Cut(rest, "/")
+		_, ok = current.doc.Services[name]
+		return name, "/" + path, ok
+	}
+	service, ok = current.hosts[r.Host]
+	return service, target, ok
+}
+
+func requestID(r *http.Request) uuid.UUID {
+	if id, err := uuid.Parse(r.Header.Get(httpapi.HeaderRequestID)); err == nil {
+		return id
+	}
+	return uuid.New()
+}
+
+func requestTimeout(r *http.Request, fallback time.Duration) (time.Duration, error) {
+	value := r.Header.Get(httpapi.HeaderTimeout)
+	if value == "" {
+		return fallback, nil
+	}
+	ms, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
+		return 0, errTimeout
+	}
+	return time.Duration(ms) * time.Millisecond, nil //nolint:gosec // 31 bits
+}
+
+func requestDepth(r *http.Request) uint32 {
+	depth, err := strconv.ParseUint(r.Header.Get(httpapi.HeaderDepth), 10, 8)
+	if err != nil {
+		return 0
+	}
+	return uint32(depth)
+}
+
+// waitForInstances subscribes to the service and waits for its first state.
+func (n *Node) waitForInstances(ctx context.Context, service string) {
+	updated := n.directory.want(service)
+	if updated == nil {
+		return
+	}
+	timer := time.NewTimer(subscribeWait)
+	defer timer.Stop()
+	select {
+	case <-updated:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/node/egress/exchange.go
+++ b/internal/node/egress/exchange.go
@@ -136,10 +136,11 @@
 // Close ends the exchange. The connection is kept when request and response were
 // whole; otherwise it is closed, which cancels the request at the upstream.
 func (r *Response) Close() {
-	r.exchange.end(r.complete && !r.Response.Close && r.isSent())
+	r.exchange.end(r.complete && !r.Response.Close && r.IsSent())
 }
 
-func (r *Response) isSent() bool {
+// IsSent reports whether the whole request was written or sending it has failed.
+func (r *Response) IsSent() bool {
 	select {
 	case <-r.exchange.sent:
 		return true
--- a/internal/node/egress/pool.go
+++ b/internal/node/egress/pool.go
@@ -24,6 +24,8 @@
 var (
 	// ErrNotSent reports that no byte of the request was written.
 	ErrNotSent = errors.New("egress: request not sent")
+	// ErrUnreachable is the case of ErrNotSent in which no connection could be opened.
+	ErrUnreachable = errors.WithMessage(ErrNotSent, "upstream unreachable")
 	// ErrNoResponse reports that bytes were written and no valid response head arrived.
 	ErrNoResponse = errors.New("egress: no response")
 	// ErrIncomplete reports a response body that ended early.
@@ -61,7 +63,7 @@
 func (p *Pool) Do(ctx context.Context, request *http.Request, streamed bool, dispatch func() error) (*Response, error) {
 	c, err := p.take(ctx)
 	if err != nil {
-		return nil, errors.WithMessage(ErrNotSent, err.Error())
+		return nil, err
 	}
 	x := &exchange{pool: p, conn: c, request: request, sent: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, c.abort)
@@ -112,7 +114,7 @@
 		return c, nil
 	}
 	if p.open >= p.limit {
-		return nil, errors.New("all connections are in use")
+		return nil, errors.WithMessage(ErrNotSent, "all connections are in use")
 	}
 	p.open++
 	return nil, nil
@@ -124,7 +126,7 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
-		return nil, err
+		return nil, errors.WithMessage(ErrUnreachable, err.Error())
 	}
 	return newConn(netConn), nil
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -2,139 +2,225 @@
 
 import (
 	"context"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
-	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
 const (
-	servicePrefix = "/svc/"
 	// subscribeWait bounds the wait for the first state of a service.
 	subscribeWait = 2 * time.Second
-	// heldBodyBytes is the largest body that is held whole for another attempt.
-	heldBodyBytes = 64 << 10
 )
 
-// call is one request of a caller at its entry node.
-type call struct {
-	id      uuid.UUID
-	service string
-	target  string
-	request *http.Request
-	rule    document.RequestRule
-	body    []byte
-	depth   uint32
-}
-
 // handleCall serves a caller's request.
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
-	c, ok := n.newCall(r)
-	if !ok {
-		refuse(w, wire.RefusalReason_REFUSAL_NO_UPSTREAM, "no such service")
-		return
-	}
-	timeout, err := requestTimeout(r, c.rule.Timeout())
+	c, err := newCall(n.directory.view(), r, time.Now())
 	if err != nil {
-		writeError(w, http.StatusBadRequest, httpapi.ErrorBody{Error: err.Error()})
+		rejectCall(w, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	n.metrics.begin(c.service)
+	result := callFailed
+	defer func() { n.metrics.end(c, result) }()
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	if c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, heldBodyBytes)); err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, httpapi.ErrorBody{Error: err.Error()})
+	if err := c.hold(w); err != nil {
+		rejectBody(w, err)
 		return
 	}
-	n.attempts(ctx, w, c)
+	n.waitForInstances(ctx, c.service)
+	c.view = n.directory.view()
+	defer func() {
+		if c.resetWrite != nil {
+			c.resetWrite()
+		}
+	}()
+	result = n.serveCall(ctx, w, c)
 }
 
-// attempts tries instances until one answers or none is left.
-func (n *Node) attempts(ctx context.Context, w http.ResponseWriter, c *call) {
-	instances := n.instances(ctx, c.service)
-	reason := wire.RefusalReason_REFUSAL_NO_UPSTREAM
-	for _, i := range rand.Perm(len(instances)) {
-		result := n.attempt(ctx, w, c, instances[i])
-		switch result.outcome {
-		case outcomeAnswered:
-			return
-		case outcomeUnknown:
-			writeError(w, http.StatusBadGateway, httpapi.ErrorBody{
-				Error: "no complete response", Outcome: httpapi.OutcomeUnknown, Reason: result.detail,
-			})
-			return
-		case outcomeNotRun:
-			reason = result.reason
-		}
+// rejectCall answers a request that names no service or is invalid.
+func rejectCall(w http.ResponseWriter, err error) {
+	body := httpapi.ErrorBody{Error: err.Error(), Outcome: httpapi.OutcomeNotRun}
+	switch {
+	case errors.Is(err, errNoService):
+		refuse(w, wire.RefusalReason_REFUSAL_NO_UPSTREAM, err.Error())
+	case errors.Is(err, errDepth):
+		body.Reason = httpapi.ReasonDepth
+		writeError(w, http.StatusLoopDetected, body)
+	case errors.Is(err, errBodyLength):
+		writeError(w, http.StatusRequestEntityTooLarge, body)
+	default:
+		writeError(w, http.StatusBadRequest, body)
+	}
+}
+
+// rejectBody answers a request whose body could not be read.
+func rejectBody(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		rejectCall(w, errBodyLength)
+		return
 	}
-	refuse(w, reason, "no upstream took the request")
+	rejectCall(w, errors.WithMessage(err, "read body"))
 }
 
-func (n *Node) instances(ctx context.Context, service string) []*wire.Instance {
-	if updated := n.directory.want(service); updated != nil {
-		timer := time.NewTimer(subscribeWait)
-		defer timer.Stop()
-		select {
-		case <-updated:
-		case <-timer.C:
-		case <-ctx.Done():
+// serveCall tries instances until one answers or no other may be tried.
+func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callResult {
+	hedgeAfter := n.peers.firstAttempt(c.service, c.limits)
+	var tried map[string]bool
+	// fallback is an error response of an upstream that is passed on when no other
+	// instance gives a better one.
+	var fallback attemptResult
+	failure := attemptResult{reason: wire.RefusalReason_REFUSAL_NO_UPSTREAM}
+	for number := 1; ; number++ {
+		instance, _, ok := n.peers.pick(c.view, c.service, tried)
+		if !ok {
+			break
+		}
+		if number > 1 {
+			c.retries++
+			n.metrics.retries.Inc()
+		}
+		result := n.nextAttempt(ctx, c, instance, number, hedgeAfter)
+		if result.outcome == outcomeAnswered && !isRetriedStatus(c, result) {
+			fallback.finish()
+			if n.pass(w, c, &result) {
+				return callAnswered
+			}
+		}
+		failure = result
+		if !n.mayRetry(ctx, c, result, number) {
+			break
+		}
+		if result.outcome == outcomeAnswered {
+			fallback.finish()
+			fallback = result
 		}
+		if tried == nil {
+			tried = map[string]bool{}
+		}
+		tried[instance.GetId()] = true
 	}
-	return n.directory.view().services[service]
+	return n.endFailed(ctx, w, c, fallback, failure)
 }
 
-func (n *Node) newCall(r *http.Request) (*call, bool) {
-	current := n.directory.view()
-	service, target, ok := route(current, r)
-	if !ok {
-		return nil, false
-	}
-	config := current.doc.Services[service]
-	path, _, _ := strings.Cut(target, "?")
-	return &call{
-		id:      uuid.New(),
-		service: service,
-		target:  target,
-		request: r,
-		rule:    config.Rule(r.Method, path),
-		depth:   requestDepth(r) + 1,
-	}, true
+func (n *Node) nextAttempt(ctx context.Context, c *call, instance *wire.Instance, number int, hedgeAfter time.Duration) attemptResult {
+	if number == 1 && hedgeAfter > 0 && c.isHedgeable() {
+		return n.hedgedAttempt(ctx, c, instance, hedgeAfter)
+	}
+	return n.attempt(ctx, c, instance, number)
 }
 
-// route returns the service and the request target without the service prefix.
-func route(current *view, r *http.Request) (service, target string, ok bool) {
-	target = r.URL.RequestURI()
-	if rest, found := strings.CutPrefix(target, servicePrefix); found {
-		name, path, _ := strings.Cut(rest, "/")
-		_, ok = current.doc.Services[name]
-		return name, "/" + path, ok
+// endFailed answers a call after its last attempt.
+func (n *Node) endFailed(ctx context.Context, w http.ResponseWriter, c *call, fallback, failure attemptResult) callResult {
+	if failure.outcome == outcomeAnswered {
+		fallback.finish()
+		fallback = failure
+	}
+	if fallback.outcome == outcomeAnswered && n.pass(w, c, &fallback) {
+		return callAnswered
+	}
+	if fallback.outcome == outcomeAnswered {
+		failure = fallback
 	}
-	service, ok = current.hosts[r.Host]
-	return service, target, ok
+	return writeFailure(ctx, w, c, failure)
 }
 
-func requestTimeout(r *http.Request, fallback time.Duration) (time.Duration, error) {
-	value := r.Header.Get(httpapi.HeaderTimeout)
-	if value == "" {
-		return fallback, nil
+// isRetriedStatus reports whether the response says that the upstream could not do
+// the work, so that a repeatable request may be tried elsewhere. It is not when a
+// hop below has retried already.
+func isRetriedStatus(c *call, result attemptResult) bool {
+	if !c.isRepeatable() || c.uploading {
+		return false
+	}
+	switch result.head.GetStatus() {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return !hasHeader(result.head.GetHeaders(), httpapi.HeaderRetried)
+	default:
+		return false
 	}
-	ms, err := strconv.ParseUint(value, 10, 31)
-	return time.Duration(ms) * time.Millisecond, err
 }
 
-func requestDepth(r *http.Request) uint32 {
-	depth, err := strconv.ParseUint(r.Header.Get(httpapi.HeaderDepth), 10, 8)
-	if err != nil {
-		return 0
+func hasHeader(headers []*wire.Header, name string) bool {
+	for _, header := range headers {
+		if header.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRetry reports whether another attempt may follow and takes it from the budget.
+func (n *Node) mayRetry(ctx context.Context, c *call, result attemptResult, number int) bool {
+	switch result.reason {
+	case wire.RefusalReason_REFUSAL_CLAIM_UNAVAILABLE,
+		wire.RefusalReason_REFUSAL_CLAIM_IN_PROGRESS,
+		wire.RefusalReason_REFUSAL_CLAIM_UNKNOWN,
+		wire.RefusalReason_REFUSAL_KEY_MISMATCH:
+		// Another node would find the same claim.
+		return false
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	return n.peers.mayRetry(c.service, c.limits, retry.Failure{
+		NotRun:     result.outcome == outcomeNotRun,
+		Repeatable: c.isRepeatable(),
+		Resendable: !c.uploading,
+		Attempts:   number,
+		Remaining:  time.Until(c.deadline),
+	})
+}
+
+// writeFailure answers a call that got no response.
+func writeFailure(ctx context.Context, w http.ResponseWriter, c *call, failure attemptResult) callResult {
+	if c.retries > 0 {
+		w.Header().Set(httpapi.HeaderRetried, strconv.Itoa(c.retries))
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return callCancelled
+	}
+	body := httpapi.ErrorBody{Outcome: httpapi.OutcomeNotRun, Reason: httpapi.ReasonName(failure.reason)}
+	switch failure.reason {
+	case wire.RefusalReason_REFUSAL_CLAIM_IN_PROGRESS:
+		body.Error, body.Outcome = "an earlier submission of the key is running", httpapi.OutcomeInProgress
+		writeError(w, http.StatusConflict, body)
+		return callRefused
+	case wire.RefusalReason_REFUSAL_CLAIM_UNKNOWN:
+		body.Error, body.Outcome = "the outcome of an earlier submission of the key is unknown", httpapi.OutcomeUnknown
+		writeError(w, http.StatusConflict, body)
+		return callRefused
+	case wire.RefusalReason_REFUSAL_KEY_MISMATCH:
+		body.Error = "the key was used for another request"
+		writeError(w, http.StatusUnprocessableEntity, body)
+		return callRefused
+	}
+	if failure.outcome == outcomeNotRun {
+		body.Error = "no upstream took the request"
+		writeError(w, http.StatusServiceUnavailable, body)
+		return callNotRun
+	}
+	body.Error, body.Outcome = "no complete response", httpapi.OutcomeUnknown
+	writeError(w, unknownStatus(ctx, failure), body)
+	return callUnknown
+}
+
+func unknownStatus(ctx context.Context, failure attemptResult) int {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(failure.uploadErr, &tooLarge):
+		return http.StatusRequestEntityTooLarge
+	case ctx.Err() != nil || failure.reason == wire.RefusalReason_REFUSAL_DEADLINE:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
 	}
-	return uint32(depth)
 }
 
 func refuse(w http.ResponseWriter, reason wire.RefusalReason, detail string) {
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -2,13 +2,17 @@
 
 import (
 	"net/http"
+	"net/textproto"
+	"strings"
 
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
 // hopByHop headers belong to one connection and are not passed on (RFC 9110, section 7.6.1).
 var hopByHop = map[string]bool{
 	"Connection":          true,
+	"Expect":              true,
 	"Keep-Alive":          true,
 	"Proxy-Authenticate":  true,
 	"Proxy-Authorization": true,
@@ -19,16 +23,41 @@
 	"Upgrade":             true,
 }
 
-func encodeHeaders(header http.Header) []*wire.Header {
+// reserved response headers state what the system itself knows. An upstream that
+// copied them from a response to a call of its own must not speak for this hop.
+var reserved = map[string]bool{
+	httpapi.HeaderOutcome:  true,
+	httpapi.HeaderReason:   true,
+	httpapi.HeaderRecorded: true,
+	httpapi.HeaderLoad:     true,
+}
+
+func encodeHeaders(header http.Header, dropped map[string]bool) []*wire.Header {
+	named := connectionNames(header)
 	encoded := make([]*wire.Header, 0, len(header))
 	for name, values := range header {
-		if !hopByHop[name] {
-			encoded = append(encoded, &wire.Header{Name: name, Values: values})
+		if hopByHop[name] || dropped[name] || named[name] {
+			continue
 		}
+		encoded = append(encoded, &wire.Header{Name: name, Values: values})
 	}
 	return encoded
 }
 
+// connectionNames returns the headers that the Connection header declares hop-by-hop.
+func connectionNames(header http.Header) map[string]bool {
+	var names map[string]bool
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if names == nil {
+				names = map[string]bool{}
+			}
+			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
+}
+
 func decodeHeaders(target http.Header, headers []*wire.Header) {
 	for _, header := range headers {
 		if name := http.CanonicalHeaderKey(header.GetName()); !hopByHop[name] {
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -19,6 +19,7 @@
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.HandleFunc("/v1/announce", n.handleAnnounce).Methods(http.MethodPost)
 	router.HandleFunc("/v1/leave", n.handleLeave).Methods(http.MethodPost)
+	router.HandleFunc("/v1/load", n.handleLoad).Methods(http.MethodPost)
 	router.PathPrefix("/").HandlerFunc(n.handleCall)
 	return router
 }
@@ -58,12 +59,31 @@
 	if !decodeLocal(w, r, leave) {
 		return
 	}
-	n.upstream.leave(leave.StartID)
+	if !n.upstream.leave(leave.StartID) {
+		writeError(w, http.StatusConflict, httpapi.ErrorBody{Error: "start_id is not the announced one"})
+		return
+	}
 	n.directory.notify()
 	_ = level.Info(n.logger).Log("msg", "upstream is leaving", "start_id", leave.StartID)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (n *Node) handleLoad(w http.ResponseWriter, r *http.Request) {
+	load := &httpapi.Load{}
+	if !decodeLocal(w, r, load) {
+		return
+	}
+	if load.InFlight < 0 {
+		writeError(w, http.StatusUnprocessableEntity, httpapi.ErrorBody{Error: "in_flight must not be negative"})
+		return
+	}
+	if !n.upstream.setLoad(load.StartID, load.InFlight) {
+		writeError(w, http.StatusConflict, httpapi.ErrorBody{Error: "start_id is not the announced one"})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func decodeLocal(w http.ResponseWriter, r *http.Request, target any) bool {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLocalBodyBytes))
 	decoder.DisallowUnknownFields()
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// callResult is how a caller's request ended at its entry.
+type callResult int
+
+const (
+	// callFailed is a response that was cut off, or a request whose body failed.
+	callFailed callResult = iota
+	callAnswered
+	callNotRun
+	callUnknown
+	// callRefused is a keyed request that another submission or a mismatch stopped.
+	callRefused
+	callCancelled
+	callResults
+)
+
+var callResultNames = [callResults]string{"failed", "answered", "not_run", "unknown", "refused", "cancelled"}
+
+// addedLatencyBuckets are upper bounds in seconds.
+var addedLatencyBuckets = []float64{
+	0.0001, 0.0002, 0.0003, 0.0004, 0.0005, 0.00064, 0.0008, 0.001, 0.0015, 0.002, 0.003, 0.005, 0.01, 0.03, 0.1, 0.3, 1, 3,
+}
+
+// nodeMetrics are the counters of one node.
+type nodeMetrics struct {
+	set     *metrics.Set
+	retries *metrics.Counter
+	hedges  *metrics.Counter
+	added   *metrics.PrometheusHistogram
+	reasons map[wire.RefusalReason]*metrics.Counter
+
+	mu       sync.RWMutex
+	services map[string]*serviceMetrics
+}
+
+// serviceMetrics are the counters of one service at this entry.
+type serviceMetrics struct {
+	results  [callResults]*metrics.Counter
+	inFlight *metrics.Gauge
+
+	mu   sync.Mutex
+	good uint64
+	bad  uint64
+}
+
+func newNodeMetrics() *nodeMetrics {
+	set := metrics.NewSet()
+	m := &nodeMetrics{
+		set:      set,
+		retries:  set.NewCounter("chicorylever_retries_total"),
+		hedges:   set.NewCounter("chicorylever_hedges_total"),
+		added:    set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
+		reasons:  map[wire.RefusalReason]*metrics.Counter{},
+		services: map[string]*serviceMetrics{},
+	}
+	for number := range wire.RefusalReason_name {
+		reason := wire.RefusalReason(number)
+		m.reasons[reason] = set.NewCounter(fmt.Sprintf("chicorylever_refusals_total{reason=%q}", httpapi.ReasonName(reason)))
+	}
+	return m
+}
+
+// refused counts a refusal at the node beside the upstream.
+func (m *nodeMetrics) refused(reason wire.RefusalReason) {
+	if counter, ok := m.reasons[reason]; ok {
+		counter.Inc()
+	}
+}
+
+func (m *nodeMetrics) service(name string) *serviceMetrics {
+	m.mu.RLock()
+	s, ok := m.services[name]
+	m.mu.RUnlock()
+	if ok {
+		return s
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.services[name]; ok {
+		return s
+	}
+	s = &serviceMetrics{inFlight: m.set.NewGauge(fmt.Sprintf("chicorylever_requests_in_flight{service=%q}", name), nil)}
+	for result, resultName := range callResultNames {
+		s.results[result] = m.set.NewCounter(fmt.Sprintf("chicorylever_requests_total{service=%q,outcome=%q}", name, resultName))
+	}
+	m.services[name] = s
+	return s
+}
+
+// begin counts a request of a caller; end follows.
+func (m *nodeMetrics) begin(service string) { m.service(service).inFlight.Inc() }
+
+// end counts the result and whether it meets the service's objective. A request that
+// its caller gave up, or that a key stopped, counts as neither good nor bad.
+func (m *nodeMetrics) end(c *call, result callResult) {
+	s := m.service(c.service)
+	s.inFlight.Dec()
+	s.results[result].Inc()
+	if result == callCancelled || result == callRefused {
+		return
+	}
+	objective := c.view.doc.Services[c.service].Objective
+	within := time.Duration(objective.GoodWithinMs) * time.Millisecond
+	good := result == callAnswered && c.status < http.StatusInternalServerError && (within == 0 || time.Since(c.started) <= within)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if good {
+		s.good++
+	} else {
+		s.bad++
+	}
+}
+
+// takeCounts returns the good and bad requests of each service since the last call.
+func (m *nodeMetrics) takeCounts() []*wire.BurnCount {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var counts []*wire.BurnCount
+	for name, s := range m.services {
+		s.mu.Lock()
+		if s.good+s.bad > 0 {
+			counts = append(counts, &wire.BurnCount{Service: name, Good: s.good, Bad: s.bad})
+		}
+		s.good, s.bad = 0, 0
+		s.mu.Unlock()
+	}
+	return counts
+}
+
+// registerGauges adds the gauges that are read when they are asked for.
+func (n *Node) registerGauges() {
+	set := n.metrics.set
+	report := func(read func(*wire.LoadReport) float64) func() float64 {
+		return func() float64 { return read(n.upstream.gate.Report()) }
+	}
+	set.NewGauge("chicorylever_upstream_in_flight", report(func(r *wire.LoadReport) float64 { return float64(r.GetInFlight()) }))
+	set.NewGauge("chicorylever_upstream_queued", report(func(r *wire.LoadReport) float64 { return float64(r.GetQueued()) }))
+	set.NewGauge("chicorylever_upstream_limit", report(func(r *wire.LoadReport) float64 { return float64(r.GetLimit()) }))
+	set.NewGauge("chicorylever_upstream_service_time_seconds", report(func(r *wire.LoadReport) float64 {
+		return (time.Duration(r.GetServiceTimeUs()) * time.Microsecond).Seconds() //nolint:gosec // a mean time
+	}))
+	set.NewGauge("chicorylever_measurement_budget_total", func() float64 { return n.upstream.measure.Counters().Budget })
+	set.NewGauge("chicorylever_measurement_spent_total", func() float64 { return float64(n.upstream.measure.Counters().Spent) })
+	set.NewGauge("chicorylever_measurement_denied_total", func() float64 { return float64(n.upstream.measure.Counters().Denied) })
+	set.NewGauge("chicorylever_configuration_revision", func() float64 { return float64(n.directory.view().revision) })
+	set.NewGauge("chicorylever_mesh_connections_replaced_total", func() float64 { return float64(n.client.Replaced()) })
+	set.NewGauge("chicorylever_claims_settling", func() float64 { return float64(len(n.settler.places)) })
+}
+
+// write writes all metrics in the Prometheus text format.
+func (m *nodeMetrics) write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,6 +22,11 @@
 const (
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
+	// idleTimeout closes callers' connections without requests.
+	idleTimeout         = 2 * time.Minute
+	maxEntryConnections = 20000
+	maxLocalConnections = 4096
+	maxAdminConnections = 64
 )
 
 // Node is one node.
@@ -30,28 +36,55 @@
 	start     uint64
 	directory *directory
 	upstream  *upstream
+	peers     *peers
+	metrics   *nodeMetrics
+	settler   *settler
+	freeze    freezeGuard
 	client    *mesh.Client
 	server    *mesh.Server
+	// local counts attempts that skip the mesh hop.
+	local sync.WaitGroup
 
 	entryListener net.Listener
 	localListener net.Listener
 	meshListener  net.Listener
+	adminListener net.Listener
 }
 
 // New opens the listeners of a node.
 func New(s *settings.Node, logger log.Logger) (*Node, error) {
+	config, err := meshConfig(s)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		settings:  s,
 		logger:    log.With(logger, "node", s.ID),
 		start:     uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
 		directory: newDirectory(),
 		upstream:  newUpstream(),
-		client:    mesh.NewClient(mesh.DefaultConfig()),
+		peers:     newPeers(s.Zone),
+		metrics:   newNodeMetrics(),
+		client:    mesh.NewClient(config),
 	}
-	n.server = mesh.NewServer(mesh.DefaultConfig(), n.serveStream)
+	n.settler = newSettler(newMeshClaimer(n.client, s.Control))
+	n.server = mesh.NewServer(config, n.serveStream)
+	n.registerGauges()
 	return n, n.listen()
 }
 
+// meshConfig returns the transport settings, with TLS when the settings name files.
+func meshConfig(s *settings.Node) (mesh.Config, error) {
+	config := mesh.DefaultConfig()
+	config.Identity = s.ID
+	if s.TLSCert == "" {
+		return config, nil
+	}
+	secured, err := mesh.LoadTLS(s.TLSCert, s.TLSKey, s.TLSCA)
+	config.TLS = secured
+	return config, errors.Wrap(err, "node")
+}
+
 func (n *Node) listen() error {
 	listeners := []struct {
 		field   string
@@ -61,6 +94,7 @@
 		{"entry_listen", n.settings.EntryListen, &n.entryListener},
 		{"local_listen", n.settings.LocalListen, &n.localListener},
 		{"mesh_listen", n.settings.MeshListen, &n.meshListener},
+		{"admin_listen", n.settings.AdminListen, &n.adminListener},
 	}
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp", l.address)
@@ -74,7 +108,7 @@
 }
 
 func (n *Node) closeListeners() {
-	for _, listener := range []net.Listener{n.entryListener, n.localListener, n.meshListener} {
+	for _, listener := range []net.Listener{n.entryListener, n.localListener, n.meshListener, n.adminListener} {
 		if listener != nil {
 			_ = listener.Close()
 		}
@@ -91,16 +125,22 @@
 func (n *Node) Run(ctx context.Context) error {
 	entry := httpServer(http.HandlerFunc(n.handleCall))
 	local := httpServer(n.localRoutes())
+	admin := httpServer(n.adminRoutes())
 	group, groupCtx := errgroup.WithContext(ctx)
-	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopServing()
-	group.Go(func() error { return ignoreClosed(entry.Serve(n.entryListener)) })
-	group.Go(func() error { return ignoreClosed(local.Serve(n.localListener)) })
-	group.Go(func() error { return n.server.Serve(serveCtx, n.meshListener) })
-	group.Go(func() error { n.runControl(groupCtx); return nil })
+	// What accepted requests need keeps running until they have finished.
+	lateCtx, stopLate := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLate()
+	group.Go(func() error { return ignoreClosed(entry.Serve(limitConnections(n.entryListener, maxEntryConnections))) })
+	group.Go(func() error { return ignoreClosed(local.Serve(limitConnections(n.localListener, maxLocalConnections))) })
+	group.Go(func() error { return ignoreClosed(admin.Serve(limitConnections(n.adminListener, maxAdminConnections))) })
+	group.Go(func() error { return n.server.Serve(lateCtx, n.meshListener) })
+	group.Go(func() error { n.runControl(lateCtx); return nil })
+	group.Go(func() error { n.watchState(lateCtx); return nil })
+	group.Go(func() error { n.freeze.run(lateCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
-		return n.stop(entry, local)
+		defer stopLate()
+		return n.stop(entry, local, admin)
 	})
 	_ = level.Info(n.logger).Log("msg", "node started", "entry", n.EntryAddress(), "local", n.LocalAddress())
 	err := group.Wait()
@@ -110,23 +150,33 @@
 
 func (n *Node) runControl(ctx context.Context) {
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return n.client.Open(ctx, address, mesh.Small)
+		return n.client.Open(ctx, address, mesh.Control)
 	}
 	distribute.NewClient(n.settings.ID, n.settings.Control, dial, (*controlSink)(n), n.logger).Run(ctx)
 }
 
-func (n *Node) stop(servers ...*http.Server) error {
+// stop refuses new work for the upstream, finishes accepted requests of callers and of
+// other entries, and closes everything. Entries learn of the stop from refusals and
+// from control.
+func (n *Node) stop(entry, local, admin *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.StopTimeoutMs)*time.Millisecond)
 	defer cancel()
-	var first error
-	for _, server := range servers {
+	n.upstream.gate.Stop()
+	n.directory.notify()
+	first := errors.Wrap(entry.Shutdown(ctx), "node: finish callers' requests")
+	if err := n.server.Drain(ctx); err != nil && first == nil {
+		first = errors.Wrap(err, "node: finish other entries' requests")
+	}
+	for _, server := range []*http.Server{local, admin} {
 		if err := server.Shutdown(ctx); err != nil && first == nil {
 			first = errors.Wrap(err, "node: stop")
 		}
 	}
+	n.settler.close(ctx)
 	n.closeListeners()
 	n.server.Close()
 	n.client.Close()
+	n.local.Wait()
 	return first
 }
 
@@ -134,6 +184,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
@@ -144,3 +195,49 @@
 	}
 	return err
 }
+
+// limitedListener bounds the open connections that it has accepted. Connections
+// beyond the bound wait in the kernel's queue.
+type limitedListener struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func limitConnections(listener net.Listener, limit int) *limitedListener {
+	return &limitedListener{Listener: listener, places: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept waits for a place and a connection.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.places <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, listener: l}, nil
+}
+
+// Close stops accepting.
+func (l *limitedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	listener *limitedListener
+	once     sync.Once
+}
+
+// Close frees the connection's place.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.listener.places })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+// reportTrust is the age up to which the state in a load report counts more than
+// the state in the registry.
+const reportTrust = 5 * time.Second
+
+// peers is what this entry knows about the instances it sends to. Its methods are
+// safe for concurrent use.
+type peers struct {
+	mu         sync.Mutex
+	picker     *balance.Policy
+	retries    map[string]*retry.Policy
+	states     map[string]*peerState
+	candidates []balance.Candidate // reused by pick
+	swept      *view
+}
+
+type peerState struct {
+	startID  string
+	inFlight int
+	report   *wire.LoadReport
+	reportAt time.Time
+}
+
+func newPeers(zone string) *peers {
+	return &peers{
+		picker:  balance.New(balance.Config{Zone: zone}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // no secret
+		retries: map[string]*retry.Policy{},
+		states:  map[string]*peerState{},
+	}
+}
+
+// pick chooses an instance and counts an attempt in flight to it. Each pick is
+// followed by one done.
+func (p *peers) pick(v *view, service string, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweepLocked(v)
+	now := time.Now()
+	instances := v.services[service]
+	p.candidates = p.candidates[:0]
+	for _, instance := range instances {
+		p.candidates = append(p.candidates, p.candidateLocked(now, v.doc, instance))
+	}
+	chosen, ok := p.picker.Pick(now, service, p.candidates, tried)
+	if !ok {
+		return nil, chosen, false
+	}
+	p.states[chosen.ID].inFlight++
+	for _, instance := range instances {
+		if instance.GetId() == chosen.ID {
+			return instance, chosen, true
+		}
+	}
+	return nil, chosen, false
+}
+
+func (p *peers) candidateLocked(now time.Time, doc *document.Document, instance *wire.Instance) balance.Candidate {
+	state, known := p.states[instance.GetId()]
+	if !known || state.startID != instance.GetStartId() {
+		inFlight := 0
+		if known {
+			inFlight = state.inFlight
+		}
+		state = &peerState{startID: instance.GetStartId(), inFlight: inFlight}
+		p.states[instance.GetId()] = state
+	}
+	candidate := balance.Candidate{
+		ID:       instance.GetId(),
+		Zone:     instance.GetZone(),
+		Slots:    int(instance.GetSlots()),
+		InFlight: state.inFlight,
+		State:    balance.StateFromWire(instance.GetState()),
+	}
+	if state.report != nil {
+		candidate.Report = balance.FromWire(state.report)
+		candidate.ReportAge = now.Sub(state.reportAt)
+		if candidate.ReportAge < reportTrust && candidate.State != balance.StateLeaving {
+			candidate.State = balance.StateFromWire(state.report.GetState())
+		}
+	}
+	if doc.Zones[instance.GetZone()].State == document.ZoneOut {
+		candidate.State = balance.StateZoneOut
+	}
+	return candidate
+}
+
+// done ends an attempt. The load is nil when the attempt brought none.
+func (p *peers) done(instance *wire.Instance, outcome balance.Outcome, load *wire.LoadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.picker.Observe(now, instance.GetId(), outcome)
+	state, known := p.states[instance.GetId()]
+	if !known {
+		return
+	}
+	state.inFlight--
+	if load != nil && state.startID == instance.GetStartId() {
+		state.report, state.reportAt = load, now
+	}
+}
+
+// sweepLocked drops what is known of instances that are gone from the registry.
+func (p *peers) sweepLocked(v *view) {
+	if v == p.swept {
+		return
+	}
+	p.swept = v
+	listed := map[string]bool{}
+	for _, instances := range v.services {
+		for _, instance := range instances {
+			listed[instance.GetId()] = true
+		}
+	}
+	for id, state := range p.states {
+		if !listed[id] && state.inFlight == 0 {
+			delete(p.states, id)
+			p.picker.Forget(id)
+		}
+	}
+}
+
+func (p *peers) retryLocked(service string, limits document.Limits) *retry.Policy {
+	policy, ok := p.retries[service]
+	if !ok {
+		policy = retry.New(time.Now(), retry.Config{})
+		p.retries[service] = policy
+	}
+	policy.SetShares(limits.RetryShare, limits.HedgeShare)
+	return policy
+}
+
+// firstAttempt earns budget for retries and hedges. It returns the time after which
+// the attempt may be hedged, 0 when hedging is not possible yet.
+func (p *peers) firstAttempt(service string, limits document.Limits) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	policy := p.retryLocked(service, limits)
+	policy.FirstAttempt(time.Now())
+	delay, _ := policy.HedgeDelay()
+	return delay
+}
+
+func (p *peers) mayRetry(service string, limits document.Limits, failure retry.Failure) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryLocked(service, limits).Decide(time.Now(), failure) == retry.VerdictRetry
+}
+
+func (p *peers) mayHedge(service string, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryLocked(service, limits).Hedge(time.Now(), true, waited, candidate)
+}
+
+func (p *peers) observeLatency(service string, latency time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if policy, ok := p.retries[service]; ok {
+		policy.ObserveLatency(latency)
+	}
+}
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -1,134 +1,70 @@
 package node
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
-	"net/http"
-	"strconv"
+	"sync"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
-	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
-	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-// serveStream serves one stream of another node.
-func (n *Node) serveStream(ctx context.Context, stream net.Conn) {
-	conn := frame.NewConn(stream)
-	first, err := conn.Receive()
-	if err != nil || first.GetRequestHead() == nil {
-		return
-	}
-	conn.BindAttempt(first.GetAttemptId())
-	head := first.GetRequestHead()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(head.GetTimeoutUs())*time.Microsecond) //nolint:gosec // bounded by the entry
-	defer cancel()
+const (
+	// firstMessageTimeout bounds the wait for the first message of a stream.
+	firstMessageTimeout = 5 * time.Second
+	// attemptIDBytes is the length of attempt IDs.
+	attemptIDBytes = 16
+	// maxTimeoutUs is the longest time left that a request may state: one day.
+	maxTimeoutUs = uint64(24 * time.Hour / time.Microsecond)
+)
+
+// chunkBuffers holds buffers for body chunks.
+var chunkBuffers = sync.Pool{New: func() any { return new([frame.ChunkBytes]byte) }}
 
-	body, err := receiveBody(conn)
+// serveStream serves one stream of another node.
+func (n *Node) serveStream(ctx context.Context, raw net.Conn) {
+	stream := newMeshStream(raw)
+	_ = raw.SetReadDeadline(time.Now().Add(firstMessageTimeout))
+	first, err := stream.Receive()
 	if err != nil {
 		return
 	}
-	address, release, reason := n.upstream.admit(head.GetInstance())
-	if release == nil {
-		_ = sendRefusal(conn, reason, true)
+	_ = raw.SetReadDeadline(time.Time{})
+	head := first.GetRequestHead()
+	if head == nil || len(first.GetAttemptId()) != attemptIDBytes {
 		return
 	}
-	defer release()
-	go cancelOnClose(conn, cancel)
-	n.forward(ctx, conn, head, address, body)
-}
-
-// cancelOnClose ends the request when the entry closes the stream.
-func cancelOnClose(conn *frame.Conn, cancel context.CancelFunc) {
-	_, _ = conn.Receive()
-	cancel()
-}
-
-func receiveBody(conn *frame.Conn) ([]byte, error) {
-	var body []byte
-	for {
-		message, err := conn.Receive()
-		if err != nil {
-			return nil, err
-		}
-		if end := message.GetBodyEnd(); end != nil {
-			if end.GetByteCount() != uint64(len(body)) {
-				return nil, errors.WithMessage(frame.ErrUnexpected, "body is incomplete")
-			}
-			return body, nil
-		}
-		body = append(body, message.GetBodyChunk().GetData()...)
-		if len(body) > heldBodyBytes {
-			return nil, errors.WithMessage(frame.ErrUnexpected, "body is too large")
-		}
-	}
+	stream.BindAttempt(first.GetAttemptId())
+	n.serveAttempt(ctx, stream, first.GetAttemptId(), head)
 }
 
-// forward sends the request to the upstream once and passes its response back.
-func (n *Node) forward(ctx context.Context, conn *frame.Conn, head *wire.RequestHead, address string, body []byte) {
-	if ctx.Err() != nil {
-		_ = sendRefusal(conn, wire.RefusalReason_REFUSAL_DEADLINE, true)
-		return
-	}
-	request, err := upstreamRequest(ctx, head, address, body)
-	if err != nil {
-		_ = sendRefusal(conn, wire.RefusalReason_REFUSAL_CONNECT, true)
-		return
-	}
-	response, err := n.upstream.client.Do(request)
-	if err != nil {
-		_ = sendRefusal(conn, wire.RefusalReason_REFUSAL_CONNECT, false)
+// serveLocal serves an attempt of this node's own entry.
+func (n *Node) serveLocal(stream *pipeEnd, id uuid.UUID) {
+	first, err := stream.Receive()
+	if err != nil || first.GetRequestHead() == nil {
+		stream.Close()
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	_ = sendResponse(conn, response)
+	n.serveAttempt(context.Background(), stream, id[:], first.GetRequestHead())
 }
 
-func upstreamRequest(ctx context.Context, head *wire.RequestHead, address string, body []byte) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, head.GetMethod(), "http://"+address+head.GetTarget(), bytes.NewReader(body))
-	if err != nil {
-		return nil, err
+// syncZone applies the state of this node's zone in the configuration in force.
+func (n *Node) syncZone() {
+	zone := n.directory.view().doc.Zones[n.settings.Zone]
+	if n.upstream.setZoneOut(zone.State == document.ZoneOut) {
+		n.directory.notify()
+		_ = level.Info(n.logger).Log("msg", "zone changed", "zone", n.settings.Zone, "state", zone.State)
 	}
-	decodeHeaders(request.Header, head.GetHeaders())
-	request.Host = head.GetHost()
-	request.Header.Set(httpapi.HeaderDepth, strconv.Itoa(int(head.GetDepth())))
-	request.Header.Set(httpapi.HeaderTimeout, strconv.FormatUint(head.GetTimeoutUs()/1000, 10))
-	return request, nil
 }
 
-func sendResponse(conn *frame.Conn, response *http.Response) error {
-	head := &wire.ResponseHead{
-		Status:  uint32(response.StatusCode), //nolint:gosec // three digits
-		Headers: encodeHeaders(response.Header),
-	}
-	if err := conn.Send(&wire.Envelope{Body: &wire.Envelope_ResponseHead{ResponseHead: head}}); err != nil {
-		return err
+// maxBodyBytes returns the largest request body in bytes.
+func (n *Node) maxBodyBytes() int64 {
+	if limit := n.directory.view().doc.Limits.MaxBodyBytes; limit > 0 {
+		return limit
 	}
-	buffer := make([]byte, frame.ChunkBytes)
-	var sent uint64
-	for {
-		size, err := response.Body.Read(buffer)
-		if size > 0 {
-			sent += uint64(size) //nolint:gosec // never negative
-			chunk := &wire.BodyChunk{Data: buffer[:size]}
-			if err := conn.Send(&wire.Envelope{Body: &wire.Envelope_BodyChunk{BodyChunk: chunk}}); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return conn.SendNow(&wire.Envelope{Body: &wire.Envelope_ResponseEnd{ResponseEnd: &wire.ResponseEnd{ByteCount: sent}}})
-}
-
-func sendRefusal(conn *frame.Conn, reason wire.RefusalReason, notRun bool) error {
-	return conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Refused{Refused: &wire.Refused{Reason: reason, NotRun: notRun}}})
+	return document.DefaultLimits().MaxBodyBytes
 }
--- /dev/null
+++ b/internal/node/received.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/node/egress"
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// attemptState is the state of an attempt at the node beside the upstream. It only
+// rises.
+type attemptState int32
+
+const (
+	stateReceived attemptState = iota
+	stateAdmitted
+	// stateDispatched is set just before the first byte is written to the upstream.
+	// From then on the attempt is never refused as not run.
+	stateDispatched
+	stateAnswered
+)
+
+var (
+	errDeadlinePassed = errors.New("deadline passed before dispatch")
+	errCallerGone     = errors.New("caller gone before dispatch")
+)
+
+// received is an attempt at the node beside the upstream.
+type received struct {
+	node     *Node
+	stream   messageStream
+	head     *wire.RequestHead
+	id       []byte
+	deadline time.Time
+	streamed bool
+	body     []byte // when it is not streamed
+	pool     *egress.Pool
+	permit   admission.Permit
+	claim    *heldClaim // nil without an idempotency key
+
+	state        atomic.Int32
+	dispatchedAt time.Time
+}
+
+// serveAttempt serves one attempt of this or another entry. It closes the stream.
+func (n *Node) serveAttempt(ctx context.Context, stream messageStream, id []byte, head *wire.RequestHead) {
+	defer stream.Close()
+	now := time.Now()
+	left := time.Duration(min(head.GetTimeoutUs(), maxTimeoutUs)) * time.Microsecond //nolint:gosec // bounded
+	r := &received{
+		node:     n,
+		stream:   stream,
+		head:     head,
+		id:       id,
+		deadline: now.Add(left - n.freeze.age(now)),
+		streamed: head.GetBodyLength() < 0 || head.GetBodyLength() > heldBodyBytes,
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	r.run(ctx, cancel)
+}
+
+func (r *received) run(ctx context.Context, cancel context.CancelFunc) {
+	if !r.streamed {
+		if err := r.receiveBody(); err != nil {
+			return
+		}
+		go cancelOnClose(r.stream, cancel)
+	}
+	permit, refusal := r.admit(ctx)
+	if permit == nil {
+		r.refuse(refusal, "")
+		return
+	}
+	r.state.Store(int32(stateAdmitted))
+	outcome := admission.Outcome{Result: admission.ResultCancelled}
+	r.permit = permit
+	defer func() { permit.Release(outcome) }()
+	if !r.takeClaim(ctx) {
+		return
+	}
+	outcome = r.forward(ctx, cancel)
+}
+
+// cancelOnClose ends the attempt when the entry closes the stream.
+func cancelOnClose(stream messageStream, cancel context.CancelFunc) {
+	_, _ = stream.Receive()
+	cancel()
+}
+
+func (r *received) receiveBody() error {
+	r.body = make([]byte, r.head.GetBodyLength())
+	reader := &bodyReader{stream: r.stream, limit: heldBodyBytes}
+	if _, err := io.ReadFull(reader, r.body); err != nil {
+		return err
+	}
+	if n, err := reader.Read(make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) {
+		return errors.New("body is longer than declared")
+	}
+	return nil
+}
+
+// admit waits for a permit. Without one, nothing was written to the upstream.
+func (r *received) admit(ctx context.Context) (admission.Permit, wire.RefusalReason) {
+	pool, reason := r.node.upstream.target(r.head.GetService(), r.head.GetInstance())
+	if pool == nil {
+		return nil, reason
+	}
+	r.pool = pool
+	r.node.syncZone()
+	permit, err := r.node.upstream.gate.Acquire(ctx, admission.Request{
+		Deadline: r.deadline,
+		Attempt:  int(r.head.GetAttemptNumber()),
+	})
+	var refusal *admission.Refusal
+	if errors.As(err, &refusal) {
+		return nil, refusal.Reason
+	}
+	return permit, wire.RefusalReason_REFUSAL_UNSPECIFIED
+}
+
+// dispatch is called just before the first byte is written to the upstream. The
+// clock is read here, because the timer of a context may be late in a process that
+// was frozen.
+func (r *received) dispatch(ctx context.Context) error {
+	now := time.Now()
+	if !now.Before(r.deadline) {
+		return errDeadlinePassed
+	}
+	if ctx.Err() != nil {
+		return errCallerGone
+	}
+	r.dispatchedAt = now
+	r.state.Store(int32(stateDispatched))
+	return nil
+}
+
+func (r *received) isDispatched() bool { return attemptState(r.state.Load()) >= stateDispatched }
+
+// forward sends the request to the upstream once and passes its response back.
+func (r *received) forward(ctx context.Context, cancel context.CancelFunc) admission.Outcome {
+	request, err := r.upstreamRequest(ctx, cancel)
+	if err != nil {
+		r.settleClaim(nil)
+		r.refuse(wire.RefusalReason_REFUSAL_CONNECT, "request can't be sent")
+		return admission.Outcome{Result: admission.ResultCancelled}
+	}
+	if r.streamed {
+		// The entry keeps the body until the attempt is admitted.
+		if err := sendNow(r.stream, responseHead(&wire.ResponseHead{Status: http.StatusContinue})); err != nil {
+			r.settleClaim(nil)
+			return admission.Outcome{Result: admission.ResultCancelled}
+		}
+	}
+	response, err := r.pool.Do(ctx, request, r.streamed, func() error { return r.dispatch(ctx) })
+	if err != nil {
+		return r.fail(ctx, err)
+	}
+	defer func() {
+		if !response.IsSent() {
+			r.stream.Abort() // the sender of the body may wait for the entry
+		}
+		response.Close()
+	}()
+	return r.answer(ctx, response)
+}
+
+// fail ends an attempt that got no response head.
+func (r *received) fail(ctx context.Context, err error) admission.Outcome {
+	r.settleClaim(nil)
+	outcome := admission.Outcome{Result: r.failureResult(ctx, err)}
+	if r.isDispatched() {
+		outcome.ServiceTime = time.Since(r.dispatchedAt)
+	}
+	reason := wire.RefusalReason_REFUSAL_CONNECT
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
+		reason = wire.RefusalReason_REFUSAL_DEADLINE
+	}
+	r.refuse(reason, "")
+	return outcome
+}
+
+func (r *received) failureResult(ctx context.Context, err error) admission.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return admission.ResultCancelled
+	case errors.Is(err, egress.ErrUnreachable) && ctx.Err() == nil:
+		return admission.ResultConnectRefused
+	case !r.isDispatched():
+		return admission.ResultCancelled
+	case ctx.Err() != nil:
+		return admission.ResultTimeout
+	default:
+		return admission.ResultError
+	}
+}
+
+// refuse ends the attempt without a response. Whether it was run follows from its
+// state alone.
+func (r *received) refuse(reason wire.RefusalReason, detail string) {
+	r.node.metrics.refused(reason)
+	_ = sendNow(r.stream, refused(&wire.Refused{
+		Reason:   reason,
+		NotRun:   !r.isDispatched(),
+		Load:     r.node.upstream.report(),
+		Revision: r.node.directory.view().revision,
+		Detail:   detail,
+	}))
+}
+
+func (r *received) upstreamRequest(ctx context.Context, cancel context.CancelFunc) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, r.head.GetMethod(), "http://upstream"+r.head.GetTarget(), http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case r.streamed:
+		request.Body = &bodyReader{
+			stream: r.stream,
+			limit:  uint64(r.node.maxBodyBytes()), //nolint:gosec // never negative
+			atEnd:  func() { go cancelOnClose(r.stream, cancel) },
+		}
+		request.ContentLength = r.head.GetBodyLength()
+	case len(r.body) > 0:
+		request.Body = &heldBody{rest: r.body}
+		request.ContentLength = int64(len(r.body))
+	}
+	decodeHeaders(request.Header, r.head.GetHeaders())
+	request.Host = r.head.GetHost()
+	if request.Header.Get("User-Agent") == "" {
+		request.Header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	request.Header.Set(httpapi.HeaderDepth, strconv.Itoa(int(r.head.GetDepth())))
+	request.Header.Set(httpapi.HeaderTimeout, strconv.FormatInt(max(0, time.Until(r.deadline).Milliseconds()), 10))
+	return request, nil
+}
+
+// heldBody is a body in memory.
+type heldBody struct{ rest []byte }
+
+func (b *heldBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close is part of io.ReadCloser.
+func (b *heldBody) Close() error { return nil }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -1,70 +1,163 @@
 package node
 
 import (
-	"net"
-	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/node/egress"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
-const upstreamDialTimeout = time.Second
+// ownLoadAge is how long the upstream's own report of its load counts.
+const ownLoadAge = time.Second
 
 // upstream is the one that this node stands beside.
 type upstream struct {
+	gate    *admission.Gate
+	measure *admission.MeasureBudget
+
 	mu           sync.Mutex
 	announcement *httpapi.Announcement
+	pool         *egress.Pool
 	version      uint64
-	leaving      bool
-	slots        chan struct{}
-	client       *http.Client
+	listed       wire.InstanceState // state in the last registry entry
+	zoneOut      bool
+	ownLoad      int
+	ownLoadAt    time.Time
 }
 
 func newUpstream() *upstream {
-	transport := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: upstreamDialTimeout}).DialContext,
-		DisableCompression: true,
-		// A reused connection would let the transport resend a request silently.
-		DisableKeepAlives: true,
+	return &upstream{
+		gate:    admission.NewGate(admission.Config{}, time.Now),
+		measure: admission.NewMeasureBudget(time.Now(), 0),
 	}
-	return &upstream{client: &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
 }
 
+// announce takes an announcement. A new start ID begins a cold start with new
+// connections.
 func (u *upstream) announce(a *httpapi.Announcement) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.announcement == nil || u.announcement.StartID != a.StartID {
-		u.leaving = false
-		u.slots = make(chan struct{}, a.Slots)
+	old := u.announcement
+	if old == nil || old.StartID != a.StartID || old.Address != a.Address {
+		if u.pool != nil {
+			u.pool.Close()
+		}
+		u.pool = egress.NewPool(a.Address, a.Connections)
+	}
+	if old == nil || old.StartID != a.StartID {
+		u.ownLoad = 0
+	}
+	slots := a.Slots
+	if a.Connections > 0 {
+		slots = min(slots, a.Connections)
 	}
+	u.gate.Start(a.StartID, slots)
 	u.announcement = a
 	u.version++
 }
 
-func (u *upstream) leave(startID string) {
+// announced returns the announcement in force, or nil. It is never changed.
+func (u *upstream) announced() *httpapi.Announcement {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.announcement != nil && u.announcement.StartID == startID {
-		u.leaving = true
-		u.version++
+	return u.announcement
+}
+
+// leave returns false when the start ID is not the announced one.
+func (u *upstream) leave(startID string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.isStart(startID) {
+		return false
+	}
+	u.gate.SetLeaving(true)
+	u.version++
+	return true
+}
+
+// setLoad takes the upstream's own report of its load.
+func (u *upstream) setLoad(startID string, inFlight int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.isStart(startID) {
+		return false
+	}
+	u.ownLoad, u.ownLoadAt = inFlight, time.Now()
+	return true
+}
+
+// setHeaderLoad takes the load that a response carried, when it carried one.
+func (u *upstream) setHeaderLoad(value string) {
+	inFlight, err := strconv.Atoi(value)
+	if err != nil || inFlight < 0 {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ownLoad, u.ownLoadAt = inFlight, time.Now()
+}
+
+func (u *upstream) isStart(startID string) bool {
+	return u.announcement != nil && u.announcement.StartID == startID
+}
+
+// setZoneOut passes on a change of the zone and reports whether there was one.
+func (u *upstream) setZoneOut(out bool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.zoneOut == out {
+		return false
+	}
+	u.zoneOut = out
+	u.gate.SetZoneOut(out)
+	return true
+}
+
+// report returns the load as the gate sees it, or as the upstream reports it when
+// that is higher: it may have work that did not come through this node.
+func (u *upstream) report() *wire.LoadReport {
+	report := u.gate.Report()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if own := u.ownLoad; own > int(report.GetInFlight()) && time.Since(u.ownLoadAt) < ownLoadAge {
+		report.InFlight = uint32(min(own, maxReportedLoad)) //nolint:gosec // bounded
+	}
+	return report
+}
+
+// maxReportedLoad bounds what an upstream may report about itself.
+const maxReportedLoad = 1 << 20
+
+// target returns the connections to the upstream when it is the instance, or the
+// reason to refuse.
+func (u *upstream) target(service, instance string) (*egress.Pool, wire.RefusalReason) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.announcement == nil:
+		return nil, wire.RefusalReason_REFUSAL_NO_UPSTREAM
+	case u.announcement.Instance != instance || u.announcement.Service != service:
+		return nil, wire.RefusalReason_REFUSAL_WRONG_INSTANCE
 	}
+	return u.pool, wire.RefusalReason_REFUSAL_UNSPECIFIED
 }
 
-// instance returns the registry entry, or nil without an upstream.
+// instance returns the registry entry, or nil without an upstream. Its version
+// rises with each change of state.
 func (u *upstream) instance(nodeID, zone, meshAddress string, nodeStart uint64) *wire.Instance {
+	state := u.gate.Report().GetState()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.announcement == nil {
 		return nil
 	}
-	state := wire.InstanceState_INSTANCE_WARM
-	if u.leaving {
-		state = wire.InstanceState_INSTANCE_LEAVING
+	if state != u.listed {
+		u.listed = state
+		u.version++
 	}
 	return &wire.Instance{
 		Id:          u.announcement.Instance,
@@ -80,24 +173,3 @@
 		Version:     u.version,
 	}
 }
-
-// admit takes a slot without waiting.
-func (u *upstream) admit(instance string) (address string, release func(), reason wire.RefusalReason) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	switch {
-	case u.announcement == nil:
-		return "", nil, wire.RefusalReason_REFUSAL_NO_UPSTREAM
-	case u.announcement.Instance != instance:
-		return "", nil, wire.RefusalReason_REFUSAL_WRONG_INSTANCE
-	case u.leaving:
-		return "", nil, wire.RefusalReason_REFUSAL_LEAVING
-	}
-	slots := u.slots
-	select {
-	case slots <- struct{}{}:
-		return u.announcement.Address, func() { <-slots }, wire.RefusalReason_REFUSAL_UNSPECIFIED
-	default:
-		return "", nil, wire.RefusalReason_REFUSAL_QUEUE_FULL
-	}
-}
--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -19,6 +19,10 @@
 	HeaderDepth = "Chicory-Depth"
 	// HeaderRecorded marks a response recorded from an earlier run of a keyed request.
 	HeaderRecorded = "Chicory-Recorded"
+	// RecordedWhole is the value of HeaderRecorded for a response recorded whole.
+	RecordedWhole = "whole"
+	// RecordedStatusOnly is its value when the body was too large to be recorded.
+	RecordedStatusOnly = "status-only"
 	// HeaderLoad is set by upstreams on responses: requests in progress.
 	HeaderLoad = "Chicory-Load"
 	// HeaderIdempotencyKey identifies resends of one request.
@@ -31,6 +35,9 @@
 	// OutcomeInProgress tells that an earlier submission of the key is running.
 	OutcomeInProgress = "in-progress"
 
+	// ReasonDepth is the reason of a request whose chain of calls exceeds MaxDepth.
+	ReasonDepth = "depth"
+
 	// MaxDepth is the deepest chain of calls between services that is served.
 	MaxDepth = 16
 )
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -30,3 +30,14 @@
 	}
 	return nil
 }
+
+// checkTLS accepts either all files or none.
+func checkTLS(cert, key, ca string) *Error {
+	fields := []struct{ name, value string }{{"tls_cert", cert}, {"tls_key", key}, {"tls_ca", ca}}
+	for _, field := range fields {
+		if field.value == "" && cert+key+ca != "" {
+			return &Error{Field: field.name, Problem: "must be set with the other tls_ fields"}
+		}
+	}
+	return nil
+}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -23,6 +23,11 @@
 	BootstrapDocument string `json:"bootstrap_document,omitempty"`
 	// Join lists mesh addresses of running members for a member that joins.
 	Join []string `json:"join,omitempty"`
+	// TLSCert, TLSKey and TLSCA name PEM files. When they are set, the processes of
+	// the system speak mutual TLS; the certificate's common name or DNS name is ID.
+	TLSCert string `json:"tls_cert,omitempty"`
+	TLSKey  string `json:"tls_key,omitempty"`
+	TLSCA   string `json:"tls_ca,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -51,6 +56,7 @@
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("api_listen", s.APIListen),
 		s.checkMembers(),
+		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		checkLogLevel(s.LogLevel),
 	)
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -19,6 +19,11 @@
 	AdminListen string `json:"admin_listen"`
 	// Control lists the mesh addresses of the control members.
 	Control []string `json:"control"`
+	// TLSCert, TLSKey and TLSCA name PEM files. When they are set, the processes of
+	// the system speak mutual TLS; the certificate's common name or DNS name is ID.
+	TLSCert string `json:"tls_cert,omitempty"`
+	TLSKey  string `json:"tls_key,omitempty"`
+	TLSCA   string `json:"tls_ca,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 	// StopTimeoutMs bounds a graceful stop; default 30000.
@@ -54,6 +59,7 @@
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("admin_listen", s.AdminListen),
 		checkAddresses("control", s.Control),
+		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		checkLogLevel(s.LogLevel),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
 	)
