--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,6 +32,7 @@
 	settings *settings.Control
 	logger   log.Logger
 	client   *mesh.Client
+	mesh     mesh.Config
 	log      replica.Proposer
 
 	documents *document.Machine
@@ -49,10 +50,15 @@
 
 // New opens the listeners and the state of a member.
 func New(s *settings.Control, logger log.Logger) (*Control, error) {
+	config, err := mesh.NewConfig(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
+	if err != nil {
+		return nil, errors.WithMessage(err, "control")
+	}
 	c := &Control{
 		settings:  s,
 		logger:    log.With(logger, "member", s.ID),
-		client:    mesh.NewClient(mesh.DefaultConfig()),
+		client:    mesh.NewClient(config),
+		mesh:      config,
 		documents: document.NewMachine(),
 		burn:      slo.NewMachine(),
 		collector: slo.NewCollector(),
@@ -109,8 +115,12 @@
 	if err != nil {
 		return err
 	}
-	streams := mesh.NewServer(mesh.DefaultConfig(), c.serveStream)
-	operators := api.NewServer(handler, nil)
+	apiTLS, err := c.apiTLS()
+	if err != nil {
+		return err
+	}
+	streams := mesh.NewServer(c.mesh, c.serveStream)
+	operators := api.NewServer(handler, apiTLS)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return streams.Serve(groupCtx, c.meshListener) })
 	group.Go(func() error { return api.Serve(operators, c.apiListener) })
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chicorylever/chicorylever/internal/control/api"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/slo"
@@ -89,6 +92,18 @@
 	return state
 }
 
+// apiTLS returns nil when the operators' API is served without TLS.
+func (c *Control) apiTLS() (*tls.Config, error) {
+	if c.settings.APITLSCert == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(c.settings.APITLSCert, c.settings.APITLSKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "api_tls_cert, api_tls_key")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
 func (c *Control) apiHandler() (http.Handler, error) {
 	return api.New(api.Config{
 		Proposer:  c.part(sectionDocument),
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -14,7 +14,7 @@
 // newExchange returns the exchange of leases with the other members.
 func (c *Control) newExchange() *membership.Exchange {
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return c.client.Open(ctx, address, mesh.Small)
+		return c.client.Open(ctx, address, mesh.Control)
 	}
 	epoch := uint64(time.Now().UnixNano()) //nolint:gosec // positive since 1970
 	return membership.NewExchange(c.registry, c.settings.ID, epoch, dial, c.otherMembers, c.logger)
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -34,7 +34,6 @@
 
 	// sequence numbers the heartbeats of this start.
 	sequence atomic.Uint64
-	counts   burnCounts
 }
 
 func newDirectory() *directory {
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -22,7 +22,7 @@
 		Zone:      s.settings.Zone,
 		Revision:  s.directory.view().revision,
 		Instance:  s.upstream.instance(s.settings.ID, s.settings.Zone, s.settings.MeshAddress, s.start),
-		Counts:    s.directory.counts.totals(),
+		Counts:    s.metrics.burnCounts(),
 		Sequence:  s.directory.sequence.Add(1),
 	}
 }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -23,6 +23,15 @@
 	BootstrapDocument string `json:"bootstrap_document,omitempty"`
 	// Join lists mesh addresses of running members for a member that joins.
 	Join []string `json:"join,omitempty"`
+	// TLSCert, TLSKey and TLSCA name PEM files. When they are set, the processes of
+	// the system speak mutual TLS; the certificate's common name or DNS name is ID.
+	TLSCert string `json:"tls_cert,omitempty"`
+	TLSKey  string `json:"tls_key,omitempty"`
+	TLSCA   string `json:"tls_ca,omitempty"`
+	// APITLSCert and APITLSKey name PEM files. When they are set, the operators'
+	// API is served over TLS.
+	APITLSCert string `json:"api_tls_cert,omitempty"`
+	APITLSKey  string `json:"api_tls_key,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -51,10 +60,19 @@
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("api_listen", s.APIListen),
 		s.checkMembers(),
+		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
+		s.checkAPITLS(),
 		checkLogLevel(s.LogLevel),
 	)
 }
 
+func (s *Control) checkAPITLS() *Error {
+	if (s.APITLSCert == "") != (s.APITLSKey == "") {
+		return &Error{Field: "api_tls_cert", Problem: "api_tls_cert and api_tls_key must be set together"}
+	}
+	return nil
+}
+
 func (s *Control) checkMembers() *Error {
 	if len(s.Bootstrap) == 0 && len(s.Join) == 0 {
 		return &Error{Field: "bootstrap", Problem: "either bootstrap or join must name members"}
