Let receivers learn of a higher revision from the sender of a request

Cause: a node that only receives requests learned revisions from control alone. Change: request heads carry the sender's mesh address, and the receiver fetches a higher revision from it in the background.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -179,7 +179,8 @@
 
 func (a *attempt) send(number int) error {
 	c := a.call
-	if err := a.stream.Send(requestHead(c.head(a.instance, a.node.settings.Zone, number))); err != nil {
+	head := c.head(a.instance, a.node.settings, number)
+	if err := a.stream.Send(requestHead(head)); err != nil {
 		return err
 	}
 	if !c.streamed {
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
@@ -166,7 +167,7 @@
 func (c *call) isHedgeable() bool { return c.isRepeatable() && !c.streamed }
 
 // head returns the first message of an attempt.
-func (c *call) head(instance *wire.Instance, zone string, number int) *wire.RequestHead {
+func (c *call) head(instance *wire.Instance, entry *settings.Node, number int) *wire.RequestHead {
 	return &wire.RequestHead{
 		RequestId:      c.id[:],
 		Service:        c.service,
@@ -181,7 +182,8 @@
 		Repeatable:     c.rule.Repeatable,
 		BodyLength:     c.length,
 		Revision:       c.view.revision,
-		EntryZone:      zone,
+		EntryZone:      entry.Zone,
+		SenderAddress:  entry.MeshAddress,
 		AttemptNumber:  uint32(number), //nolint:gosec // small
 	}
 }
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -54,6 +54,7 @@
 // serveAttempt serves one attempt of this or another entry. It closes the stream.
 func (n *Node) serveAttempt(ctx context.Context, stream messageStream, id []byte, head *wire.RequestHead) {
 	defer stream.Close()
+	n.directory.observeRevision(head.GetSenderAddress(), head.GetRevision())
 	now := time.Now()
 	left := time.Duration(min(head.GetTimeoutUs(), maxTimeoutUs)) * time.Microsecond //nolint:gosec // bounded
 	r := &received{
