--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -62,7 +62,7 @@
 	Fleet Fleet
 	// Membership may be nil; changes of members then answer 501.
 	Membership Membership
-	// Burn serves GET /v1/burn to every team; nil answers 501.
+	// Burn serves GET /v1/burn and /v1/burn.html to every team; nil answers 501.
 	Burn http.Handler
 	// Metrics serves GET /metrics without a token; nil answers 404.
 	Metrics http.Handler
@@ -116,6 +116,7 @@
 	handle(http.MethodPost, "/v1/members", a.addMember)
 	handle(http.MethodDelete, "/v1/members/{id:[0-9]+}", a.removeMember)
 	handle(http.MethodGet, "/v1/burn", a.getBurn)
+	handle(http.MethodGet, "/v1/burn.html", a.getBurn)
 	return router
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -36,6 +36,7 @@
 	log      replica.Proposer
 
 	documents *document.Machine
+	records   *claims.Machine
 	burn      *slo.Machine
 	collector *slo.Collector
 
@@ -60,6 +61,7 @@
 		client:    mesh.NewClient(config),
 		mesh:      config,
 		documents: document.NewMachine(),
+		records:   claims.NewMachine(),
 		burn:      slo.NewMachine(),
 		collector: slo.NewCollector(),
 		registry:  membership.NewRegistry(),
@@ -81,7 +83,7 @@
 func (c *Control) machine() *machine {
 	return newMachine(map[section]replica.StateMachine{
 		sectionDocument: c.documents,
-		sectionClaims:   claims.NewMachine(),
+		sectionClaims:   c.records,
 		sectionBurn:     c.burn,
 	})
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -110,6 +110,7 @@
 		Documents: c.documents,
 		Fleet:     (*fleet)(c),
 		Burn:      slo.NewHandler(c.burn, c.objectives, time.Now),
+		Metrics:   c.metricsHandler(),
 		Logger:    c.logger,
 	})
 }
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// metricsHandler serves the member's metrics in the Prometheus text format.
+func (c *Control) metricsHandler() http.Handler {
+	set := metrics.NewSet()
+	gauge := func(name string, read func() float64) { set.NewGauge("chicorylever_control_"+name, read) }
+	gauge("leader", func() float64 {
+		status := c.log.Status()
+		return float64FromBool(status.Leader == status.ID)
+	})
+	gauge("quorum_contact", func() float64 { return float64FromBool(c.log.Status().QuorumContact) })
+	gauge("term", func() float64 { return float64(c.log.Status().Term) })
+	gauge("commit_index", func() float64 { return float64(c.log.Status().Commit) })
+	gauge("applied_index", func() float64 { return float64(c.log.Status().Applied) })
+	gauge("members", func() float64 { return float64(len(c.log.Status().Members)) })
+	gauge("configuration_revision", func() float64 { return float64(c.documents.View().Revision) })
+	gauge("nodes", func() float64 { return float64(c.registry.Status(time.Now()).Nodes) })
+	gauge("nodes_connected", func() float64 { return float64(c.registry.Status(time.Now()).Own) })
+	gauge("nodes_late", func() float64 { return float64(c.registry.Status(time.Now()).Late) })
+	gauge("nodes_lagging", func() float64 { return float64(c.distribute.Progress().Behind) })
+	gauge("registry_stale", func() float64 { return float64FromBool(c.registry.Status(time.Now()).Stale) })
+	gauge("claim_records", func() float64 { return float64(c.records.Stats().Records) })
+	gauge("claim_bytes", func() float64 { return float64(c.records.Stats().UsedBytes) })
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
+
+func float64FromBool(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -84,7 +84,8 @@
 }
 
 // do sends the request to the members in turn, round after round, until one gives a
-// definite answer or the timeout ends. The answer of a success is decoded into target.
+// definite answer or the timeout ends. The answer of a success is decoded into target,
+// or kept as it is when target is a *[]byte.
 func (c *client) do(ctx context.Context, r request, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+r.wait)
 	defer cancel()
@@ -176,6 +177,10 @@
 }
 
 func decodeAnswer(status int, data []byte, target any) answer {
+	if page, ok := target.(*[]byte); ok && status == http.StatusOK {
+		*page = data
+		return answer{status: status}
+	}
 	if status == http.StatusOK {
 		if err := json.Unmarshal(data, target); err != nil {
 			return answer{err: errors.Wrap(err, "decode the answer"), retry: true, unknown: true}
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -5,11 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
 
+// pageMode lets only the operator read the page.
+const pageMode = 0o600
+
 // BurnReport answers GET /v1/burn.
 type BurnReport struct {
 	Services []ServiceBurn `json:"services"`
@@ -44,7 +49,12 @@
 		Usage:  "print reports",
 		Action: unknownCommand,
 		Commands: []*cli.Command{
-			{Name: "burn", Usage: "show how fast each service spends its error budget", Action: p.burn},
+			{
+				Name:   "burn",
+				Usage:  "show how fast each service spends its error budget",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "html", Usage: "write a page with plots to `FILE`"}},
+				Action: p.burn,
+			},
 		},
 	}
 }
@@ -54,6 +64,9 @@
 	if err != nil {
 		return err
 	}
+	if file := cmd.String("html"); file != "" {
+		return c.saveBurnPage(ctx, file)
+	}
 	var report BurnReport
 	if err := c.do(ctx, request{method: http.MethodGet, path: "/v1/burn"}, &report); err != nil {
 		return err
@@ -61,6 +74,14 @@
 	return p.print(cmd, report, func(w io.Writer) { printBurn(w, report) })
 }
 
+func (c *client) saveBurnPage(ctx context.Context, file string) error {
+	var page []byte
+	if err := c.do(ctx, request{method: http.MethodGet, path: "/v1/burn.html"}, &page); err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(file, page, pageMode), "write the page")
+}
+
 func printBurn(w io.Writer, report BurnReport) {
 	table(w, func(w io.Writer) {
 		row(w, "SERVICE", "OBJECTIVE", "GOOD", "BUDGET LEFT", "BURN RATES", "ALERT")
