--- /dev/null
+++ b/internal/coordination/raft/core_test.go
@@ -0,0 +1,144 @@
+package raft
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// newLeader returns member 1 of three, elected in term 3 by member 2, whose log holds
+// an entry of term 2 that may or may not be on a quorum.
+func newLeader(t *testing.T) *Core {
+	config := Configuration{Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+	core, err := New(Config{
+		ID: 1, ElectionTicks: 5, HeartbeatTicks: 1, SnapshotTicks: 50, MaxAppendBytes: 1000, MaxInFlight: 2,
+		Random: func(int) int { return 0 },
+	}, State{
+		HardState: HardState{Term: 2, Commit: 1},
+		Entries: []Entry{
+			{Index: 1, Term: 1, Kind: EntryConfig, Data: EncodeConfiguration(config)},
+			{Index: 2, Term: 2, Kind: EntryCommand},
+		},
+	})
+	assert.NilError(t, err)
+	for range 5 {
+		core.Tick()
+	}
+	core.Step(Message{Kind: MsgPreVoteResponse, From: 2, To: 1, Term: 3})
+	persist(core)
+	core.Step(Message{Kind: MsgVoteResponse, From: 2, To: 1, Term: 3})
+	persist(core)
+	assert.Equal(t, core.Status().Role, Leader)
+	return core
+}
+
+func persist(core *Core) (sent []Message, reads []ReadResult) {
+	for r, ok := core.Ready(); ok; r, ok = core.Ready() {
+		core.Persisted(r)
+		sent = append(append(sent, r.Early...), r.Messages...)
+		reads = append(reads, r.Reads...)
+	}
+	return sent, reads
+}
+
+// TestNewLeaderWaitsForOwnTerm guards against counting copies of an earlier term's
+// entry (figure 8 of the Raft paper), and against reads and membership changes
+// before the leader knows what is committed.
+func TestNewLeaderWaitsForOwnTerm(t *testing.T) {
+	core := newLeader(t)
+	core.Step(Message{Kind: MsgAppendResponse, From: 2, To: 1, Term: 3, Index: 2})
+	assert.NilError(t, core.ReadIndex(7))
+	_, err := core.ProposeChange(Change{Kind: Remove, ID: 3})
+	assert.ErrorIs(t, err, ErrChangePending)
+	_, reads := persist(core)
+	assert.Equal(t, len(reads), 0)
+	assert.Equal(t, core.Status().Commit, uint64(1))
+
+	core.Step(Message{Kind: MsgAppendResponse, From: 2, To: 1, Term: 3, Index: 3})
+	assert.Equal(t, core.Status().Commit, uint64(3))
+	_, reads = persist(core)
+	assert.Equal(t, len(reads), 0, "no quorum confirmed the read")
+	core.Step(Message{Kind: MsgHeartbeatResponse, From: 3, To: 1, Term: 3, Read: 1})
+	_, reads = persist(core)
+	assert.DeepEqual(t, reads, []ReadResult{{ID: 7, Index: 3}})
+	_, err = core.ProposeChange(Change{Kind: Remove, ID: 3})
+	assert.NilError(t, err)
+	_, err = core.ProposeChange(Change{Kind: AddLearner, ID: 4})
+	assert.ErrorIs(t, err, ErrChangePending)
+}
+
+// TestLowerTermIsTold guards against a leader that a member with a higher term can
+// neither follow nor replace.
+func TestLowerTermIsTold(t *testing.T) {
+	core := newLeader(t)
+	for _, kind := range []MessageKind{MsgAppend, MsgHeartbeat, MsgPreVote} {
+		persist(core)
+		core.Step(Message{Kind: kind, From: 3, To: 1, Term: 2})
+		sent, _ := persist(core)
+		assert.Equal(t, len(sent), 1)
+		assert.Assert(t, sent[0].Reject && sent[0].Term == 3 && sent[0].To == 3)
+	}
+}
+
+// TestAppendsInFlightAreBounded guards against a slow member for which the leader
+// queues messages without bound.
+func TestAppendsInFlightAreBounded(t *testing.T) {
+	core := newLeader(t)
+	core.Step(Message{Kind: MsgAppendResponse, From: 2, To: 1, Term: 3, Index: 3})
+	persist(core)
+	appends := 0
+	for range 10 {
+		_, _, err := core.Propose([][]byte{make([]byte, 900)})
+		assert.NilError(t, err)
+		sent, _ := persist(core)
+		for _, m := range sent {
+			if m.To == 2 && len(m.Entries) > 0 {
+				appends++
+			}
+		}
+	}
+	assert.Equal(t, appends, 2)
+}
+
+// TestLeaderStepsDownWithoutQuorum guards against an isolated leader that goes on
+// taking proposals, and against votes that disturb a leader in contact.
+func TestLeaderStepsDownWithoutQuorum(t *testing.T) {
+	core := newLeader(t)
+	core.Step(Message{Kind: MsgVote, From: 3, To: 1, Term: 9, Index: 99, LogTerm: 8})
+	assert.Equal(t, core.Status().Role, Leader)
+	for range 5 {
+		core.Tick()
+	}
+	_, _, err := core.Propose([][]byte{nil})
+	assert.ErrorIs(t, err, ErrNotLeader)
+}
+
+// TestReplacedEntriesAreWrittenAgain guards against taking entries for durable that
+// were replaced while their write was under way.
+func TestReplacedEntriesAreWrittenAgain(t *testing.T) {
+	core := newLeader(t)
+	_, _, err := core.Propose([][]byte{[]byte("old")})
+	assert.NilError(t, err)
+	writing, _ := core.Ready()
+	replacement := []Entry{{Index: 4, Term: 4, Kind: EntryNoop}}
+	core.Step(Message{Kind: MsgAppend, From: 2, To: 1, Term: 4, Index: 3, LogTerm: 3, Entries: replacement})
+	core.Persisted(writing)
+	next, _ := core.Ready()
+	assert.DeepEqual(t, next.Entries, replacement)
+}
+
+// FuzzDecodeMessage guards against panics on foreign bytes and against two encodings of one message.
+func FuzzDecodeMessage(f *testing.F) {
+	meta := SnapshotMeta{Index: 3, Term: 2, Configuration: Configuration{Members: []Member{{ID: 5, Address: "a:1"}}}}
+	f.Add(EncodeMessage(Message{Kind: MsgHeartbeat, From: 1, To: 2, Term: 3, Commit: 300}))
+	f.Add(EncodeMessage(Message{Kind: MsgAppend, From: 1, To: 2, Term: 3, Index: 1, Entries: []Entry{{2, 3, EntryCommand, []byte("x")}}}))
+	f.Add(EncodeMessage(Message{Kind: MsgSnapshot, To: 2, Term: 3, Snapshot: &Snapshot{Meta: meta, Data: []byte("state")}}))
+	f.Add([]byte{1, 5, 0, 0x80, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := DecodeMessage(data)
+		if err == nil && !bytes.Equal(EncodeMessage(m), data) {
+			t.Fatalf("second encoding of %+v", m)
+		}
+	})
+}
