--- a/internal/coordination/raft/codec.go
+++ b/internal/coordination/raft/codec.go
@@ -188,6 +188,13 @@
 	return data
 }
 
+// Rest reads the bytes that are left.
+func (d *Decoder) Rest() []byte {
+	rest := d.b
+	d.b = nil
+	return rest
+}
+
 // Entry reads an entry.
 func (d *Decoder) Entry() Entry {
 	e := Entry{Index: d.Uvarint(), Term: d.Uvarint(), Kind: EntryKind(d.byte()), Data: d.Bytes()}
--- /dev/null
+++ b/internal/state/wal/main_test.go
@@ -0,0 +1,15 @@
+package wal
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "1000")
+	os.Exit(m.Run())
+}
