Add the member of the replicated log

Control's services need proposals, confirmed reads and membership over the consensus core and the write-ahead log.

The first address of Bootstrap creates the cluster, and only when all other addresses answer that they belong to none; the others join. A forwarded proposal is sent once; a lost answer is ErrUnknown.

The core now gives out heartbeats, their answers and a leader's appends while a write is under way: before, writes above 500 ms on a shared disk made leaders step down. A leader whose write takes 2 s steps down instead.

--- a/internal/coordination/raft/cluster_test.go
+++ b/internal/coordination/raft/cluster_test.go
@@ -99,6 +99,7 @@
 func (c *cluster) startWrite(id uint64) {
 	n := c.nodes[id]
 	if n.writing != nil {
+		c.finishUrgent(id, n.core.Urgent)
 		return
 	}
 	r, ok := n.core.Ready()
@@ -106,8 +107,13 @@
 		return
 	}
 	n.writing = &r
-	c.send(r.Early)
-	for _, read := range r.Reads {
+	c.finishUrgent(id, func() ([]Message, []ReadResult) { return r.Early, r.Reads })
+}
+
+func (c *cluster) finishUrgent(id uint64, urgent func() ([]Message, []ReadResult)) {
+	messages, reads := urgent()
+	c.send(messages)
+	for _, read := range reads {
 		pending := c.reads[read.ID]
 		delete(c.reads, read.ID)
 		if !read.Failed && read.Index < pending.floor {
--- a/internal/coordination/raft/election.go
+++ b/internal/coordination/raft/election.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// Campaign starts an election without waiting for the timeout. It is meant for a
+// single voter at its start.
+func (c *Core) Campaign() {
+	if c.role == Follower && c.mayCampaign() {
+		c.campaign(PreCandidate, false)
+	}
+}
+
 func (c *Core) handleVoteRequest(m Message) {
 	response := Message{Kind: m.Kind + 1, To: m.From, Term: m.Term}
 	free := c.vote == m.From || (c.vote == 0 && c.leader == 0)
@@ -119,6 +127,14 @@
 	return nil
 }
 
+// StepDown gives up leadership without a successor, because this member's disk does
+// not answer.
+func (c *Core) StepDown() {
+	if c.role == Leader {
+		c.becomeFollower(c.term, 0)
+	}
+}
+
 // BestSuccessor returns the other voter with the most complete log, 0 without one.
 func (c *Core) BestSuccessor() uint64 {
 	best := uint64(0)
--- a/internal/coordination/raft/ready.go
+++ b/internal/coordination/raft/ready.go
@@ -24,16 +24,26 @@
 	return r.Snapshot != nil || r.HardState != nil || len(r.Entries) > 0
 }
 
+// Urgent returns messages that may be sent, and reads that may be answered, while a
+// Ready is being made durable: heartbeats, their answers and a leader's appends. A
+// slow disk must not look like an absent member.
+func (c *Core) Urgent() ([]Message, []ReadResult) {
+	c.startReads()
+	c.flushAppends()
+	early, reads := c.early, c.readResults
+	c.early, c.readResults = nil, nil
+	return early, reads
+}
+
 // Ready returns the next work; false when there is none or while the last Ready
 // is not persisted.
 func (c *Core) Ready() (Ready, bool) {
 	if c.readyInFlight {
 		return Ready{}, false
 	}
-	c.startReads()
-	c.flushAppends()
-	r := Ready{Early: c.early, Reads: c.readResults, Snapshot: c.incoming}
-	c.early, c.readResults, c.incoming = nil, nil, nil
+	r := Ready{Snapshot: c.incoming}
+	r.Early, r.Reads = c.Urgent()
+	c.incoming = nil
 	for _, m := range c.late {
 		if m.To == c.id {
 			r.own = append(r.own, m)
--- a/internal/coordination/raft/replication.go
+++ b/internal/coordination/raft/replication.go
@@ -37,10 +37,20 @@
 		c.handleSnapshot(m)
 	default:
 		c.commitTo(m.Commit)
-		c.sendLate(Message{Kind: MsgHeartbeatResponse, To: m.From, Read: m.Read})
+		c.answerHeartbeat(m)
 	}
 }
 
+// answerHeartbeat needs no write unless the term is not durable yet.
+func (c *Core) answerHeartbeat(m Message) {
+	answer := Message{Kind: MsgHeartbeatResponse, To: m.From, Read: m.Read}
+	if c.term == c.savedState.Term {
+		c.sendEarly(answer)
+		return
+	}
+	c.sendLate(answer)
+}
+
 func (c *Core) handleAppend(m Message) {
 	response := Message{Kind: MsgAppendResponse, To: m.From}
 	switch {
--- a/internal/coordination/raft/status.go
+++ b/internal/coordination/raft/status.go
@@ -32,3 +32,9 @@
 		Transferring:  c.transferTarget != 0,
 	}
 }
+
+// IsActive reports whether this member leads and the other one answered within the
+// shortest election timeout.
+func (c *Core) IsActive(id uint64) bool {
+	return c.role == Leader && c.isActive(id)
+}
--- /dev/null
+++ b/internal/coordination/replica/close.go
@@ -0,0 +1,74 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/raft"
+)
+
+// Status implements Proposer.
+func (r *Replica) Status() Status {
+	return *r.status.Load()
+}
+
+// ID returns the member's random ID.
+func (r *Replica) ID() uint64 {
+	return r.id
+}
+
+// Close stops the member. A leader first finishes the proposals under way and hands
+// its leadership over; each takes at most one second. It returns an error when the
+// folder cannot be released.
+func (r *Replica) Close() error {
+	r.closing.Store(true)
+	r.closed.Do(func() {
+		r.handOver()
+		r.closeErr = r.shutDown()
+	})
+	return r.closeErr
+}
+
+// shutDown stops all goroutines at once.
+func (r *Replica) shutDown() error {
+	r.cancel()
+	r.routines.Wait()
+	return r.store.Close()
+}
+
+func (r *Replica) handOver() {
+	if r.Status().Leader != r.id {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, 2*drainTimeout)
+	defer cancel()
+	r.poll(ctx, func(l *loop) bool { return len(l.pending) == 0 && len(r.proposals) == 0 })
+	started := false
+	r.poll(ctx, func(l *loop) bool {
+		if l.core.Status().Role != raft.Leader {
+			return true
+		}
+		if !started {
+			successor := l.core.BestSuccessor()
+			started = successor != 0
+			return l.core.TransferLeader(successor) != nil
+		}
+		return false
+	})
+}
+
+// poll calls condition in the loop until it holds, for at most drainTimeout.
+func (r *Replica) poll(ctx context.Context, condition func(*loop) bool) {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		holds := false
+		if !r.inLoop(ctx, func() { holds = condition(r.loop) }) || holds {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(drainPoll):
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/replica/form.go
@@ -0,0 +1,169 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/raft"
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/state/wal"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
+)
+
+// formCluster runs while this member's log holds no configuration.
+//
+// A cluster is created by the first address of Bootstrap alone. It asks all others
+// for their random IDs and whether they belong to a cluster. Only if every one
+// answers, and none does, it writes the first configuration, with all of them as
+// voters, and starts the log. A member whose folder was lost therefore cannot
+// create a second cluster while any other member keeps its folder: it is told about
+// the cluster, or waits for members that do not answer. A command is accepted only
+// once it is on a quorum, and so on at least one member besides the creator.
+//
+// Every other member asks the addresses of Bootstrap and Join to be added as a
+// learner. The leader takes no action if the member is in the configuration already.
+func (r *Replica) formCluster() {
+	for r.ctx.Err() == nil && len(r.Status().Members) == 0 {
+		if r.isCreator() && r.create() {
+			return
+		}
+		r.join()
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+func (r *Replica) isCreator() bool {
+	b := r.options.Bootstrap
+	return len(b) > 0 && b[0] == r.options.Address && r.clusterID() == 0
+}
+
+// create makes the first configuration; false when that is not, or not yet, safe.
+func (r *Replica) create() bool {
+	configuration := raft.Configuration{Members: []raft.Member{{ID: r.id, Address: r.options.Address}}}
+	for _, address := range r.others(r.options.Bootstrap) {
+		answer, err := r.exchange(address, payloadProbe)
+		if err != nil || answer.clusterID != 0 {
+			return false
+		}
+		configuration.Members = append(configuration.Members, raft.Member{ID: answer.memberID, Address: address})
+	}
+	slices.SortFunc(configuration.Members, func(a, b raft.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return r.inLoop(r.ctx, func() { r.startLog(configuration) }) && r.clusterID() != 0
+}
+
+// startLog writes the cluster's first entry before the cluster ID: after a crash in
+// between no other member knows the ID, and the creation is repeated.
+func (r *Replica) startLog(configuration raft.Configuration) {
+	clusterID, err := randomID()
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	r.identityMu.Lock()
+	defer r.identityMu.Unlock()
+	if r.identity.ClusterID != 0 {
+		// A member of a running cluster has added this one meanwhile.
+		return
+	}
+	entry := raft.Entry{Index: 1, Term: 1, Kind: raft.EntryConfig, Data: raft.EncodeConfiguration(configuration)}
+	hard := raft.HardState{Term: 1}
+	if err := r.store.Append(&hard, []raft.Entry{entry}); err != nil {
+		r.fail(errors.WithMessage(err, "replica: create cluster"))
+		return
+	}
+	if err := r.saveIdentity(wal.Identity{MemberID: r.id, ClusterID: clusterID}); err != nil {
+		r.fail(err)
+		return
+	}
+	r.created <- raft.State{HardState: hard, Entries: []raft.Entry{entry}}
+}
+
+// join asks members to add this one; the answer may name the leader.
+func (r *Replica) join() {
+	for _, address := range r.others(append(slices.Clone(r.options.Bootstrap), r.options.Join...)) {
+		answer, err := r.exchange(address, payloadJoin)
+		if err != nil || answer.address == "" || answer.address == address {
+			continue
+		}
+		_, err = r.exchange(answer.address, payloadJoin)
+		if err == nil {
+			return
+		}
+	}
+}
+
+func (r *Replica) others(addresses []string) []string {
+	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == r.options.Address })
+}
+
+// exchange sends this member's introduction and returns the answer.
+func (r *Replica) exchange(address string, kind byte) (introduction, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, exchangeTimeout)
+	defer cancel()
+	stream, err := r.options.Mesh.Open(ctx, address, mesh.Small)
+	if err != nil {
+		return introduction{}, err
+	}
+	defer func() { _ = stream.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = stream.Close() })()
+	conn := frame.NewConn(stream)
+	own := introduction{memberID: r.id, clusterID: r.clusterID(), address: r.options.Address}
+	if err := conn.SendNow(raftEnvelope(r.id, 0, own.encode(kind))); err != nil {
+		return introduction{}, err
+	}
+	envelope, err := conn.Receive()
+	if err != nil {
+		return introduction{}, err
+	}
+	payload := envelope.GetRaft().GetPayload()
+	if len(payload) == 0 || payload[0] != payloadAnswer {
+		return introduction{}, errPayload
+	}
+	return decodeIntroduction(payload)
+}
+
+// serveIntroduction answers a member that forms or joins a cluster.
+func (r *Replica) serveIntroduction(ctx context.Context, payload []byte, conn *frame.Conn) error {
+	request, err := decodeIntroduction(payload)
+	if err != nil {
+		return err
+	}
+	own := r.clusterID()
+	if request.clusterID != 0 && request.clusterID != own {
+		return ErrOtherCluster
+	}
+	if payload[0] == payloadJoin && own != 0 {
+		r.addLearner(ctx, request)
+	}
+	answer := introduction{memberID: r.id, clusterID: own}
+	if leader, ok := r.leader(); ok {
+		answer.address = leader.Address
+	}
+	return conn.SendNow(raftEnvelope(r.id, request.memberID, answer.encode(payloadAnswer)))
+}
+
+// addLearner takes a joining member into the configuration if this member leads. A
+// learner that had the same address and lost its data is removed by admit.
+func (r *Replica) addLearner(ctx context.Context, request introduction) {
+	s := r.Status()
+	known := slices.ContainsFunc(s.Members, func(m Member) bool { return m.ID == request.memberID })
+	if s.Leader != r.id || known || request.memberID == 0 || request.address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	err := r.AddMember(ctx, request.memberID, request.address)
+	_ = level.Info(r.logger).Log("msg", "member joins", "member", request.memberID, "address", request.address, "err", err)
+}
--- /dev/null
+++ b/internal/coordination/replica/forward.go
@@ -0,0 +1,48 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
+)
+
+// forward sends a proposal or a read to the leader once. ErrNotLeader means that
+// nothing was sent or that the leader refused it; ErrUnknown that the answer was lost.
+func (r *Replica) forward(ctx context.Context, address string, command []byte, confirm bool) outcome {
+	stream, err := r.options.Mesh.Open(ctx, address, mesh.Small)
+	if err != nil {
+		return outcome{err: ErrNotLeader}
+	}
+	defer func() { _ = stream.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = stream.Close() })()
+	defer context.AfterFunc(r.ctx, func() { _ = stream.Close() })()
+	conn := frame.NewConn(stream)
+	conn.BindAttempt(clusterBytes(r.clusterID()))
+	request := &wire.ForwardProposal{Command: command, ConfirmOnly: confirm}
+	if err := conn.SendNow(&wire.Envelope{Body: &wire.Envelope_ForwardProposal{ForwardProposal: request}}); err != nil {
+		return lost(ctx)
+	}
+	envelope, err := conn.Receive()
+	if err != nil || envelope.GetProposalResult() == nil {
+		return lost(ctx)
+	}
+	answer := envelope.GetProposalResult()
+	switch {
+	case answer.GetUnknown():
+		return outcome{err: ErrUnknown}
+	case answer.GetError() != "":
+		return outcome{err: ErrNotLeader}
+	default:
+		return outcome{index: answer.GetIndex(), result: answer.GetResult()}
+	}
+}
+
+// lost is the outcome when the request may have arrived but no answer came.
+func lost(ctx context.Context) outcome {
+	if err := ctx.Err(); err != nil {
+		return outcome{err: err}
+	}
+	return outcome{err: ErrUnknown}
+}
--- /dev/null
+++ b/internal/coordination/replica/open.go
@@ -0,0 +1,232 @@
+package replica
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"math/big"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/raft"
+	"github.com/chicorylever/chicorylever/internal/state/wal"
+)
+
+// Replica is a member of the replicated log. It implements Proposer.
+//
+// One goroutine owns the consensus core; others write the log, apply entries,
+// save snapshots and send to each peer. Between them are bounded channels:
+//
+//   - inbox (messages from peers): full means the message is dropped; Raft repeats it.
+//   - proposals, reads, calls: full means the caller waits until its context ends.
+//   - writes, applies, saves: at most one item is under way; the core keeps the rest.
+//   - outbox of a peer: full means the message is dropped.
+type Replica struct {
+	options Options
+	logger  log.Logger
+	store   *wal.Log
+	id      uint64
+
+	identityMu sync.Mutex
+	identity   wal.Identity
+
+	inbox     chan raft.Message
+	proposals chan *proposal
+	reads     chan *read
+	calls     chan func()
+	writes    chan raft.Ready
+	written   chan raft.Ready
+	applies   chan applyWork
+	appliedc  chan applyDone
+	saves     chan raft.Snapshot
+	saved     chan raft.SnapshotMeta
+
+	// created carries the first state of a cluster that this member created.
+	created chan raft.State
+
+	// loop is used by functions that inLoop runs.
+	loop    *loop
+	status  atomic.Pointer[Status]
+	applied watermark
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	routines sync.WaitGroup
+	closing  atomic.Bool
+	closed   sync.Once
+	closeErr error
+
+	failOnce sync.Once
+	failure  error
+	done     chan struct{}
+}
+
+// Open starts the member whose data is in the folder. A new folder gets a random
+// member ID; the member then creates or joins a cluster in the background (see
+// formCluster). It returns ErrOptions, an error of package wal, or the state
+// machine's error from Restore.
+func Open(options Options) (*Replica, error) {
+	if err := options.setDefaults(); err != nil {
+		return nil, err
+	}
+	store, contents, err := wal.Open(wal.Options{Dir: options.DataDir})
+	if err != nil {
+		return nil, errors.WithMessage(err, "replica: open log")
+	}
+	r, err := start(options, store, contents)
+	if err != nil {
+		_ = store.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func start(options Options, store *wal.Log, contents wal.Contents) (*Replica, error) {
+	r := newReplica(options, store)
+	if err := r.loadIdentity(contents); err != nil {
+		return nil, err
+	}
+	if contents.Snapshot.Meta.Index > 0 {
+		if err := options.Machine.Restore(contents.Snapshot.Data); err != nil {
+			return nil, errors.Wrap(err, "replica: restore snapshot")
+		}
+	}
+	if r.identity.ClusterID == 0 && len(contents.Entries) > 0 {
+		// A crash interrupted the creation of the cluster after its first entry.
+		clusterID, err := randomID()
+		if err != nil {
+			return nil, err
+		}
+		if !r.adoptCluster(clusterID) {
+			return nil, errors.WithMessage(r.Err(), "replica: adopt cluster")
+		}
+	}
+	core, err := raft.New(coreConfig(r.id), contents.State())
+	if err != nil {
+		return nil, errors.WithMessage(err, "replica: start consensus")
+	}
+	r.applied.advance(contents.Snapshot.Meta.Index)
+	l := newLoop(r, core)
+	r.loop = l
+	l.publish()
+	r.run(l.run)
+	r.run(r.writeLoop)
+	r.run(r.applyLoop)
+	r.run(r.saveLoop)
+	if len(r.Status().Members) == 0 {
+		r.run(r.formCluster)
+	}
+	return r, nil
+}
+
+func newReplica(options Options, store *wal.Log) *Replica {
+	r := &Replica{
+		options:   options,
+		logger:    options.Logger,
+		store:     store,
+		inbox:     make(chan raft.Message, 1024),
+		proposals: make(chan *proposal, maxBatch),
+		reads:     make(chan *read, maxBatch),
+		calls:     make(chan func(), 16),
+		writes:    make(chan raft.Ready, 1),
+		written:   make(chan raft.Ready, 1),
+		applies:   make(chan applyWork, 1),
+		appliedc:  make(chan applyDone, 1),
+		saves:     make(chan raft.Snapshot, 1),
+		saved:     make(chan raft.SnapshotMeta, 1),
+		created:   make(chan raft.State, 1),
+		done:      make(chan struct{}),
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+func coreConfig(id uint64) raft.Config {
+	return raft.Config{
+		ID:             id,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: heartbeatTicks,
+		SnapshotTicks:  snapshotTicks,
+		MaxAppendBytes: maxAppendBytes,
+		MaxInFlight:    maxInFlight,
+		KeepEntries:    keepEntries,
+		Random:         randomBelow,
+	}
+}
+
+func randomBelow(n int) int {
+	v, err := rand.Int(rand.Reader, big.NewInt(int64(n)))
+	if err != nil {
+		return 0
+	}
+	return int(v.Int64())
+}
+
+// loadIdentity takes the identity from the folder or creates a random one. An ID is
+// never reused: a member that lost its folder returns under another.
+func (r *Replica) loadIdentity(contents wal.Contents) error {
+	if contents.Identity != nil {
+		r.identity = *contents.Identity
+		r.id = r.identity.MemberID
+		return nil
+	}
+	id, err := randomID()
+	if err != nil {
+		return err
+	}
+	r.id = id
+	return r.saveIdentity(wal.Identity{MemberID: id})
+}
+
+func (r *Replica) saveIdentity(identity wal.Identity) error {
+	if err := r.store.SaveIdentity(identity); err != nil {
+		return errors.WithMessage(err, "replica: save identity")
+	}
+	r.identity = identity
+	return nil
+}
+
+// clusterID returns 0 while the member belongs to no cluster.
+func (r *Replica) clusterID() uint64 {
+	r.identityMu.Lock()
+	defer r.identityMu.Unlock()
+	return r.identity.ClusterID
+}
+
+// adoptCluster binds this member to a cluster for good; false when it is bound to another.
+func (r *Replica) adoptCluster(clusterID uint64) bool {
+	r.identityMu.Lock()
+	defer r.identityMu.Unlock()
+	if r.identity.ClusterID != 0 || clusterID == 0 {
+		return r.identity.ClusterID == clusterID && clusterID != 0
+	}
+	identity := wal.Identity{MemberID: r.id, ClusterID: clusterID}
+	if err := r.saveIdentity(identity); err != nil {
+		r.fail(err)
+		return false
+	}
+	return true
+}
+
+func randomID() (uint64, error) {
+	var b [8]byte
+	for {
+		if _, err := rand.Read(b[:]); err != nil {
+			return 0, errors.Wrap(err, "replica: random ID")
+		}
+		if id := binary.LittleEndian.Uint64(b[:]); id != 0 {
+			return id, nil
+		}
+	}
+}
+
+func (r *Replica) run(routine func()) {
+	r.routines.Add(1)
+	go func() {
+		defer r.routines.Done()
+		routine()
+	}()
+}
--- /dev/null
+++ b/internal/coordination/replica/options.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
+)
+
+const (
+	// defaultTickInterval is the unit of the consensus core's time.
+	defaultTickInterval = 50 * time.Millisecond
+	// electionTicks makes election timeouts random between 500 ms and 1 s.
+	electionTicks = 10
+	// heartbeatTicks lets a follower miss four heartbeats before its shortest timeout.
+	heartbeatTicks = 2
+	// stalledTicks, 2 s, is the time after which a leader whose disk does not finish
+	// a write steps down, because it could neither apply nor answer.
+	stalledTicks = 40
+	// snapshotTicks, 30 s, is the time after which an unacknowledged snapshot is sent again.
+	snapshotTicks = 600
+	// maxAppendBytes bounds the entries of one message between members.
+	maxAppendBytes = 512 << 10
+	// maxInFlight bounds the appends to one member that are not acknowledged.
+	maxInFlight = 32
+	// maxApplyBytes bounds the entries that the state machine applies in one batch.
+	maxApplyBytes = 1 << 20
+	// MaxCommandBytes bounds one command.
+	MaxCommandBytes = 1 << 20
+
+	// defaultSnapshotEvery is the number of entries between two snapshots.
+	defaultSnapshotEvery = 10_000
+	// keepEntries stay in memory after a snapshot for members that lag a little.
+	keepEntries = 2_000
+
+	// maxPending bounds the proposals that wait for a quorum. Further ones wait in
+	// Propose until their context ends.
+	maxPending = 4096
+	// maxBatch bounds the proposals taken from the queue for one write.
+	maxBatch = 512
+
+	// leaderWait is how long Propose and Confirm wait for a leader to be elected
+	// before they return ErrNotLeader.
+	leaderWait = 3 * time.Second
+	// leaderPoll is the interval at which they look for one.
+	leaderPoll = 20 * time.Millisecond
+	// forwardTimeout bounds the work of the leader on a forwarded proposal.
+	forwardTimeout = 10 * time.Second
+	// drainTimeout bounds each step of a graceful stop.
+	drainTimeout = time.Second
+	// drainPoll is the interval at which it looks for progress.
+	drainPoll = 5 * time.Millisecond
+	// joinInterval is the pause between attempts to create or join a cluster.
+	joinInterval = 200 * time.Millisecond
+	// exchangeTimeout bounds one question to another member while joining.
+	exchangeTimeout = time.Second
+)
+
+var (
+	// ErrTooLarge reports a command above MaxCommandBytes. It has not taken effect.
+	ErrTooLarge = errors.New("replica: command is too large")
+	// ErrOptions reports options that do not fit together.
+	ErrOptions = errors.New("replica: invalid options")
+)
+
+// Options hold the settings of a member.
+type Options struct {
+	// DataDir holds the log, snapshots and the member's identity.
+	DataDir string
+	// Address is the mesh address under which other members reach this one.
+	Address string
+	// Bootstrap names the mesh addresses of the first members, this one included,
+	// in the same order on each. It is read only while this member belongs to no cluster.
+	Bootstrap []string
+	// Join names mesh addresses of running members for a member that joins them.
+	Join []string
+	// Machine is the replicated state.
+	Machine StateMachine
+	// Mesh opens streams to the other members.
+	Mesh *mesh.Client
+	// Logger defaults to none.
+	Logger log.Logger
+	// TickInterval is the unit of timeouts: an election timeout is 10 to 20 ticks and
+	// a heartbeat is sent every 2. Default 50 ms.
+	TickInterval time.Duration
+	// SnapshotEvery is the number of entries between snapshots; default 10,000.
+	SnapshotEvery uint64
+}
+
+func (o *Options) setDefaults() error {
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.TickInterval == 0 {
+		o.TickInterval = defaultTickInterval
+	}
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = defaultSnapshotEvery
+	}
+	switch {
+	case o.DataDir == "":
+		return errors.WithMessage(ErrOptions, "DataDir is empty")
+	case o.Address == "":
+		return errors.WithMessage(ErrOptions, "Address is empty")
+	case o.Machine == nil || o.Mesh == nil:
+		return errors.WithMessage(ErrOptions, "Machine and Mesh must be set")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/replica/peer.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/raft"
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
+)
+
+const (
+	// outboxMessages bounds the messages that wait for a peer's connection.
+	outboxMessages = 256
+	// maxAddresses bounds the addresses learnt from members outside the configuration.
+	maxAddresses = 32
+	// sendTimeout bounds one write to a peer.
+	sendTimeout = 2 * time.Second
+	// snapshotTimeout bounds the transfer of a snapshot.
+	snapshotTimeout = 5 * time.Minute
+	// redialPause follows a failed connection, so that an absent peer costs little.
+	redialPause = 100 * time.Millisecond
+)
+
+// peer sends messages to another member: one goroutine for ordinary messages, one
+// for snapshots, which travel on a connection of their own.
+type peer struct {
+	r         *Replica
+	id        uint64
+	address   string
+	outbox    chan raft.Message
+	snapshots chan raft.Message
+	ctx       context.Context
+	stop      context.CancelFunc
+	// reportSnapshot tells the core that a snapshot was not sent.
+	reportSnapshot func()
+}
+
+// send hands messages to the peers of the current configuration.
+func (l *loop) send(messages []raft.Message) {
+	for _, m := range messages {
+		p := l.peer(m.To)
+		if p == nil {
+			continue
+		}
+		queue := p.outbox
+		if m.Kind == raft.MsgSnapshot {
+			queue = p.snapshots
+		}
+		select {
+		case queue <- m:
+		default:
+			// The core repeats what matters.
+		}
+	}
+}
+
+// peer returns the sender for a member, starting it when needed; nil for an unknown one.
+func (l *loop) peer(id uint64) *peer {
+	p := l.peers[id]
+	if p != nil {
+		return p
+	}
+	address := l.address(id)
+	if address == "" {
+		return nil
+	}
+	p = &peer{
+		r:         l.r,
+		id:        id,
+		address:   address,
+		outbox:    make(chan raft.Message, outboxMessages),
+		snapshots: make(chan raft.Message, 1),
+	}
+	p.ctx, p.stop = context.WithCancel(l.r.ctx)
+	p.reportSnapshot = func() {
+		l.r.inLoop(p.ctx, func() { l.core.ReportSnapshot(id) })
+	}
+	l.peers[id] = p
+	l.r.run(p.sendLoop)
+	l.r.run(p.snapshotLoop)
+	return p
+}
+
+// address returns a member's address, "" when it is unknown.
+func (l *loop) address(id uint64) string {
+	if member, ok := l.core.Status().Configuration.Find(id); ok {
+		return member.Address
+	}
+	return l.addresses[id]
+}
+
+// learnAddress notes the address of a member that the log does not name yet.
+func (l *loop) learnAddress(id uint64, address string) {
+	if len(l.addresses) < maxAddresses {
+		l.addresses[id] = address
+	}
+}
+
+// stopUnusedPeers ends the senders to members that left.
+func (l *loop) stopUnusedPeers() {
+	for id, p := range l.peers {
+		if l.address(id) != p.address {
+			p.stop()
+			delete(l.peers, id)
+		}
+	}
+}
+
+func (p *peer) sendLoop() {
+	for p.ctx.Err() == nil {
+		stream, err := p.r.options.Mesh.Open(p.ctx, p.address, mesh.Small)
+		if err == nil {
+			p.sendOn(stream)
+		}
+		p.pause()
+	}
+}
+
+// pause waits a little and drops what was queued meanwhile: old messages are of no
+// use on a new connection.
+func (p *peer) pause() {
+	select {
+	case <-p.ctx.Done():
+	case <-time.After(redialPause):
+	}
+	for {
+		select {
+		case <-p.outbox:
+		default:
+			return
+		}
+	}
+}
+
+// sendOn sends until the stream fails or the peer closes it.
+func (p *peer) sendOn(stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	conn := p.newConn(stream)
+	hello := introduction{memberID: p.r.id, address: p.r.options.Address}
+	if conn.Send(raftEnvelope(p.r.id, p.id, hello.encode(payloadHello))) != nil {
+		return
+	}
+	closed := make(chan struct{})
+	go func() {
+		// The peer never sends on this stream, so any result means that it is over.
+		_, _ = conn.Receive()
+		close(closed)
+	}()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-closed:
+			return
+		case m := <-p.outbox:
+			if p.sendBatch(stream, conn, m) != nil {
+				return
+			}
+		}
+	}
+}
+
+// sendBatch sends a message and those queued behind it, then flushes.
+func (p *peer) sendBatch(stream net.Conn, conn *frame.Conn, m raft.Message) error {
+	if err := stream.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return err
+	}
+	for {
+		if err := sendParts(conn, p.r.id, m.To, raft.EncodeMessage(m)); err != nil {
+			return err
+		}
+		select {
+		case m = <-p.outbox:
+			continue
+		default:
+		}
+		return conn.Flush()
+	}
+}
+
+func (p *peer) newConn(stream net.Conn) *frame.Conn {
+	conn := frame.NewConn(stream)
+	conn.BindAttempt(clusterBytes(p.r.clusterID()))
+	return conn
+}
+
+func (p *peer) snapshotLoop() {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case m := <-p.snapshots:
+			if err := p.sendSnapshot(m); err != nil {
+				_ = level.Warn(p.r.logger).Log("msg", "snapshot not sent", "member", m.To, "err", err)
+				p.pause()
+				p.reportSnapshot()
+			}
+		}
+	}
+}
+
+// sendSnapshot sends the newest snapshot of this member. The peer acknowledges it
+// to the core once it is durable.
+func (p *peer) sendSnapshot(m raft.Message) error {
+	snapshot, err := p.r.store.LoadSnapshot()
+	if err != nil {
+		return err
+	}
+	m.Snapshot = &snapshot
+	ctx, cancel := context.WithTimeout(p.ctx, snapshotTimeout)
+	defer cancel()
+	stream, err := p.r.options.Mesh.Open(ctx, p.address, mesh.Bulk)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = stream.Close() })()
+	conn := p.newConn(stream)
+	if err := sendParts(conn, p.r.id, m.To, raft.EncodeMessage(m)); err != nil {
+		return err
+	}
+	return conn.Flush()
+}
--- /dev/null
+++ b/internal/coordination/replica/propose.go
@@ -0,0 +1,228 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/raft"
+)
+
+// outcome ends a proposal or a read.
+type outcome struct {
+	index  uint64
+	result []byte
+	err    error
+}
+
+// proposal is a command, or a membership change when change is not nil.
+type proposal struct {
+	command []byte
+	change  *raft.Change
+	done    chan outcome
+}
+
+func (p *proposal) finish(o outcome) {
+	p.done <- o
+}
+
+type read struct {
+	done chan outcome
+}
+
+func (r *read) finish(o outcome) {
+	r.done <- o
+}
+
+// Propose implements Proposer. A proposal is sent to a leader only once: when its
+// answer is lost, the outcome is ErrUnknown.
+func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, uint64, error) {
+	if len(command) > MaxCommandBytes {
+		return nil, 0, ErrTooLarge
+	}
+	o := r.withLeader(ctx, func(leader Member) outcome {
+		if leader.ID == r.id {
+			return r.proposeHere(ctx, &proposal{command: command})
+		}
+		return r.forward(ctx, leader.Address, command, false)
+	})
+	if o.err != nil {
+		return nil, 0, o.err
+	}
+	if err := r.applied.wait(ctx, r.ctx, o.index); err != nil {
+		return nil, 0, unknownWhenStopped(err)
+	}
+	return o.result, o.index, nil
+}
+
+// Confirm implements Proposer.
+func (r *Replica) Confirm(ctx context.Context) (uint64, error) {
+	o := r.withLeader(ctx, func(leader Member) outcome {
+		if leader.ID == r.id {
+			return r.readHere(ctx)
+		}
+		answer := r.forward(ctx, leader.Address, nil, true)
+		if errors.Is(answer.err, ErrUnknown) {
+			// A read has no effect and may be repeated.
+			answer.err = ErrNotLeader
+		}
+		return answer
+	})
+	if o.err != nil {
+		return 0, o.err
+	}
+	return o.index, r.applied.wait(ctx, r.ctx, o.index)
+}
+
+// withLeader calls attempt until it returns anything but ErrNotLeader, which means
+// that nothing was started, or until leaderWait has passed.
+func (r *Replica) withLeader(ctx context.Context, attempt func(Member) outcome) outcome {
+	deadline := time.Now().Add(leaderWait)
+	for {
+		if r.ctx.Err() != nil {
+			return outcome{err: ErrStopped}
+		}
+		if leader, ok := r.leader(); ok {
+			o := attempt(leader)
+			if !errors.Is(o.err, ErrNotLeader) {
+				return o
+			}
+		}
+		if time.Now().After(deadline) {
+			return outcome{err: ErrNotLeader}
+		}
+		select {
+		case <-ctx.Done():
+			return outcome{err: ErrNotLeader}
+		case <-r.ctx.Done():
+			return outcome{err: ErrStopped}
+		case <-time.After(leaderPoll):
+		}
+	}
+}
+
+func (r *Replica) leader() (Member, bool) {
+	s := r.Status()
+	if r.closing.Load() && s.Leader == r.id {
+		return Member{}, false
+	}
+	for _, m := range s.Members {
+		if m.ID == s.Leader {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// proposeHere returns the outcome of a proposal made on this member as the leader.
+func (r *Replica) proposeHere(ctx context.Context, p *proposal) outcome {
+	p.done = make(chan outcome, 1)
+	select {
+	case r.proposals <- p:
+	case <-ctx.Done():
+		return outcome{err: ErrNotLeader}
+	case <-r.ctx.Done():
+		return outcome{err: ErrStopped}
+	}
+	return r.await(ctx, p.done, ErrUnknown)
+}
+
+// readHere returns an index that a quorum confirmed for this member as the leader.
+func (r *Replica) readHere(ctx context.Context) outcome {
+	read := &read{done: make(chan outcome, 1)}
+	select {
+	case r.reads <- read:
+	case <-ctx.Done():
+		return outcome{err: ctx.Err()}
+	case <-r.ctx.Done():
+		return outcome{err: ErrStopped}
+	}
+	return r.await(ctx, read.done, ErrStopped)
+}
+
+func (r *Replica) await(ctx context.Context, done chan outcome, whenStopped error) outcome {
+	select {
+	case o := <-done:
+		return o
+	case <-ctx.Done():
+		return outcome{err: ctx.Err()}
+	case <-r.ctx.Done():
+		return outcome{err: whenStopped}
+	}
+}
+
+func unknownWhenStopped(err error) error {
+	if errors.Is(err, ErrStopped) {
+		return ErrUnknown
+	}
+	return err
+}
+
+// propose appends the proposal and all that are queued behind it.
+func (l *loop) propose(first *proposal) {
+	batch := []*proposal{first}
+	for len(batch) < maxBatch && len(batch)+len(l.pending) < maxPending {
+		select {
+		case p := <-l.r.proposals:
+			batch = append(batch, p)
+			continue
+		default:
+		}
+		break
+	}
+	for _, p := range batch {
+		l.proposeOne(p)
+	}
+}
+
+func (l *loop) proposeOne(p *proposal) {
+	// Proposals of an earlier leadership must not be mixed up with this one's.
+	l.dropPending()
+	index, err := l.appendProposal(p)
+	if err != nil {
+		p.finish(outcome{err: fromCore(err)})
+		return
+	}
+	l.pendingTerm = l.core.Status().Term
+	l.pending[index] = p
+}
+
+func (l *loop) appendProposal(p *proposal) (uint64, error) {
+	if p.change != nil {
+		return l.core.ProposeChange(*p.change)
+	}
+	index, _, err := l.core.Propose([][]byte{p.command})
+	return index, err
+}
+
+func fromCore(err error) error {
+	if errors.Is(err, raft.ErrNotLeader) {
+		return ErrNotLeader
+	}
+	return errors.WithMessage(err, "replica: change members")
+}
+
+func (l *loop) startRead(read *read) {
+	l.lastRead++
+	if err := l.core.ReadIndex(l.lastRead); err != nil {
+		read.finish(outcome{err: fromCore(err)})
+		return
+	}
+	l.reads[l.lastRead] = read
+}
+
+func (l *loop) finishReads(results []raft.ReadResult) {
+	for _, result := range results {
+		read := l.reads[result.ID]
+		delete(l.reads, result.ID)
+		if read == nil {
+			continue
+		}
+		if result.Failed {
+			read.finish(outcome{err: ErrNotLeader})
+			continue
+		}
+		read.finish(outcome{index: result.Index})
+	}
+}
--- /dev/null
+++ b/internal/coordination/replica/stream.go
@@ -0,0 +1,143 @@
+package replica
+
+import (
+	"context"
+	"io"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/raft"
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// ErrOtherCluster reports a stream from a member of another cluster.
+var ErrOtherCluster = errors.New("replica: the sender belongs to another cluster")
+
+// ServeStream serves a stream of another member whose first envelope, which holds a
+// RaftMessage or a ForwardProposal, was already read. It returns when the stream
+// ends; the caller closes it. Errors are those of package frame, ErrOtherCluster,
+// ErrStopped, or for bytes that no member sends, raft.ErrMalformed.
+func (r *Replica) ServeStream(ctx context.Context, first *wire.Envelope, conn *frame.Conn) error {
+	switch body := first.GetBody().(type) {
+	case *wire.Envelope_ForwardProposal:
+		return r.serveForward(ctx, first, body.ForwardProposal, conn)
+	case *wire.Envelope_Raft:
+		return r.serveRaft(ctx, first, conn)
+	default:
+		return errors.WithMessagef(frame.ErrUnexpected, "%T", body)
+	}
+}
+
+func (r *Replica) serveRaft(ctx context.Context, envelope *wire.Envelope, conn *frame.Conn) error {
+	payload := envelope.GetRaft().GetPayload()
+	if len(payload) > 0 && (payload[0] == payloadProbe || payload[0] == payloadJoin) {
+		return r.serveIntroduction(ctx, payload, conn)
+	}
+	parts := &assembler{}
+	for {
+		if err := r.receive(ctx, envelope, parts); err != nil {
+			return err
+		}
+		var err error
+		if envelope, err = conn.Receive(); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
+// receive hands a message to the loop. Messages for another member ID, such as the
+// one that had this address before its data was lost, are dropped.
+func (r *Replica) receive(ctx context.Context, envelope *wire.Envelope, parts *assembler) error {
+	message := envelope.GetRaft()
+	if message == nil {
+		return frame.ErrUnexpected
+	}
+	if r.ctx.Err() != nil {
+		return ErrStopped
+	}
+	if message.GetTo() != r.id {
+		parts.parts = nil
+		return nil
+	}
+	clusterID, ok := clusterOf(envelope)
+	if !ok || !r.adoptCluster(clusterID) {
+		_ = level.Warn(r.logger).Log("msg", "message from another cluster", "from", message.GetFrom())
+		return ErrOtherCluster
+	}
+	if payload := message.GetPayload(); len(payload) > 0 && payload[0] == payloadHello {
+		return r.receiveHello(ctx, payload)
+	}
+	encoded, complete, err := parts.add(message.GetPayload())
+	if err != nil || !complete {
+		return err
+	}
+	m, err := raft.DecodeMessage(encoded)
+	if err != nil {
+		return err
+	}
+	if m.From != message.GetFrom() || m.To != r.id || m.From == r.id {
+		return errPayload
+	}
+	r.enqueue(ctx, m)
+	return nil
+}
+
+func (r *Replica) receiveHello(ctx context.Context, payload []byte) error {
+	hello, err := decodeIntroduction(payload)
+	if err != nil {
+		return err
+	}
+	r.inLoop(ctx, func() { r.loop.learnAddress(hello.memberID, hello.address) })
+	return nil
+}
+
+// enqueue drops the message when the inbox is full, because the sender's core
+// repeats what matters. Only a snapshot, which is repeated late, waits for space.
+func (r *Replica) enqueue(ctx context.Context, m raft.Message) {
+	if m.Kind != raft.MsgSnapshot {
+		select {
+		case r.inbox <- m:
+		default:
+		}
+		return
+	}
+	select {
+	case r.inbox <- m:
+	case <-ctx.Done():
+	case <-r.ctx.Done():
+	}
+}
+
+// serveForward makes a proposal or a confirmed read for another member. Only a
+// leader does; it is not forwarded again.
+func (r *Replica) serveForward(ctx context.Context, first *wire.Envelope, request *wire.ForwardProposal, conn *frame.Conn) error {
+	clusterID, ok := clusterOf(first)
+	if !ok || clusterID != r.clusterID() || clusterID == 0 {
+		return ErrOtherCluster
+	}
+	conn.BindAttempt(first.GetAttemptId())
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	var o outcome
+	switch {
+	case r.closing.Load():
+		o.err = ErrNotLeader
+	case request.GetConfirmOnly():
+		o = r.readHere(ctx)
+	case len(request.GetCommand()) > MaxCommandBytes:
+		o.err = ErrNotLeader
+	default:
+		o = r.proposeHere(ctx, &proposal{command: request.GetCommand()})
+	}
+	answer := &wire.ProposalResult{Result: o.result, Index: o.index}
+	if o.err != nil {
+		answer.Error = o.err.Error()
+		answer.Unknown = !errors.Is(o.err, ErrNotLeader)
+	}
+	return conn.SendNow(&wire.Envelope{Body: &wire.Envelope_ProposalResult{ProposalResult: answer}})
+}
--- /dev/null
+++ b/internal/coordination/replica/workers.go
@@ -0,0 +1,141 @@
+package replica
+
+import (
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/raft"
+)
+
+// applyWork is a batch for the state machine, or a request for a snapshot.
+type applyWork struct {
+	raft.Apply
+	snapshot *raft.SnapshotMeta
+}
+
+type applyDone struct {
+	// index is the last one that the state machine holds.
+	index   uint64
+	entries []raft.Entry
+	results [][]byte
+	// snapshot is set when the work was a request for a snapshot.
+	snapshot bool
+}
+
+// writeLoop makes hard state, entries and received snapshots durable, one Ready at
+// a time. Proposals that arrive during a write share the next one.
+func (r *Replica) writeLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case ready := <-r.writes:
+			if err := r.write(ready); err != nil {
+				r.fail(err)
+				return
+			}
+			r.written <- ready
+		}
+	}
+}
+
+func (r *Replica) write(ready raft.Ready) error {
+	if ready.Snapshot != nil {
+		if err := r.store.InstallSnapshot(*ready.Snapshot); err != nil {
+			return errors.WithMessage(err, "replica: install snapshot")
+		}
+	}
+	if ready.HardState == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	return errors.WithMessage(r.store.Append(ready.HardState, ready.Entries), "replica: write log")
+}
+
+// applyLoop is the only user of the state machine.
+func (r *Replica) applyLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case work := <-r.applies:
+			done, err := r.apply(work)
+			if err != nil {
+				r.fail(err)
+				return
+			}
+			r.appliedc <- done
+		}
+	}
+}
+
+func (r *Replica) apply(work applyWork) (applyDone, error) {
+	if work.snapshot != nil {
+		return applyDone{snapshot: true}, r.takeSnapshot(*work.snapshot)
+	}
+	if work.Snapshot != nil {
+		err := r.options.Machine.Restore(work.Snapshot.Data)
+		return applyDone{index: work.Snapshot.Meta.Index}, errors.Wrap(err, "replica: restore snapshot")
+	}
+	done := applyDone{entries: work.Entries, results: make([][]byte, len(work.Entries))}
+	for i, e := range work.Entries {
+		if e.Kind == raft.EntryCommand {
+			done.results[i] = r.options.Machine.Apply(e.Index, e.Data)
+		}
+		done.index = e.Index
+	}
+	return done, nil
+}
+
+func (r *Replica) takeSnapshot(meta raft.SnapshotMeta) error {
+	data, err := r.options.Machine.Snapshot()
+	if err != nil {
+		return errors.Wrap(err, "replica: take snapshot")
+	}
+	r.saves <- raft.Snapshot{Meta: meta, Data: data}
+	return nil
+}
+
+// saveLoop writes snapshots beside the log, so that a large one holds up neither
+// writes nor the state machine.
+func (r *Replica) saveLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case snapshot := <-r.saves:
+			if err := r.store.SaveSnapshot(snapshot); err != nil {
+				r.fail(errors.WithMessage(err, "replica: save snapshot"))
+				return
+			}
+			r.saved <- snapshot.Meta
+		}
+	}
+}
+
+// fail stops the member after an error that it cannot go on from.
+func (r *Replica) fail(err error) {
+	r.failOnce.Do(func() {
+		if r.ctx.Err() != nil {
+			return
+		}
+		r.failure = err
+		_ = level.Error(r.logger).Log("msg", "member stops", "err", err)
+		close(r.done)
+		r.cancel()
+	})
+}
+
+// Failed is closed when the member stopped because of an error, which Err returns.
+func (r *Replica) Failed() <-chan struct{} {
+	return r.done
+}
+
+// Err returns the error that stopped the member, nil while there is none.
+func (r *Replica) Err() error {
+	select {
+	case <-r.done:
+		return r.failure
+	default:
+		return nil
+	}
+}
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -51,19 +51,17 @@
 	}
 	m.hard.Term = term
 	hard := m.hard
+	count := rng.IntN(4)
 	keep := len(m.entries)
-	if rng.IntN(4) == 0 {
+	if count > 0 && rng.IntN(4) == 0 {
 		keep = rng.IntN(keep + 1)
 	}
-	kept := model{snapshot: m.snapshot, entries: m.entries[:keep:keep]}
-	var added []raft.Entry
-	for i := range rng.IntN(4) {
-		index := kept.last() + 1 + uint64(i)
-		added = append(added, raft.Entry{Index: index, Term: term, Kind: raft.EntryCommand, Data: []byte{byte(rng.Uint32())}})
-	}
-	if len(added) > 0 {
-		m.entries = append(kept.entries, added...)
+	m.entries = m.entries[:keep:keep]
+	for range count {
+		data := []byte{byte(rng.Uint32())}
+		m.entries = append(m.entries, raft.Entry{Index: m.last() + 1, Term: term, Kind: raft.EntryCommand, Data: data})
 	}
+	added := m.entries[keep:]
 	return func(l *Log) error { return l.Append(&hard, added) }, m
 }
 
