Keep the state of control in the replicated log

Cause: a restart of control forgot every edit. Change: control opens the replicated log in its data folder and serves the streams of the other members; it stops with an error when the log fails, and hands leadership over at a graceful stop.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,7 +33,7 @@
 	logger   log.Logger
 	client   *mesh.Client
 	mesh     mesh.Config
-	log      replica.Proposer
+	log      *replica.Replica
 
 	documents *document.Machine
 	records   *claims.Machine
@@ -72,7 +72,10 @@
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
-	c.log = &localProposer{machine: c.machine()}
+	if err := c.openLog(); err != nil {
+		c.closeListeners()
+		return nil, err
+	}
 	source := documentSource{machine: c.documents, proposer: c.log}
 	c.distribute = distribute.NewServer(source, c.registry, c.collectCounts, c.logger)
 	c.exchange = c.newExchange()
@@ -80,6 +83,20 @@
 	return c, nil
 }
 
+func (c *Control) openLog() error {
+	var err error
+	c.log, err = replica.Open(replica.Options{
+		DataDir:   c.settings.DataDir,
+		Address:   c.settings.MeshAddress,
+		Bootstrap: c.settings.Bootstrap,
+		Join:      c.settings.Join,
+		Machine:   c.machine(),
+		Mesh:      c.client,
+		Logger:    c.logger,
+	})
+	return errors.WithMessage(err, "control")
+}
+
 func (c *Control) machine() *machine {
 	return newMachine(map[section]replica.StateMachine{
 		sectionDocument: c.documents,
@@ -105,6 +122,11 @@
 	return nil
 }
 
+func (c *Control) closeListeners() {
+	_ = c.meshListener.Close()
+	_ = c.apiListener.Close()
+}
+
 // APIAddress returns the address of the operators' API.
 func (c *Control) APIAddress() string { return c.apiListener.Addr().String() }
 
@@ -129,6 +151,7 @@
 	for _, duty := range c.duties() {
 		group.Go(func() error { duty(groupCtx); return nil })
 	}
+	group.Go(func() error { return c.watchLog(groupCtx) })
 	group.Go(func() error {
 		<-groupCtx.Done()
 		return c.stop(operators, streams)
@@ -139,6 +162,17 @@
 	return err
 }
 
+// watchLog returns an error when the log has failed. A member whose disk fails
+// stops, since it can no longer keep its promises.
+func (c *Control) watchLog(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.log.Failed():
+		return errors.WithMessage(c.log.Err(), "control")
+	}
+}
+
 // duties returns what a member does until its context ends.
 func (c *Control) duties() []func(ctx context.Context) {
 	duties := []func(ctx context.Context){
@@ -158,7 +192,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), apiStopTimeout)
 	defer cancel()
 	err := operators.Shutdown(ctx)
-	_ = c.meshListener.Close()
+	// Leadership is handed over while the streams to the other members are open.
+	if closeErr := c.log.Close(); err == nil {
+		err = closeErr
+	}
+	c.closeListeners()
 	streams.Close()
 	c.client.Close()
 	return errors.Wrap(err, "control: stop")
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/control/api"
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/slo"
 )
@@ -104,13 +105,27 @@
 	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
 }
 
+// members changes the members of the log for the operators' API.
+type members struct{ log *replica.Replica }
+
+// AddMember adds a learner, which votes once it has caught up.
+func (m members) AddMember(ctx context.Context, member replica.Member) error {
+	return m.log.AddMember(ctx, member.ID, member.Address)
+}
+
+// RemoveMember removes a voter or learner.
+func (m members) RemoveMember(ctx context.Context, id uint64) error {
+	return m.log.RemoveMember(ctx, id)
+}
+
 func (c *Control) apiHandler() (http.Handler, error) {
 	return api.New(api.Config{
-		Proposer:  c.part(sectionDocument),
-		Documents: c.documents,
-		Fleet:     (*fleet)(c),
-		Burn:      slo.NewHandler(c.burn, c.objectives, time.Now),
-		Metrics:   c.metricsHandler(),
-		Logger:    c.logger,
+		Proposer:   c.part(sectionDocument),
+		Documents:  c.documents,
+		Fleet:      (*fleet)(c),
+		Membership: members{c.log},
+		Burn:       slo.NewHandler(c.burn, c.objectives, time.Now),
+		Metrics:    c.metricsHandler(),
+		Logger:     c.logger,
 	})
 }
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -27,6 +27,8 @@
 	switch first.GetBody().(type) {
 	case *wire.Envelope_Subscribe:
 		return c.distribute.ServeStream(ctx, first, conn)
+	case *wire.Envelope_Raft, *wire.Envelope_ForwardProposal:
+		return c.log.ServeStream(ctx, first, conn)
 	case *wire.Envelope_RegistryUpdate:
 		return c.exchange.ServeStream(first, conn)
 	case *wire.Envelope_Claim, *wire.Envelope_RecordOutcome, *wire.Envelope_ReleaseClaim:
