Test keyed requests, silent peers and hedging; close unused connections at a stop

A claim is given up at three quarters of the time left, so that the entry hears "not run" before its own deadline: TestClaimSettled got 504 before.

--- /dev/null
+++ b/internal/node/failure_test.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+)
+
+// silentRelay forwards connections until it is muted; muted connections still accept
+// bytes but forward none, in either direction. Connections opened later work.
+type silentRelay struct {
+	address string
+	target  string
+	mu      sync.Mutex
+	muted   *atomic.Bool
+}
+
+func newSilentRelay(t *testing.T) *silentRelay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	r := &silentRelay{address: listener.Addr().String(), muted: &atomic.Bool{}}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r.mu.Lock()
+			far, err := net.Dial("tcp", r.target)
+			muted := r.muted
+			r.mu.Unlock()
+			if err == nil {
+				go relayBytes(far, near, muted)
+				go relayBytes(near, far, muted)
+			}
+		}
+	}()
+	return r
+}
+
+func relayBytes(to, from net.Conn, muted *atomic.Bool) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			if !muted.Load() {
+				_ = to.Close()
+			}
+			return
+		}
+		if !muted.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+func (r *silentRelay) forwardTo(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
+func (r *silentRelay) mute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.muted.Store(true)
+	r.muted = &atomic.Bool{}
+}
+
+// TestSilentPeer guards against requests that hang until their deadline when the
+// connection to the node beside the upstream goes silent, before or after the request
+// has reached it, and against running them twice.
+func TestSilentPeer(t *testing.T) {
+	control := newFakeControl(t)
+	entry := control.startNode(t, "entry", "a", "")
+	relay := newSilentRelay(t)
+	beside := control.startNode(t, "beside", "a", relay.address)
+	relay.forwardTo(beside.meshListener.Addr().String())
+	arrived := make(chan struct{}, 8)
+	beside.serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/mute" {
+			arrived <- struct{}{}
+			<-r.Context().Done()
+		}
+	})
+	entry.waitFor(t, 1)
+	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
+	relay.mute()
+	before := time.Now()
+	a := send(t, "POST", entry.url("/p"), nil)
+	assert.Equal(t, a.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, a.outcome(), httpapi.OutcomeUnknown)
+	assert.Equal(t, beside.requests.Load(), int32(1))
+	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
+	go func() {
+		<-arrived
+		relay.mute()
+	}()
+	assert.Equal(t, send(t, "POST", entry.url("/mute"), nil).outcome(), httpapi.OutcomeUnknown)
+	assert.Equal(t, beside.requests.Load(), int32(3))
+	assert.Assert(t, time.Since(before) < 20*time.Second, "both ended before the deadline of the service")
+	assert.Equal(t, entry.client.Replaced(), uint64(2))
+}
+
+// TestHedge guards against waiting for a slow instance with a repeatable request, and
+// against leaving the losing attempt running.
+func TestHedge(t *testing.T) {
+	control := newFakeControl(t)
+	entry := control.startNode(t, "entry", "a", "")
+	cancelled := make(chan struct{}, 8)
+	var slow atomic.Bool
+	for _, id := range []string{"n1", "n2"} {
+		control.startNode(t, id, "a", "").serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" && slow.CompareAndSwap(true, false) {
+				<-r.Context().Done()
+				cancelled <- struct{}{}
+				return
+			}
+			_, _ = io.WriteString(w, "fast")
+		})
+	}
+	entry.waitFor(t, 2)
+	// The delay of hedges is known, and both upstreams are warm, after enough responses.
+	warm := func() bool {
+		send(t, "GET", entry.url("/warm"), nil)
+		warmed := 0
+		for _, instance := range entry.directory.view().services["s"] {
+			if stateName(instance.GetState()) == "warm" {
+				warmed++
+			}
+		}
+		return warmed == 2
+	}
+	eventually(t, warm)
+	slow.Store(true)
+	assert.Equal(t, send(t, "GET", entry.url("/slow"), nil).body, "fast")
+	<-cancelled
+	assert.Equal(t, entry.metrics.hedges.Get() > 0, true)
+}
+
+// TestFreezeGuard guards against work whose deadline passed while the process was
+// stopped: a head that waited in the kernel states more time than is left.
+func TestFreezeGuard(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name  string
+		ticks []int
+		read  int
+		age   time.Duration
+	}{
+		{"running", []int{0, 100, 200}, 250, 0},
+		{"read before the next tick", []int{0, 100}, 5000, 4900 * time.Millisecond},
+		{"read after the next tick", []int{0, 100, 5000}, 5010, 4900 * time.Millisecond},
+		{"read long after", []int{0, 100, 5000, 5100, 5200, 5300, 5400, 5500, 5600}, 5610, 0},
+	}
+	for _, c := range cases {
+		guard := &freezeGuard{}
+		for _, ms := range c.ticks {
+			guard.tick(at(ms))
+		}
+		assert.Equal(t, guard.age(at(c.read)), c.age, c.name)
+	}
+}
+
+// TestAdmin guards against a metrics page or status that does not show what the node
+// has done.
+func TestAdmin(t *testing.T) {
+	_, entry, beside := pair(t, func(http.ResponseWriter, *http.Request) {})
+	send(t, "GET", entry.url("/p"), nil)
+	page := send(t, "GET", "http://"+entry.adminListener.Addr().String()+"/metrics", nil).body
+	for _, line := range []string{
+		`chicorylever_requests_total{service="s",outcome="answered"} 1`,
+		`chicorylever_added_latency_seconds_count 1`,
+		`chicorylever_configuration_revision 1`,
+	} {
+		assert.Assert(t, strings.Contains(page, line+"\n"), line)
+	}
+	status := send(t, "GET", "http://"+beside.adminListener.Addr().String()+"/v1/status", nil).body
+	assert.Assert(t, strings.Contains(status, `"state":"cold"`), status)
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -176,7 +176,7 @@
 }
 
 func (n *testNode) announce(t testing.TB, address, startID string) {
-	body := `{"service": "s", "address": "` + address + `", "instance": "i-` + n.settings.ID + `", "start_id": "` + startID + `", "slots": 64, "connections": 64}`
+	body := `{"service": "s", "address": "` + address + `", "instance": "i-` + n.settings.ID + `", "start_id": "` + startID + `", "slots": 4, "connections": 8}`
 	response, err := http.Post("http://"+n.LocalAddress()+"/v1/announce", "application/json", strings.NewReader(body))
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -95,7 +95,8 @@
 		NodeId:      r.node.settings.ID,
 	}
 	held := &heldClaim{service: claim.GetService(), key: key, attemptID: r.id}
-	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+	// The entry must hear "not run" before it gives up at the deadline.
+	claimCtx, cancel := context.WithTimeout(ctx, min(claimTimeout, time.Until(r.deadline)*3/4))
 	defer cancel()
 	result, err := settler.claimer.Claim(claimCtx, claim)
 	if err != nil {
--- /dev/null
+++ b/internal/node/keyed_test.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// counts returns what control was told.
+func (c *fakeControl) counts() (claims, recorded, released int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.claims), len(c.recorded), len(c.released)
+}
+
+func (c *fakeControl) grant(state wire.ClaimState, response *wire.RecordedResponse) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claims, c.recorded, c.released = nil, nil, nil
+	c.onClaim = func(*wire.Claim) *wire.ClaimResult { return &wire.ClaimResult{State: state, Response: response} }
+}
+
+// TestKeyedRequests guards against running a keyed request without a granted claim,
+// and against telling the caller something else than control's result.
+func TestKeyedRequests(t *testing.T) {
+	control, entry, beside := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Invoice", "7")
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, recordedBytes+1))
+			return
+		}
+		_, _ = io.Copy(w, r.Body)
+	})
+	post := func(path string) answer {
+		return send(t, "POST", entry.url(path), strings.NewReader("body"), httpapi.HeaderIdempotencyKey, "key")
+	}
+	recordedHeader := []*wire.Header{{Name: "Invoice", Values: []string{"7"}}}
+	cases := []struct {
+		state    wire.ClaimState
+		response *wire.RecordedResponse
+		status   int
+		outcome  string
+		recorded string
+		body     string
+	}{
+		{state: wire.ClaimState_CLAIM_IN_PROGRESS, status: http.StatusConflict, outcome: httpapi.OutcomeInProgress},
+		{state: wire.ClaimState_CLAIM_OUTCOME_UNKNOWN, status: http.StatusConflict, outcome: httpapi.OutcomeUnknown},
+		{state: wire.ClaimState_CLAIM_MISMATCH, status: http.StatusUnprocessableEntity, outcome: httpapi.OutcomeNotRun},
+		{state: wire.ClaimState_CLAIM_COMPLETED, status: http.StatusCreated, recorded: httpapi.RecordedWhole, body: "earlier",
+			response: &wire.RecordedResponse{Status: http.StatusCreated, Headers: recordedHeader, Body: []byte("earlier")}},
+		{state: wire.ClaimState_CLAIM_COMPLETED, status: http.StatusCreated, recorded: httpapi.RecordedStatusOnly,
+			response: &wire.RecordedResponse{Status: http.StatusCreated, Headers: recordedHeader, Truncated: true}},
+	}
+	for _, c := range cases {
+		control.grant(c.state, c.response)
+		a := post("/p")
+		assert.Equal(t, a.StatusCode, c.status, c.state.String())
+		assert.Equal(t, a.outcome(), c.outcome)
+		assert.Equal(t, a.Header.Get(httpapi.HeaderRecorded), c.recorded)
+		if c.recorded != "" {
+			assert.Equal(t, a.Header.Get("Invoice"), "7")
+			assert.Equal(t, a.body, c.body)
+		}
+	}
+	assert.Equal(t, beside.requests.Load(), int32(0))
+
+	control.grant(wire.ClaimState_CLAIM_GRANTED, nil)
+	assert.Equal(t, post("/p").body, "body")
+	assert.Equal(t, len(post("/large").body), recordedBytes+1)
+	eventually(t, func() bool { _, recorded, _ := control.counts(); return recorded == 2 })
+	responses := map[bool]*wire.RecordedResponse{}
+	for _, outcome := range control.recorded {
+		responses[outcome.GetResponse().GetTruncated()] = outcome.GetResponse()
+	}
+	assert.Equal(t, string(responses[false].GetBody()), "body")
+	assert.Equal(t, len(responses[true].GetBody()), 0)
+	assert.Assert(t, !slices.Equal(control.claims[0].GetFingerprint(), control.claims[1].GetFingerprint()))
+}
+
+// TestClaimSettled guards against claims that stay held by nobody: when the request
+// was not dispatched, when its outcome is unknown, and when control's answer to the
+// claim was lost although it was granted.
+func TestClaimSettled(t *testing.T) {
+	control, entry, beside := pair(t, hangUp)
+	control.grant(wire.ClaimState_CLAIM_GRANTED, nil)
+	post := func() answer {
+		return send(t, "POST", entry.url("/p"), nil, httpapi.HeaderIdempotencyKey, "key", httpapi.HeaderTimeout, "1500")
+	}
+	assert.Equal(t, post().outcome(), httpapi.OutcomeUnknown)
+	eventually(t, func() bool { _, recorded, _ := control.counts(); return recorded == 1 })
+	assert.Assert(t, control.recorded[0].GetResponse() == nil)
+	assert.Equal(t, beside.requests.Load(), int32(1))
+
+	control.grant(wire.ClaimState_CLAIM_GRANTED, nil)
+	beside.announce(t, "127.0.0.1:1", "1")
+	assert.Equal(t, post().outcome(), httpapi.OutcomeNotRun)
+	eventually(t, func() bool { _, _, released := control.counts(); return released == 1 })
+
+	control.grant(wire.ClaimState_CLAIM_GRANTED, nil)
+	control.mu.Lock()
+	granted := control.onClaim
+	control.onClaim = func(*wire.Claim) *wire.ClaimResult { return nil }
+	control.mu.Unlock()
+	a := post()
+	assert.Equal(t, a.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, a.outcome(), httpapi.OutcomeNotRun)
+	control.mu.Lock()
+	control.onClaim = granted
+	control.mu.Unlock()
+	eventually(t, func() bool { _, _, released := control.counts(); return released == 1 })
+	for _, claim := range control.claims {
+		assert.DeepEqual(t, claim.GetAttemptId(), control.released[0].GetAttemptId())
+	}
+	assert.Equal(t, beside.requests.Load(), int32(1))
+}
--- /dev/null
+++ b/internal/node/listen.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 64 << 10
+	// idleTimeout closes callers' connections without requests.
+	idleTimeout = 2 * time.Minute
+)
+
+func httpServer(handler http.Handler) *http.Server {
+	unused := &unusedConns{conns: map[net.Conn]struct{}{}}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         unused.observe,
+	}
+	server.RegisterOnShutdown(unused.close)
+	return server
+}
+
+// unusedConns are connections on which no byte has arrived. Shutdown of http.Server
+// would wait 5 s for a request on them; callers open such connections ahead of need.
+type unusedConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func (u *unusedConns) observe(conn net.Conn, state http.ConnState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if state == http.StateNew {
+		u.conns[conn] = struct{}{}
+	} else {
+		delete(u.conns, conn)
+	}
+}
+
+func (u *unusedConns) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for conn := range u.conns {
+		_ = conn.Close()
+	}
+}
+
+// limitedListener bounds the open connections that it has accepted. Connections
+// beyond the bound wait in the kernel's queue.
+type limitedListener struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func limitConnections(listener net.Listener, limit int) *limitedListener {
+	return &limitedListener{Listener: listener, places: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept waits for a place and a connection.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.places <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, listener: l}, nil
+}
+
+// Close stops accepting.
+func (l *limitedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	listener *limitedListener
+	once     sync.Once
+}
+
+// Close frees the connection's place.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.listener.places })
+	return c.Conn.Close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,10 +20,6 @@
 )
 
 const (
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 64 << 10
-	// idleTimeout closes callers' connections without requests.
-	idleTimeout         = 2 * time.Minute
 	maxEntryConnections = 20000
 	maxLocalConnections = 4096
 	maxAdminConnections = 64
@@ -180,64 +176,9 @@
 	return first
 }
 
-func httpServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
-
-// limitedListener bounds the open connections that it has accepted. Connections
-// beyond the bound wait in the kernel's queue.
-type limitedListener struct {
-	net.Listener
-	places chan struct{}
-	closed chan struct{}
-	once   sync.Once
-}
-
-func limitConnections(listener net.Listener, limit int) *limitedListener {
-	return &limitedListener{Listener: listener, places: make(chan struct{}, limit), closed: make(chan struct{})}
-}
-
-// Accept waits for a place and a connection.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.places <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.places
-		return nil, err
-	}
-	return &limitedConn{Conn: conn, listener: l}, nil
-}
-
-// Close stops accepting.
-func (l *limitedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-type limitedConn struct {
-	net.Conn
-	listener *limitedListener
-	once     sync.Once
-}
-
-// Close frees the connection's place.
-func (c *limitedConn) Close() error {
-	c.once.Do(func() { <-c.listener.places })
-	return c.Conn.Close()
-}
