Count a request's time from before a freeze of the node; test faults of processes

The guard against freezes had no reference until its first tick, so a node frozen within 100 ms of its start dispatched expired work: TestFrozenNode saw 1 to 6 of 8 requests run after their deadline. Without the guard it fails as well. TestFaults kills and freezes nodes and upstreams together and counts runs at the upstreams; with retries of unknown outcomes it fails (requests ran twice).

--- a/internal/node/freeze.go
+++ b/internal/node/freeze.go
@@ -28,6 +28,7 @@
 func (g *freezeGuard) run(ctx context.Context) {
 	ticker := time.NewTicker(freezeTick)
 	defer ticker.Stop()
+	g.tick(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/test/e2e/fault_test.go
@@ -0,0 +1,130 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+)
+
+// startService starts control and nodes; all but the first have an upstream. It
+// returns the entry's address once all instances answer.
+func startService(t *testing.T, instances int) (c *cluster, entry string) {
+	c = newCluster(t)
+	c.startControl()
+	entry = "http://" + c.startNode("seq-a").EntryListen + "/svc/drafts"
+	for i := range instances {
+		node := c.startNode([]string{"seq-a", "seq-b", "seq-c"}[i%3])
+		c.startUpstream("drafts", fmt.Sprintf("drafts-%d", i), node)
+		eventually(t, func() error {
+			status, _, err := call("POST", "http://"+node.EntryListen+"/svc/drafts/ready", "")
+			return check(status, err)
+		})
+	}
+	eventually(t, func() error {
+		status, _, err := call("POST", entry+"/ready", "")
+		return check(status, err)
+	})
+	return c, entry
+}
+
+func check(status int, err error) error {
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
+// TestFaults guards against a request that runs twice, a request that was answered
+// with "not run" but ran, and an answer without a run, while nodes and upstreams are
+// killed, frozen and resumed at the same time.
+func TestFaults(t *testing.T) {
+	c, entry := startService(t, 5)
+	const callers, calls = 12, 60
+	type result struct {
+		status  int
+		outcome string
+		err     error
+	}
+	results := make([][calls]result, callers)
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			for i := range calls {
+				path := fmt.Sprintf("/once/%d-%d", caller, i)
+				r := &results[caller][i]
+				r.status, r.outcome, _, r.err = callHeader("POST", entry+path+"?delay_ms=20", "body", "")
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.signal("node-2", syscall.SIGKILL)
+	c.signal("node-3", syscall.SIGSTOP)
+	time.Sleep(200 * time.Millisecond)
+	c.signal("drafts-2", syscall.SIGKILL)
+	c.signal("drafts-3", syscall.SIGSTOP)
+	time.Sleep(1500 * time.Millisecond)
+	c.signal("node-3", syscall.SIGCONT)
+	c.signal("drafts-3", syscall.SIGCONT)
+	group.Wait()
+	eventually(t, func() error {
+		status, _, err := call("POST", entry+"/after", "")
+		return check(status, err)
+	})
+
+	runs := c.runs()
+	outcomes := map[string]int{}
+	for caller := range callers {
+		for i, r := range results[caller] {
+			path := fmt.Sprintf("/once/%d-%d", caller, i)
+			assert.Check(t, r.err, path)
+			outcomes[fmt.Sprint(r.status, r.outcome)]++
+			switch {
+			case r.status == http.StatusOK:
+				assert.Check(t, runs[path] == 1, "%s was answered and ran %d times", path, runs[path])
+			case r.outcome == httpapi.OutcomeNotRun:
+				assert.Check(t, runs[path] == 0, "%s was refused and ran %d times", path, runs[path])
+			default:
+				assert.Check(t, r.outcome == httpapi.OutcomeUnknown && runs[path] <= 1, "%s: %+v ran %d times", path, r, runs[path])
+			}
+		}
+	}
+	t.Log(outcomes)
+}
+
+// TestFrozenNode guards against work that a node dispatches after it was frozen past
+// the deadline. The entry is frozen as well, so that its cancellation of the attempts
+// does not arrive before the node has read them.
+func TestFrozenNode(t *testing.T) {
+	c, entry := startService(t, 1)
+	c.signal("node-2", syscall.SIGSTOP)
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			_, outcome, _, err := callHeader("POST", fmt.Sprintf("%s/frozen/%d", entry, i), "", "700")
+			assert.Check(t, err)
+			assert.Check(t, outcome == httpapi.OutcomeUnknown || outcome == httpapi.OutcomeNotRun, outcome)
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.signal("node-1", syscall.SIGSTOP)
+	time.Sleep(time.Second)
+	c.signal("node-2", syscall.SIGCONT)
+	time.Sleep(500 * time.Millisecond)
+	c.signal("node-1", syscall.SIGCONT)
+	group.Wait()
+	eventually(t, func() error {
+		status, _, err := call("POST", entry+"/after", "")
+		return check(status, err)
+	})
+	runs := c.runs()
+	for i := range 8 {
+		assert.Equal(t, runs[fmt.Sprintf("/frozen/%d", i)], 0, "request %d ran after its deadline", i)
+	}
+}
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/settings"
 )
 
@@ -88,7 +89,7 @@
 }
 
 func (c *cluster) startUpstream(service, instance string, node *settings.Node) {
-	config, err := json.Marshal(upstreamConfig{Service: service, Instance: instance, Node: node.LocalListen})
+	config, err := json.Marshal(upstreamConfig{Service: service, Instance: instance, Node: node.LocalListen, Log: filepath.Join(c.dir, instance+".requests")})
 	assert.NilError(c.t, err)
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), upstreamEnv+"="+string(config))
@@ -119,6 +120,37 @@
 	return command.ProcessState.ExitCode()
 }
 
+// signal returns once a process that is to stop has stopped.
+func (c *cluster) signal(name string, signal syscall.Signal) {
+	process := c.processes[name].Process
+	assert.NilError(c.t, process.Signal(signal))
+	if signal != syscall.SIGSTOP {
+		return
+	}
+	eventually(c.t, func() error {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process.Pid))
+		if err == nil && !strings.Contains(string(stat), ") T ") {
+			err = fmt.Errorf("%s is not stopped", name)
+		}
+		return err
+	})
+}
+
+// runs counts the runs of each path at all upstreams.
+func (c *cluster) runs() map[string]int {
+	files, err := filepath.Glob(filepath.Join(c.dir, "*.requests"))
+	assert.NilError(c.t, err)
+	runs := map[string]int{}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		assert.NilError(c.t, err)
+		for _, path := range strings.Fields(string(data)) {
+			runs[path]++
+		}
+	}
+	return runs
+}
+
 func (c *cluster) kill() {
 	for _, command := range c.processes {
 		_ = command.Process.Kill()
@@ -147,15 +179,24 @@
 }
 
 func call(method, url, body string) (status int, response string, err error) {
+	status, _, response, err = callHeader(method, url, body, "")
+	return status, response, err
+}
+
+// callHeader also returns the outcome header. An empty timeout is the service's.
+func callHeader(method, url, body, timeoutMs string) (status int, outcome, response string, err error) {
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
+	}
+	if timeoutMs != "" {
+		request.Header.Set(httpapi.HeaderTimeout, timeoutMs)
 	}
 	answer, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(answer.Body)
-	return answer.StatusCode, string(data), err
+	return answer.StatusCode, answer.Header.Get(httpapi.HeaderOutcome), string(data), err
 }
--- a/test/e2e/upstream_test.go
+++ b/test/e2e/upstream_test.go
@@ -25,6 +25,8 @@
 	Service  string
 	Instance string
 	Node     string
+	// Log gets a line with the path of each request before it is worked on.
+	Log string
 }
 
 func TestMain(m *testing.M) {
@@ -47,7 +49,11 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: echo(config), ReadHeaderTimeout: time.Second}
+	log, err := os.OpenFile(config.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: echo(config, log), ReadHeaderTimeout: time.Second}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	go func() { _ = server.Serve(listener) }()
@@ -60,8 +66,9 @@
 
 // echo answers with the instance and the request's method, path and body, after
 // the delay that the query asks for.
-func echo(config upstreamConfig) http.Handler {
+func echo(config upstreamConfig, log io.Writer) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(log, r.URL.Path+"\n")
 		body, _ := io.ReadAll(r.Body)
 		if ms, err := strconv.Atoi(r.URL.Query().Get("delay_ms")); err == nil {
 			time.Sleep(time.Duration(ms) * time.Millisecond)
