Add properties of the policies, a recorded trace and hedging to the comparison

Faults found: with all warm instances closed, cold ones were not considered; a latency jump raised the usual time before it was noticed; short requests made the queue long; the fakes did not extend running requests by a pause, so that figures under noisy neighbours before this commit are too good.

--- /dev/null
+++ b/internal/coordination/admission/gate_test.go
@@ -0,0 +1,98 @@
+package admission_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// TestGate guards against more concurrent permits than slots, lost wake-ups and
+// permits that leak when a waiting caller gives up.
+func TestGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := admission.NewGate(admission.Config{StepInterval: time.Millisecond}, time.Now)
+		g.Start("first", 4)
+		random := rand.New(rand.NewPCG(1, 1))
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		var inside, most, served, refused int
+		for range 4000 {
+			service := time.Duration(random.IntN(10)) * time.Millisecond
+			timeout := time.Duration(1+random.IntN(20)) * time.Millisecond
+			// Whole milliseconds make grants, expiries and timeouts coincide.
+			time.Sleep(time.Duration(random.IntN(2)) * time.Millisecond)
+			wg.Go(func() {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.AfterFunc(timeout, cancel).Stop()
+				permit, err := g.Acquire(ctx, admission.Request{})
+				mu.Lock()
+				if err != nil {
+					var refusal *admission.Refusal
+					assert.Check(t, errors.As(err, &refusal) && permit == nil)
+					refused++
+					mu.Unlock()
+					return
+				}
+				served++
+				inside++
+				most = max(most, inside)
+				mu.Unlock()
+				time.Sleep(service)
+				mu.Lock()
+				inside--
+				mu.Unlock()
+				permit.Release(admission.Outcome{})
+				permit.Release(admission.Outcome{Result: admission.ResultConnectRefused})
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, most, 4)
+		assert.Assert(t, served > 1000 && refused > 100, "%d served, %d refused", served, refused)
+		assert.Equal(t, g.Report().InFlight+g.Report().Queued, uint32(0))
+		g.SetLeaving(true)
+		_, err := g.Acquire(t.Context(), admission.Request{})
+		var refusal *admission.Refusal
+		assert.Assert(t, errors.As(err, &refusal))
+		assert.Equal(t, refusal.Reason, wire.RefusalReason_REFUSAL_LEAVING)
+	})
+}
+
+// TestMeasureBudget guards against more measurements in any window than the budget.
+func TestMeasureBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 20).Draw(t, "rate")
+		now := time.Unix(1000, 0)
+		b := admission.NewMeasureBudget(now, rate)
+		var spent []time.Time
+		gaps := rapid.SliceOfN(rapid.SampledFrom([]int{0, 1, 10, 400, 10000}), 1, 100).Draw(t, "gaps")
+		for _, gap := range gaps {
+			now = now.Add(time.Duration(gap) * time.Millisecond)
+			if gap == 1 {
+				b.SetRate(now, rate)
+			}
+			if b.Allow(now) {
+				spent = append(spent, now)
+			}
+		}
+		for i := range spent {
+			for k := i; k < len(spent); k++ {
+				window := spent[k].Sub(spent[i]).Seconds()
+				assert.Assert(t, float64(k-i+1) <= 1+rate*window+1e-6, "window of %v s", window)
+			}
+		}
+		counters := b.Counters()
+		assert.Equal(t, counters.Spent, uint64(len(spent)))
+		assert.Equal(t, counters.Spent+counters.Denied, uint64(len(gaps)))
+		assert.Assert(t, float64(counters.Spent) <= counters.Budget+1e-6)
+	})
+}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -6,15 +6,20 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
-// maxPatience bounds the wait of a first attempt where requests take long.
-const maxPatience = 50 * time.Millisecond
+const (
+	// maxPatience bounds the wait of a first attempt where requests take long.
+	maxPatience = 50 * time.Millisecond
+	// queuePerSlot bounds the queue where requests are so short that many would be
+	// served within the patience.
+	queuePerSlot = 2
+)
 
 // enqueue decides whether waiting is worthwhile for a request that finds no free
 // permit, and until when.
 func (m *Machine) enqueue(now time.Time, ticket Ticket, req Request) (waiter, wire.RefusalReason) {
 	patience := m.patience(req.Attempt)
 	wait := m.expectedWait(len(m.queue))
-	if wait > patience {
+	if wait > patience || len(m.queue) >= queuePerSlot*m.slots {
 		return waiter{}, m.fullReason()
 	}
 	w := waiter{ticket: ticket, expiry: now.Add(patience)}
--- a/internal/coordination/admission/ramp.go
+++ b/internal/coordination/admission/ramp.go
@@ -94,7 +94,8 @@
 	case r.cold:
 		r.usual = blend(r.usual, seconds, coldGain)
 	default:
-		r.usual = blend(r.usual, seconds, usualGain)
+		// The cap keeps a jump from raising the usual time before it is noticed.
+		r.usual = blend(r.usual, min(seconds, r.usual*slowFactor), usualGain)
 	}
 }
 
--- a/internal/coordination/balance/compare_test.go
+++ b/internal/coordination/balance/compare_test.go
@@ -26,6 +26,7 @@
 	stale     time.Duration
 	admission admission.Config
 	faults    func(s *sim)
+	hedge     bool
 }
 
 func moreton() scenario {
@@ -93,7 +94,7 @@
 	}
 	s.after(at, func() {
 		u := s.upstreams[i]
-		u.warmth = 0
+		u.warmth, u.hits = 0, 0
 		s.deliver(i, u.machine.SetZoneOut(s.clock(), out))
 	})
 	for _, e := range s.entries {
@@ -130,22 +131,26 @@
 }
 
 type makePicker struct {
-	name string
-	make func(zone string, r *rand.Rand) balance.Picker
+	name  string
+	hedge bool
+	make  func(zone string, r *rand.Rand) balance.Picker
 }
 
 func policies() []makePicker {
 	return []makePicker{
-		{"random", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickRandom, random: r} }},
-		{"round robin", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickNext, random: r} }},
-		{"least in-flight", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickLeast, random: r} }},
-		{"two choices", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickTwo, random: r} }},
-		{"this policy", func(zone string, r *rand.Rand) balance.Picker {
-			return balance.New(balance.Config{Zone: zone}, r)
-		}},
+		{"random", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickRandom, random: r} }},
+		{"round robin", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickNext, random: r} }},
+		{"least in-flight", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickLeast, random: r} }},
+		{"two choices", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickTwo, random: r} }},
+		{"this policy", false, newPolicy},
+		{"this policy, hedged", true, newPolicy},
 	}
 }
 
+func newPolicy(zone string, r *rand.Rand) balance.Picker {
+	return balance.New(balance.Config{Zone: zone}, r)
+}
+
 // BenchmarkComparison prints the table of docs/policy.md. COMPARE selects variants
 // and policies by a part of their names.
 func BenchmarkComparison(b *testing.B) {
@@ -156,12 +161,6 @@
 		for _, v := range variants() {
 			for _, p := range policies() {
 				sc := base()
-				if d, e := time.ParseDuration(os.Getenv("PAT")); e == nil {
-					sc.admission.Patience = d
-				}
-				if os.Getenv("LIFO") != "" {
-					sc.admission.Order = admission.LIFO
-				}
 				sc.load, sc.stale, sc.faults, sc.length = v.load, v.stale, v.faults, 15*time.Second
 				label := sc.name + " | " + v.name + " | " + p.name
 				if !strings.Contains(label, os.Getenv("COMPARE")) {
@@ -184,6 +183,7 @@
 }
 
 func row(sc scenario, p makePicker) string {
+	sc.hedge = p.hedge
 	s := newSim(sc, p.make, 1)
 	s.run(s.generate())
 	total := float64(len(s.latencies) + s.refused + s.failed)
--- a/internal/coordination/balance/policy.go
+++ b/internal/coordination/balance/policy.go
@@ -56,9 +56,9 @@
 	services map[string]*serviceState
 
 	// Scratch space of Pick.
-	eligible []int // indexes of the candidates to compare
-	cold     []int // indexes of cold candidates
-	capacity int   // sum of the limits of both
+	eligible pool // candidates to compare
+	cold     pool // cold candidates
+	capacity int  // sum of the limits of both
 }
 
 var _ Picker = (*Policy)(nil)
@@ -89,6 +89,15 @@
 	return known && now.Before(t.until)
 }
 
+// HeardSince reports whether the upstream answered this entry after since, refusals
+// by its node not counted. An attempt that waits while the upstream answers others is
+// itself slow, and a hedge would be as slow; without any answer the upstream may be
+// paused.
+func (p *Policy) HeardSince(instance string, since time.Time) bool {
+	t, known := p.tracks[instance]
+	return known && t.heardAt.After(since)
+}
+
 // Pick implements Picker. It allocates only for instances seen for the first time.
 func (p *Policy) Pick(now time.Time, service string, candidates []Candidate, tried map[string]bool) (Candidate, bool) {
 	state := p.service(service)
@@ -117,10 +126,11 @@
 	}
 }
 
-// collect fills the scratch space. Cold candidates get a share of the requests and
-// are compared only when there are no others.
+// collect fills the scratch space.
 func (p *Policy) collect(candidates []Candidate, tried map[string]bool) {
-	p.eligible, p.cold, p.capacity = p.eligible[:0], p.cold[:0], 0
+	p.eligible.reset()
+	p.cold.reset()
+	p.capacity = 0
 	for i := range candidates {
 		c := &candidates[i]
 		if c.State == StateLeaving || c.State == StateZoneOut {
@@ -131,28 +141,26 @@
 		}
 		p.capacity += c.limit()
 		if c.State == StateCold {
-			p.cold = append(p.cold, i)
+			p.cold.add(i, c.Zone == p.config.Zone)
 		} else {
-			p.eligible = append(p.eligible, i)
+			p.eligible.add(i, c.Zone == p.config.Zone)
 		}
 	}
-	if len(p.eligible) == 0 {
-		p.eligible, p.cold = p.cold, p.eligible
-	}
 }
 
 // chooseCold gives cold candidates their share of the requests, whatever the score:
 // without work they would never warm, and by score all entries would prefer an idle
 // one. It returns -1 when this request goes elsewhere.
 func (p *Policy) chooseCold(now time.Time, state *serviceState, candidates []Candidate) int {
-	if len(p.cold) == 0 {
+	count := len(p.cold.indexes)
+	if count == 0 {
 		return -1
 	}
-	i := p.cold[p.random.IntN(len(p.cold))]
+	i := p.cold.indexes[p.random.IntN(count)]
 	c := &candidates[i]
 	t := p.track(state, c.ID)
 	speed := math.Min(1, state.usualTime()/t.serviceTime(c))
-	share := coldShare * speed * float64(c.limit()*len(p.cold)) / float64(p.capacity)
+	share := coldShare * speed * speed * float64(c.limit()*count) / float64(p.capacity)
 	if p.random.Float64() >= share || c.InFlight >= c.limit() {
 		return -1
 	}
@@ -162,20 +170,34 @@
 	return i
 }
 
-// choose draws candidates without replacement, the first one from the entry's zone,
-// and returns the best of the first Samples that are neither closed nor ejected.
-// When all others are ejected, the last drawn of those is used; -1 means none.
+// choose returns the best candidate or -1. Cold candidates are compared only when no
+// other is open, and ejected ones are used only when all open ones are ejected.
 func (p *Policy) choose(now time.Time, state *serviceState, candidates []Candidate) int {
-	best, bestScore, fallback, compared := -1, 0.0, -1, 0
-	for n := len(p.eligible); n > 0 && compared < p.config.Samples; n-- {
-		i := p.draw(candidates, n, compared == 0)
+	best, lastResort := p.compare(now, state, candidates, &p.eligible)
+	if best >= 0 {
+		return best
+	}
+	best, coldResort := p.compare(now, state, candidates, &p.cold)
+	if best >= 0 {
+		return best
+	}
+	return max(lastResort, coldResort)
+}
+
+// compare draws candidates without replacement, the first one from the entry's zone,
+// and returns the best of the first Samples that are neither closed nor ejected, or
+// -1. The second result is an ejected candidate that was drawn, or -1.
+func (p *Policy) compare(now time.Time, state *serviceState, candidates []Candidate, from *pool) (int, int) {
+	best, bestScore, ejected, compared := -1, 0.0, -1, 0
+	for len(from.indexes) > 0 && compared < p.config.Samples {
+		i := from.draw(p.random, compared == 0)
 		c := &candidates[i]
 		t := p.track(state, c.ID)
 		if t.closed(now) {
 			continue
 		}
 		if c.State == StateEjected || !t.accepts(now, p.random) {
-			fallback = i
+			ejected = i
 			continue
 		}
 		compared++
@@ -184,38 +206,7 @@
 			best, bestScore = i, score
 		}
 	}
-	if best < 0 {
-		return fallback
-	}
-	return best
-}
-
-// draw removes a random index from the first n eligible ones. With home set it
-// prefers the entry's zone.
-func (p *Policy) draw(candidates []Candidate, n int, home bool) int {
-	k := p.random.IntN(n)
-	if home {
-		k = p.drawHome(candidates, n, k)
-	}
-	i := p.eligible[k]
-	p.eligible[k] = p.eligible[n-1]
-	return i
-}
-
-// drawHome returns the position of a candidate of the entry's zone, each being
-// equally likely, or otherwise when there is none.
-func (p *Policy) drawHome(candidates []Candidate, n, otherwise int) int {
-	found := 0
-	for k, i := range p.eligible[:n] {
-		if candidates[i].Zone != p.config.Zone {
-			continue
-		}
-		found++
-		if p.random.IntN(found) == 0 {
-			otherwise = k
-		}
-	}
-	return otherwise
+	return best, ejected
 }
 
 func (p *Policy) service(name string) *serviceState {
--- /dev/null
+++ b/internal/coordination/balance/policy_test.go
@@ -0,0 +1,172 @@
+package balance_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// TestPick guards against work for leaving, zone-out or tried instances, for instances
+// that just refused because of leaving, against no choice while there is one, and
+// against ejecting more than the share.
+func TestPick(t *testing.T) {
+	states := []balance.State{
+		balance.StateWarm, balance.StateWarm, balance.StateWarm, balance.StateCold,
+		balance.StateLeaving, balance.StateZoneOut, balance.StateEjected,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p := balance.New(balance.Config{Zone: "a"}, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))))
+		n := rapid.IntRange(1, 8).Draw(t, "instances")
+		candidates := make([]balance.Candidate, n)
+		closedUntil := map[string]time.Time{}
+		now := epoch
+		for i := range candidates {
+			candidates[i] = balance.Candidate{ID: fmt.Sprint(i), Zone: string(rune('a' + i%3)), Slots: 6}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			changed := &candidates[rapid.IntRange(0, n-1).Draw(t, "changed")]
+			changed.State = rapid.SampledFrom(states).Draw(t, "state")
+			changed.InFlight = rapid.IntRange(0, 10).Draw(t, "inflight")
+			tried := map[string]bool{fmt.Sprint(rapid.IntRange(0, 2*n).Draw(t, "tried")): true}
+			allowed := map[string]bool{}
+			for _, c := range candidates {
+				open := c.State != balance.StateLeaving && c.State != balance.StateZoneOut
+				allowed[c.ID] = open && !tried[c.ID] && !now.Before(closedUntil[c.ID])
+			}
+			c, ok := p.Pick(now, "svc", candidates, tried)
+			assert.Equal(t, ok, anyTrue(allowed), "choice while there is one")
+			if !ok {
+				continue
+			}
+			assert.Assert(t, allowed[c.ID], "%s may not be chosen", c.ID)
+			outcome := balance.Outcome{Result: balance.Result(rapid.IntRange(0, 4).Draw(t, "result")), Latency: time.Millisecond}
+			if outcome.Result == balance.ResultRefused {
+				outcome.Reason = wire.RefusalReason_REFUSAL_LEAVING
+				closedUntil[c.ID] = now.Add(500 * time.Millisecond)
+			}
+			p.Observe(now, c.ID, outcome)
+			ejected := 0
+			for _, c := range candidates {
+				if p.Ejected(now, c.ID) {
+					ejected++
+				}
+			}
+			assert.Assert(t, ejected <= max(1, n*34/100) && ejected < n, "%d of %d ejected", ejected, n)
+		}
+	})
+}
+
+func anyTrue(set map[string]bool) bool {
+	for _, value := range set {
+		if value {
+			return true
+		}
+	}
+	return false
+}
+
+// trace is a recorded run of the comparison's fakes with the outcome that is required
+// of the policy. The lists hold one entry for each request; times are in microseconds.
+type trace struct {
+	At       []int64    `json:"at_us"`
+	Entry    []int      `json:"entry"`
+	Service  []int64    `json:"service_us"`
+	Required []required `json:"required"`
+}
+
+func (t *trace) record(requests []request) {
+	t.At, t.Entry, t.Service = nil, nil, nil
+	for _, r := range requests {
+		t.At = append(t.At, r.At.Microseconds())
+		t.Entry = append(t.Entry, r.Entry)
+		t.Service = append(t.Service, r.Service.Microseconds())
+	}
+}
+
+func (t *trace) requests() []request {
+	var requests []request
+	for i := range t.At {
+		at, service := time.Duration(t.At[i]), time.Duration(t.Service[i])
+		requests = append(requests, request{At: at * time.Microsecond, Entry: t.Entry[i], Service: service * time.Microsecond})
+	}
+	return requests
+}
+
+// required bounds the outcome of the recorded requests under one variant's faults.
+type required struct {
+	Variant string `json:"variant"`
+	// MaxP99 in milliseconds of answered requests.
+	MaxP99 float64 `json:"max_p99_ms"`
+	// MaxRefused and MaxFailed are numbers of requests.
+	MaxRefused int `json:"max_refused"`
+	MaxFailed  int `json:"max_failed"`
+	// MinReturned is the number of requests run in zone c since its last change.
+	MinReturned int `json:"min_returned"`
+}
+
+const traceFile = "testdata/kingfisher.json"
+
+// TestReplay guards against a policy that floods the survivors when a zone leaves,
+// starves or stampedes instances that return, or follows an instance that fails fast
+// or is slow. RECORD=1 writes the requests anew and keeps what is required.
+func TestReplay(t *testing.T) {
+	var recorded trace
+	data, err := os.ReadFile(traceFile)
+	assert.NilError(t, err)
+	assert.NilError(t, json.Unmarshal(data, &recorded))
+	base := kingfisher()
+	base.load, base.length = 0.5, 1500*time.Millisecond
+	if os.Getenv("RECORD") != "" {
+		recorded.record(newSim(base, newPolicy, 1).generate())
+		data, err = json.Marshal(recorded)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(traceFile, data, 0o600))
+	}
+	for _, want := range recorded.Required {
+		for _, v := range variants() {
+			if v.name != want.Variant {
+				continue
+			}
+			sc := base
+			sc.faults, sc.stale = v.faults, v.stale
+			s := newSim(sc, newPolicy, 1)
+			s.run(recorded.requests())
+			assert.Equal(t, len(s.latencies)+s.refused+s.failed, len(recorded.At), want.Variant)
+			assert.Check(t, s.quantile(0.99) <= want.MaxP99, "%s: p99 %.1f ms", want.Variant, s.quantile(0.99))
+			assert.Check(t, s.refused <= want.MaxRefused, "%s: %d refused", want.Variant, s.refused)
+			assert.Check(t, s.upstreams[2].hits >= want.MinReturned, "%s: %d run in zone c", want.Variant, s.upstreams[2].hits)
+			assert.Check(t, s.failed <= want.MaxFailed, "%s: %d failed", want.Variant, s.failed)
+		}
+	}
+}
+
+// BenchmarkPick measures a decision with its observation.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{3, 30, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := balance.New(balance.Config{Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+			candidates := make([]balance.Candidate, n)
+			for i := range candidates {
+				report := balance.LoadReport{InFlight: i % 6, Limit: 6, ServiceTime: meanService}
+				candidates[i] = balance.Candidate{ID: fmt.Sprint(i), Zone: string(rune('a' + i%3)), Slots: 6, Report: report}
+			}
+			now := epoch
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				c, _ := p.Pick(now, "svc", candidates, nil)
+				p.Observe(now, c.ID, balance.Outcome{Latency: meanService})
+			}
+		})
+	}
+}
--- a/internal/coordination/balance/sim_test.go
+++ b/internal/coordination/balance/sim_test.go
@@ -45,7 +45,7 @@
 // upstream is a fake instance behind the real admission machine.
 type upstream struct {
 	machine     *admission.Machine
-	queued      map[admission.Ticket]*request
+	queued      map[admission.Ticket]*attempt
 	pausedUntil time.Duration
 	paused      time.Duration // total
 	slow        float64
@@ -65,15 +65,16 @@
 	reportedAt []time.Duration
 }
 
-// request is one call; Service and At are what a trace records.
+// request is one call; At, Entry and Service are what a trace records.
 type request struct {
-	At      time.Duration `json:"at_ns"`
-	Entry   int           `json:"entry"`
-	Service time.Duration `json:"service_ns"`
+	At      time.Duration
+	Entry   int
+	Service time.Duration
 
-	sent    time.Duration
-	attempt int
-	tried   map[string]bool
+	attempts int
+	pending  int
+	done     bool
+	tried    map[string]bool
 }
 
 type sim struct {
@@ -94,7 +95,7 @@
 	s := &sim{sc: sc, random: rand.New(rand.NewPCG(seed, 1))}
 	for range sc.zones {
 		m := admission.NewMachine(sc.admission)
-		u := &upstream{machine: m, queued: map[admission.Ticket]*request{}, slow: 1, warmth: -1}
+		u := &upstream{machine: m, queued: map[admission.Ticket]*attempt{}, slow: 1, warmth: -1}
 		s.upstreams = append(s.upstreams, u)
 		warm(m, sc.slots)
 	}
@@ -161,70 +162,106 @@
 
 func seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
 
-func (s *sim) send(r *request) {
+// attempt is one try of a request at an upstream.
+type attempt struct {
+	*request
+	i    int // upstream
+	sent time.Duration
+}
+
+func (s *sim) pick(r *request) (balance.Candidate, bool) {
 	e := s.entries[r.Entry]
 	for i := range e.candidates {
 		e.candidates[i].ReportAge = s.now - e.reportedAt[i]
 	}
-	c, ok := e.picker.Pick(s.clock(), "svc", e.candidates, r.tried)
+	return e.picker.Pick(s.clock(), "svc", e.candidates, r.tried)
+}
+
+func (s *sim) send(r *request) {
+	c, ok := s.pick(r)
 	if !ok {
 		s.refused++
 		return
 	}
+	s.dispatch(r, c)
+	if delay, known := s.entries[r.Entry].retries.HedgeDelay(); known && s.sc.hedge && r.attempts == 1 {
+		s.after(delay, func() { s.hedge(r, c.ID, delay) })
+	}
+}
+
+func (s *sim) hedge(r *request, first string, waited time.Duration) {
+	policy, _ := s.entries[r.Entry].picker.(*balance.Policy)
+	if r.done || r.attempts > 1 || policy.HeardSince(first, s.clock().Add(-waited)) {
+		return
+	}
+	r.tried = map[string]bool{first: true}
+	c, ok := s.pick(r)
+	if !ok {
+		return
+	}
+	if !s.entries[r.Entry].retries.Hedge(s.clock(), true, waited, &c) {
+		s.entries[r.Entry].picker.Observe(s.clock(), c.ID, balance.Outcome{Result: balance.ResultCancelled})
+		return
+	}
+	s.dispatch(r, c)
+}
+
+func (s *sim) dispatch(r *request, c balance.Candidate) {
+	a := &attempt{request: r, i: int(c.ID[0] - 'a'), sent: s.now}
 	s.attempts++
-	r.attempt++
-	r.sent = s.now
-	i := int(c.ID[0] - 'a')
-	e.candidates[i].InFlight++
-	s.after(s.oneWay(e, i), func() { s.arrive(r, i) })
+	r.attempts++
+	r.pending++
+	s.entries[r.Entry].candidates[a.i].InFlight++
+	s.after(s.oneWay(a), func() { s.arrive(a) })
 }
 
-func (s *sim) oneWay(e *entry, i int) time.Duration {
-	if e.zone == s.sc.zones[i] {
-		return sameZone + s.upstreams[i].path
+func (s *sim) oneWay(a *attempt) time.Duration {
+	if s.entries[a.Entry].zone == s.sc.zones[a.i] {
+		return sameZone + s.upstreams[a.i].path
 	}
-	return s.sc.crossZone + s.upstreams[i].path
+	return s.sc.crossZone + s.upstreams[a.i].path
 }
 
-func (s *sim) arrive(r *request, i int) {
-	u := s.upstreams[i]
-	req := admission.Request{Attempt: r.attempt, Deadline: epoch.Add(r.At + deadline)}
+func (s *sim) arrive(a *attempt) {
+	u := s.upstreams[a.i]
+	req := admission.Request{Attempt: a.attempts, Deadline: epoch.Add(a.At + deadline)}
 	ticket, verdict, reason := u.machine.Offer(s.clock(), req)
 	switch verdict {
 	case admission.Admitted:
-		s.serve(r, i, ticket)
+		s.serve(a, ticket)
 	case admission.Queued:
-		u.queued[ticket] = r
+		u.queued[ticket] = a
 		expiry, _ := u.machine.Expiry(ticket)
-		s.after(expiry.Sub(s.clock()), func() { s.deliver(i, u.machine.Expire(s.clock())) })
+		s.after(expiry.Sub(s.clock()), func() { s.deliver(a.i, u.machine.Expire(s.clock())) })
 	case admission.Refused:
-		s.respond(r, i, balance.Outcome{Result: balance.ResultRefused, Reason: reason})
+		s.respond(a, balance.Outcome{Result: balance.ResultRefused, Reason: reason})
 	}
 }
 
 func (s *sim) deliver(i int, events []admission.Event) {
 	u := s.upstreams[i]
 	for _, e := range slices.Clone(events) {
-		r := u.queued[e.Ticket]
+		a := u.queued[e.Ticket]
 		delete(u.queued, e.Ticket)
 		if e.Admitted {
-			s.serve(r, i, e.Ticket)
+			s.serve(a, e.Ticket)
 		} else {
-			s.respond(r, i, balance.Outcome{Result: balance.ResultRefused, Reason: e.Reason})
+			s.respond(a, balance.Outcome{Result: balance.ResultRefused, Reason: e.Reason})
 		}
 	}
 }
 
-func (s *sim) serve(r *request, i int, ticket admission.Ticket) {
-	u := s.upstreams[i]
+func (s *sim) serve(a *attempt, ticket admission.Ticket) {
+	u := s.upstreams[a.i]
 	u.running++
 	u.hits++
-	length := seconds(r.Service.Seconds() * u.slow * u.coldFactor())
+	length := seconds(a.Service.Seconds() * u.slow * u.coldFactor())
 	if u.failing {
 		length = 500 * time.Microsecond
 	}
 	length += max(0, u.pausedUntil-s.now)
-	s.after(length, func() { s.finish(r, i, ticket, u.paused, s.now-length) })
+	paused, start := u.paused, s.now
+	s.after(length, func() { s.finish(a, ticket, paused, start) })
 }
 
 // coldFactor makes a cold upstream slow, and worse under concurrent load.
@@ -237,11 +274,11 @@
 	return 1 + cold*float64(u.running)
 }
 
-func (s *sim) finish(r *request, i int, ticket admission.Ticket, paused, start time.Duration) {
-	u := s.upstreams[i]
+func (s *sim) finish(a *attempt, ticket admission.Ticket, paused, start time.Duration) {
+	u := s.upstreams[a.i]
 	if late := u.paused - paused; late > 0 {
 		paused = u.paused
-		s.after(late, func() { s.finish(r, i, ticket, paused, start) })
+		s.after(late, func() { s.finish(a, ticket, paused, start) })
 		return
 	}
 	u.running--
@@ -250,55 +287,59 @@
 		result, own = balance.ResultError, admission.ResultError
 	}
 	outcome := admission.Outcome{Result: own, ServiceTime: s.now - start}
-	s.deliver(i, u.machine.Release(s.clock(), ticket, outcome))
-	s.respond(r, i, balance.Outcome{Result: result})
+	s.deliver(a.i, u.machine.Release(s.clock(), ticket, outcome))
+	s.respond(a, balance.Outcome{Result: result})
 }
 
-func (s *sim) respond(r *request, i int, outcome balance.Outcome) {
-	e := s.entries[r.Entry]
-	report := s.upstreams[i].machine.Report()
-	back := s.oneWay(e, i)
-	s.after(back, func() { s.received(r, i, outcome) })
-	s.after(back+s.sc.stale, func() { s.reported(e, i, report) })
+func (s *sim) respond(a *attempt, outcome balance.Outcome) {
+	report := s.upstreams[a.i].machine.Report()
+	back := s.oneWay(a)
+	s.after(back, func() { s.received(a, outcome) })
+	s.after(back+s.sc.stale, func() { s.reported(a, report) })
 }
 
-func (s *sim) reported(e *entry, i int, report *wire.LoadReport) {
-	c := &e.candidates[i]
+func (s *sim) reported(a *attempt, report *wire.LoadReport) {
+	e := s.entries[a.Entry]
+	c := &e.candidates[a.i]
 	c.Report = balance.FromWire(report)
-	e.reportedAt[i] = s.now
+	e.reportedAt[a.i] = s.now
 	if c.State == balance.StateWarm || c.State == balance.StateCold {
 		c.State = balance.StateFromWire(report.State)
 	}
 }
 
-func (s *sim) received(r *request, i int, outcome balance.Outcome) {
-	e := s.entries[r.Entry]
-	c := &e.candidates[i]
+func (s *sim) received(a *attempt, outcome balance.Outcome) {
+	e := s.entries[a.Entry]
+	c := &e.candidates[a.i]
 	c.InFlight--
-	outcome.Latency = s.now - r.sent
+	a.pending--
+	outcome.Latency = s.now - a.sent
 	e.picker.Observe(s.clock(), c.ID, outcome)
-	switch outcome.Result {
-	case balance.ResultSuccess:
-		e.retries.ObserveLatency(s.now - r.At)
-		s.latencies = append(s.latencies, s.now-r.At)
-	case balance.ResultError:
+	switch {
+	case a.done:
+	case outcome.Result == balance.ResultSuccess:
+		a.done = true
+		e.retries.ObserveLatency(s.now - a.At)
+		s.latencies = append(s.latencies, s.now-a.At)
+	case a.pending > 0:
+	case outcome.Result == balance.ResultError:
 		s.failed++
 	default:
-		s.retry(r, c.ID)
+		s.retry(a, c.ID)
 	}
 }
 
-func (s *sim) retry(r *request, id string) {
-	failure := retry.Failure{NotRun: true, Resendable: true, Attempts: r.attempt, Remaining: r.At + deadline - s.now}
-	if s.entries[r.Entry].retries.Decide(s.clock(), failure) != retry.VerdictRetry {
+func (s *sim) retry(a *attempt, id string) {
+	failure := retry.Failure{NotRun: true, Resendable: true, Attempts: a.attempts, Remaining: a.At + deadline - s.now}
+	if s.entries[a.Entry].retries.Decide(s.clock(), failure) != retry.VerdictRetry {
 		s.refused++
 		return
 	}
-	if r.tried == nil {
-		r.tried = map[string]bool{}
+	if a.tried == nil {
+		a.tried = map[string]bool{}
 	}
-	r.tried[id] = true
-	s.send(r)
+	a.tried[id] = true
+	s.send(a.request)
 }
 
 func (s *sim) quantile(q float64) float64 {
--- a/internal/coordination/balance/track.go
+++ b/internal/coordination/balance/track.go
@@ -26,7 +26,7 @@
 
 // Weights of one sample in the moving averages.
 const (
-	loadGain   = 0.05
+	loadGain   = 0.02
 	ownGain    = 0.02
 	usualGain  = 0.02
 	excessGain = 1.0 / 16
@@ -68,6 +68,7 @@
 	refusals    average
 	errors      average
 	closedUntil time.Time
+	heardAt     time.Time // last response of the upstream itself, not a refusal
 	ejection
 }
 
@@ -78,7 +79,14 @@
 }
 
 func (t *track) observe(now time.Time, outcome Outcome) {
+	if outcome.Result == ResultCancelled {
+		t.sinceReport = max(0, t.sinceReport-1)
+		return
+	}
 	t.sinceReport = 0
+	if outcome.Result == ResultSuccess || outcome.Result == ResultError {
+		t.heardAt = now
+	}
 	switch outcome.Result {
 	case ResultSuccess:
 		t.succeed(now, outcome.Latency.Seconds())
@@ -86,7 +94,7 @@
 		t.fail(now)
 	case ResultRefused:
 		t.refuse(now, outcome.Reason)
-	case ResultCancelled:
+	default:
 	}
 }
 
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -83,6 +83,19 @@
 	VerdictBudget
 )
 
+// StopsRetriesAbove reports whether the response of a request that failed for good
+// after the given number of attempts must carry Chicory-Retried. It must also when
+// the budget was spent here: callers above would otherwise multiply the attempts at
+// the very time at which the budgets are spent.
+func (v Verdict) StopsRetriesAbove(attempts int) bool {
+	switch v {
+	case VerdictRetriedBelow, VerdictAttempts, VerdictDeadline, VerdictBudget:
+		return true
+	default:
+		return attempts > 1
+	}
+}
+
 // Policy holds the budgets and the latency estimate of one service.
 type Policy struct {
 	config  Config
