--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -204,7 +204,10 @@
 	a.once.Do(func() {
 		a.stopAbort()
 		a.stopUpload()
-		a.stream.Close()
+		a.stream.ReleaseReader()
+		a.stream.ReleaseWriter()
+		// Closing a mesh stream waits for a write, which the caller need not.
+		go a.stream.Close()
 		if a.cancel != nil {
 			a.cancel()
 		}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -42,7 +42,7 @@
 	released []*wire.ReleaseClaim
 }
 
-func newFakeControl(t *testing.T) *fakeControl {
+func newFakeControl(t testing.TB) *fakeControl {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	c := &fakeControl{
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -54,6 +54,7 @@
 // serveAttempt serves one attempt of this or another entry. It closes the stream.
 func (n *Node) serveAttempt(ctx context.Context, stream messageStream, id []byte, head *wire.RequestHead) {
 	defer stream.Close()
+	defer stream.ReleaseWriter()
 	now := time.Now()
 	left := time.Duration(min(head.GetTimeoutUs(), maxTimeoutUs)) * time.Microsecond //nolint:gosec // bounded
 	r := &received{
@@ -91,10 +92,12 @@
 	outcome = r.forward(ctx, cancel)
 }
 
-// cancelOnClose ends the attempt when the entry closes the stream.
+// cancelOnClose ends the attempt when the entry closes the stream. It is the last
+// user of the stream's reader.
 func cancelOnClose(stream messageStream, cancel context.CancelFunc) {
 	_, _ = stream.Receive()
 	cancel()
+	stream.ReleaseReader()
 }
 
 func (r *received) receiveBody() error {
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -33,6 +33,10 @@
 	Abort()
 	// Close ends the attempt; the peer receives io.EOF.
 	Close()
+	// ReleaseReader and ReleaseWriter give buffers back; nothing may be received, or
+	// sent, afterwards.
+	ReleaseReader()
+	ReleaseWriter()
 }
 
 // meshStream carries an attempt between two nodes.
@@ -109,6 +113,10 @@
 	}
 }
 
+func (p *pipeEnd) ReleaseReader() {}
+
+func (p *pipeEnd) ReleaseWriter() {}
+
 func (p *pipeEnd) HasMore() bool { return len(p.in) > 0 }
 
 func (p *pipeEnd) Abort() { p.abort.Do(func() { close(p.aborted) }) }
--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -43,12 +44,36 @@
 	receiving []byte // reused for messages larger than the reader's buffer
 }
 
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+)
+
 // NewConn wraps a stream.
 func NewConn(stream io.ReadWriter) *Conn {
-	return &Conn{
-		reader: bufio.NewReaderSize(stream, bufferBytes),
-		writer: bufio.NewWriterSize(stream, bufferBytes),
+	c := &Conn{
+		reader: readers.Get().(*bufio.Reader),
+		writer: writers.Get().(*bufio.Writer),
 	}
+	c.reader.Reset(stream)
+	c.writer.Reset(stream)
+	return c
+}
+
+// ReleaseReader gives the reader's buffer back. Receive and HasMore must not be used
+// afterwards.
+func (c *Conn) ReleaseReader() {
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
+}
+
+// ReleaseWriter gives the writer's buffer back. Send and Flush must not be used
+// afterwards.
+func (c *Conn) ReleaseWriter() {
+	c.writer.Reset(nil)
+	writers.Put(c.writer)
+	c.writer = nil
 }
 
 // BindAttempt makes Send stamp the attempt ID on each message and Receive refuse
