--- a/internal/coordination/balance/compare_test.go
+++ b/internal/coordination/balance/compare_test.go
@@ -26,6 +26,7 @@
 	stale     time.Duration
 	admission admission.Config
 	faults    func(s *sim)
+	hedge     bool
 }
 
 func moreton() scenario {
@@ -69,6 +70,12 @@
 	s.after(s.sc.length*2/3, func() { s.upstreams[1].failing = false })
 }
 
+// slowPath adds 20 ms each way to and from instance 1 for the middle third.
+func slowPath(s *sim) {
+	s.after(s.sc.length/3, func() { s.upstreams[1].path = 20 * time.Millisecond })
+	s.after(s.sc.length*2/3, func() { s.upstreams[1].path = 0 })
+}
+
 // zoneOut takes zone c out for the middle third; entries learn it within 500 ms, and
 // its instances return cold.
 func zoneOut(s *sim) {
@@ -87,7 +94,7 @@
 	}
 	s.after(at, func() {
 		u := s.upstreams[i]
-		u.warmth = 0
+		u.warmth, u.hits = 0, 0
 		s.deliver(i, u.machine.SetZoneOut(s.clock(), out))
 	})
 	for _, e := range s.entries {
@@ -117,28 +124,33 @@
 		{"noisy neighbours 95 %", 0.95, 0, neighbours},
 		{"one instance ten times slower 50 %", 0.50, 0, slowOne},
 		{"one instance failing fast 50 %", 0.50, 0, failOne},
+		{"slow path to one instance 50 %", 0.50, 0, slowPath},
 		{"zone out and back 50 %", 0.50, 0, zoneOut},
 		{"zone out and back 80 %", 0.80, 0, zoneOut},
 	}
 }
 
 type makePicker struct {
-	name string
-	make func(zone string, r *rand.Rand) balance.Picker
+	name  string
+	hedge bool
+	make  func(zone string, r *rand.Rand) balance.Picker
 }
 
 func policies() []makePicker {
 	return []makePicker{
-		{"random", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickRandom, random: r} }},
-		{"round robin", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickNext, random: r} }},
-		{"least in-flight", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickLeast, random: r} }},
-		{"two choices", func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickTwo, random: r} }},
-		{"this policy", func(zone string, r *rand.Rand) balance.Picker {
-			return balance.New(balance.Config{Zone: zone}, r)
-		}},
+		{"random", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickRandom, random: r} }},
+		{"round robin", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickNext, random: r} }},
+		{"least in-flight", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickLeast, random: r} }},
+		{"two choices", false, func(_ string, r *rand.Rand) balance.Picker { return &rival{choose: pickTwo, random: r} }},
+		{"this policy", false, newPolicy},
+		{"this policy, hedged", true, newPolicy},
 	}
 }
 
+func newPolicy(zone string, r *rand.Rand) balance.Picker {
+	return balance.New(balance.Config{Zone: zone}, r)
+}
+
 // BenchmarkComparison prints the table of docs/policy.md. COMPARE selects variants
 // and policies by a part of their names.
 func BenchmarkComparison(b *testing.B) {
@@ -171,6 +183,7 @@
 }
 
 func row(sc scenario, p makePicker) string {
+	sc.hedge = p.hedge
 	s := newSim(sc, p.make, 1)
 	s.run(s.generate())
 	total := float64(len(s.latencies) + s.refused + s.failed)
