--- /dev/null
+++ b/internal/node/scale_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+// scaleState is a state with a number of services in the document and of
+// instances in each of the services that the node uses.
+func scaleState(services, used, instances int) *wire.StateFull {
+	doc := document.Document{Services: map[string]document.Service{}}
+	state := &wire.StateFull{Revision: 1, RegistryVersion: 1}
+	for i := range services {
+		name := fmt.Sprint("service-", i)
+		doc.Services[name] = document.Service{
+			Owner: "platform", Hosts: []string{name + ".example"}, TimeoutMs: 5000,
+			Rules:     []document.RequestRule{{Methods: []string{"POST"}, PathPrefix: "/search", Repeatable: true}},
+			Objective: document.Objective{GoodWithinMs: 300, Share: 0.999, WindowHours: 720},
+		}
+		for j := range instances {
+			if i < used {
+				state.Instances = append(state.Instances, scaleInstance(name, j))
+			}
+		}
+	}
+	state.Document, _ = json.Marshal(doc)
+	return state
+}
+
+func scaleInstance(service string, i int) *wire.Instance {
+	id := fmt.Sprintf("%s-%04d", service, i)
+	return &wire.Instance{
+		Id: id, StartId: "0123456789abcdef", Service: service, Zone: "zone-1", NodeAddress: fmt.Sprint("10.10.10.10:7", i),
+		Slots: 10, Connections: 200, State: wire.InstanceState_INSTANCE_WARM, NodeId: "node-" + id, NodeStart: 1 << 60,
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// BenchmarkDirectory measures the memory of the directory and the time of a
+// difference in one section and in one instance.
+func BenchmarkDirectory(b *testing.B) {
+	for _, size := range [][3]int{{360, 4, 18}, {360, 360, 18}, {720, 4, 18}} {
+		b.Run(fmt.Sprintf("services=%d/used=%d/instances=%d", size[0], size[1], size[2]), func(b *testing.B) {
+			before := heapBytes()
+			d := newDirectory()
+			d.apply(scaleState(size[0], size[1], size[2]))
+			used := heapBytes() - before
+			section, _ := json.Marshal(d.view().doc.Services["service-1"])
+			revision := uint64(1)
+			for b.Loop() {
+				d.applyDiff(&wire.StateDiff{
+					BaseRevision: revision, Revision: revision + 1,
+					Sections: []*wire.Section{{Path: "services/service-1", Json: section}},
+				})
+				d.applyDiff(&wire.StateDiff{
+					RegistryVersion: revision + 1, Changed: []*wire.Instance{scaleInstance("service-1", 3)},
+				})
+				revision++
+			}
+			b.ReportMetric(used/1024, "KB")
+			runtime.KeepAlive(d)
+		})
+	}
+}
