--- a/internal/coordination/membership/changes.go
+++ b/internal/coordination/membership/changes.go
@@ -58,9 +58,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := Snapshot{Version: r.log.version, Stale: r.guard.stale}
-	for _, l := range r.leases {
-		if l.shown != nil && services[l.shown.GetService()] {
-			s.Instances = append(s.Instances, l.shown)
+	for service := range services {
+		for _, instance := range r.shown[service] {
+			s.Instances = append(s.Instances, instance)
 		}
 	}
 	sort.Slice(s.Instances, func(i, j int) bool { return s.Instances[i].GetId() < s.Instances[j].GetId() })
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -27,9 +27,11 @@
 // Registry holds the leases of nodes. It is safe for concurrent use. Times are
 // passed in, so that it runs in virtual time.
 type Registry struct {
-	mu      sync.Mutex
-	leases  map[string]*lease
-	claims  claimIndex
+	mu     sync.Mutex
+	leases map[string]*lease
+	claims claimIndex
+	// shown holds for each service the instances that subscribers see, by ID.
+	shown   map[string]map[string]*wire.Instance
 	removed map[string]tombstone
 	log     changeLog
 	own     ownLog
@@ -60,6 +62,7 @@
 	return &Registry{
 		leases:  map[string]*lease{},
 		claims:  claimIndex{},
+		shown:   map[string]map[string]*wire.Instance{},
 		removed: map[string]tombstone{},
 		own:     newOwnLog(),
 		changed: make(chan struct{}),
@@ -190,15 +193,25 @@
 
 // recordRemoval records that an instance went, unless next replaces it in place.
 func (r *Registry) recordRemoval(old, next *wire.Instance) {
-	if old != nil && (next == nil || old.GetId() != next.GetId() || old.GetService() != next.GetService()) {
-		r.log.add(change{service: old.GetService(), id: old.GetId()})
+	if old == nil || next != nil && old.GetId() == next.GetId() && old.GetService() == next.GetService() {
+		return
+	}
+	r.log.add(change{service: old.GetService(), id: old.GetId()})
+	delete(r.shown[old.GetService()], old.GetId())
+	if len(r.shown[old.GetService()]) == 0 {
+		delete(r.shown, old.GetService())
 	}
 }
 
 func (r *Registry) recordAddition(next *wire.Instance) {
-	if next != nil {
-		r.log.add(change{service: next.GetService(), id: next.GetId(), instance: next})
+	if next == nil {
+		return
+	}
+	r.log.add(change{service: next.GetService(), id: next.GetId(), instance: next})
+	if r.shown[next.GetService()] == nil {
+		r.shown[next.GetService()] = map[string]*wire.Instance{}
 	}
+	r.shown[next.GetService()][next.GetId()] = next
 }
 
 func (r *Registry) signal() {
