--- a/internal/coordination/membership/changes.go
+++ b/internal/coordination/membership/changes.go
@@ -18,33 +18,6 @@
 	instance *wire.Instance
 }
 
-// changeLog keeps the last changes. The version is the number of changes so far.
-type changeLog struct {
-	version uint64
-	ring    []change
-}
-
-func (l *changeLog) add(c change) {
-	if len(l.ring) < changeLogSize {
-		l.ring = append(l.ring, c)
-	} else {
-		l.ring[l.version%changeLogSize] = c
-	}
-	l.version++
-}
-
-// since calls visit for each change after a version, oldest first. It returns
-// false when the log does not reach back that far.
-func (l *changeLog) since(version uint64, visit func(change)) bool {
-	if version > l.version || l.version-version > uint64(len(l.ring)) {
-		return false
-	}
-	for v := version; v < l.version; v++ {
-		visit(l.ring[v%changeLogSize])
-	}
-	return true
-}
-
 // Snapshot is the registry of some services at a version.
 type Snapshot struct {
 	Instances []*wire.Instance
--- a/internal/coordination/membership/merge.go
+++ b/internal/coordination/membership/merge.go
@@ -12,8 +12,7 @@
 
 // ownLog records which nodes of this member changed, for the other members.
 type ownLog struct {
-	version uint64
-	ring    []ownChange
+	history[ownChange]
 	changed chan struct{}
 }
 
@@ -27,19 +26,14 @@
 	return ownLog{changed: make(chan struct{})}
 }
 
-func (l *ownLog) add(node string) { l.append(ownChange{node: node}) }
+func (l *ownLog) renewed(node string) { l.append(ownChange{node: node}) }
 
 func (l *ownLog) stopped(last *wire.Lease) {
 	l.append(ownChange{node: last.GetNodeId(), stopped: last})
 }
 
 func (l *ownLog) append(c ownChange) {
-	if len(l.ring) < ownLogSize {
-		l.ring = append(l.ring, c)
-	} else {
-		l.ring[l.version%ownLogSize] = c
-	}
-	l.version++
+	l.add(c, ownLogSize)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -51,23 +45,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	update := &wire.RegistryUpdate{}
-	if version == 0 || r.own.version-version > uint64(len(r.own.ring)) {
-		update.Full = true
-		for _, l := range r.leases {
-			if l.owner == "" {
-				update.Leases = append(update.Leases, copyLease(l.Lease))
-			}
-		}
-		// Version 0 asks for everything, so the version after it is at least 1.
-		if r.own.version == 0 {
-			r.own.append(ownChange{})
-		}
-		return update, r.own.version, r.own.changed
-	}
 	last := map[string]*wire.Lease{}
-	for v := version; v < r.own.version; v++ {
-		c := r.own.ring[v%ownLogSize]
-		last[c.node] = c.stopped
+	known := version > 0 && r.own.since(version, func(c ownChange) { last[c.node] = c.stopped })
+	if !known {
+		r.fullUpdate(update)
+		return update, r.own.version, r.own.changed
 	}
 	for node, stopped := range last {
 		r.appendOwn(update, node, stopped)
@@ -75,6 +57,19 @@
 	return update, r.own.version, r.own.changed
 }
 
+func (r *Registry) fullUpdate(update *wire.RegistryUpdate) {
+	update.Full = true
+	for _, l := range r.leases {
+		if l.owner == "" {
+			update.Leases = append(update.Leases, copyLease(l.Lease))
+		}
+	}
+	// Version 0 asks for everything, so the version after it is at least 1.
+	if r.own.version == 0 {
+		r.own.append(ownChange{})
+	}
+}
+
 func (r *Registry) appendOwn(update *wire.RegistryUpdate, node string, stopped *wire.Lease) {
 	l := r.leases[node]
 	switch {
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -33,7 +33,7 @@
 	// shown holds for each service the instances that subscribers see, by ID.
 	shown   map[string]map[string]*wire.Instance
 	removed map[string]tombstone
-	log     changeLog
+	log     history[change]
 	own     ownLog
 	changed chan struct{}
 	guard   guard
@@ -99,7 +99,7 @@
 		return true
 	}
 	r.put(&lease{Lease: next, expires: expires})
-	r.own.add(next.GetNodeId())
+	r.own.renewed(next.GetNodeId())
 	return true
 }
 
@@ -196,7 +196,7 @@
 	if old == nil || next != nil && old.GetId() == next.GetId() && old.GetService() == next.GetService() {
 		return
 	}
-	r.log.add(change{service: old.GetService(), id: old.GetId()})
+	r.log.add(change{service: old.GetService(), id: old.GetId()}, changeLogSize)
 	delete(r.shown[old.GetService()], old.GetId())
 	if len(r.shown[old.GetService()]) == 0 {
 		delete(r.shown, old.GetService())
@@ -207,7 +207,7 @@
 	if next == nil {
 		return
 	}
-	r.log.add(change{service: next.GetService(), id: next.GetId(), instance: next})
+	r.log.add(change{service: next.GetService(), id: next.GetId(), instance: next}, changeLogSize)
 	if r.shown[next.GetService()] == nil {
 		r.shown[next.GetService()] = map[string]*wire.Instance{}
 	}
