Keep the names that the request path uses

Change: the stand-in of the revision test is called directoryNode, and the counts of a node are as landed, since the request path counts itself.

--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -15,21 +15,22 @@
 	services map[string]*wire.BurnCount
 }
 
-// add takes counts since the last call.
-func (c *burnCounts) add(counts []*wire.BurnCount) {
+// add counts one response to a caller.
+func (c *burnCounts) add(service string, good bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.services == nil {
 		c.services = map[string]*wire.BurnCount{}
 	}
-	for _, count := range counts {
-		total := c.services[count.GetService()]
-		if total == nil {
-			total = &wire.BurnCount{Service: count.GetService()}
-			c.services[count.GetService()] = total
-		}
-		total.Good += count.GetGood()
-		total.Bad += count.GetBad()
+	count := c.services[service]
+	if count == nil {
+		count = &wire.BurnCount{Service: service}
+		c.services[service] = count
+	}
+	if good {
+		count.Good++
+	} else {
+		count.Bad++
 	}
 }
 
--- a/internal/node/revision_test.go
+++ b/internal/node/revision_test.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// testNode is a directory with a client. It checks the revision at each change.
-type testNode struct {
+// directoryNode is a directory with a client. It checks the revision at each change.
+type directoryNode struct {
 	t       *rapid.T
 	name    string
 	current atomic.Pointer[directory]
@@ -146,7 +146,7 @@
 }
 
 // setCut ends the node's connection to control and keeps it from a new one.
-func (n *testNode) setCut(cut bool) {
+func (n *directoryNode) setCut(cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut = cut
@@ -155,7 +155,7 @@
 	}
 }
 
-func (n *testNode) connected(dial func() (net.Conn, error)) (net.Conn, error) {
+func (n *directoryNode) connected(dial func() (net.Conn, error)) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.cut {
@@ -166,19 +166,19 @@
 	return conn, err
 }
 
-func (n *testNode) directory() *directory { return n.current.Load() }
+func (n *directoryNode) directory() *directory { return n.current.Load() }
 
-func (n *testNode) Apply(state *wire.StateFull) {
+func (n *directoryNode) Apply(state *wire.StateFull) {
 	n.directory().apply(state)
 	n.check()
 }
 
-func (n *testNode) ApplyDiff(diff *wire.StateDiff) bool {
+func (n *directoryNode) ApplyDiff(diff *wire.StateDiff) bool {
 	defer n.check()
 	return n.directory().applyDiff(diff)
 }
 
-func (n *testNode) check() {
+func (n *directoryNode) check() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	revision := n.directory().view().revision
@@ -188,11 +188,11 @@
 	n.highest = max(n.highest, revision)
 }
 
-func (n *testNode) Revision() uint64         { return n.directory().view().revision }
-func (n *testNode) Acknowledged(uint64)      {}
-func (n *testNode) Services() []string       { return n.directory().wantedServices() }
-func (n *testNode) Changed() <-chan struct{} { return n.directory().changed }
-func (n *testNode) Heartbeat() *wire.Heartbeat {
+func (n *directoryNode) Revision() uint64         { return n.directory().view().revision }
+func (n *directoryNode) Acknowledged(uint64)      {}
+func (n *directoryNode) Services() []string       { return n.directory().wantedServices() }
+func (n *directoryNode) Changed() <-chan struct{} { return n.directory().changed }
+func (n *directoryNode) Heartbeat() *wire.Heartbeat {
 	return &wire.Heartbeat{
 		NodeId: n.name, NodeStart: 1, Revision: n.Revision(), Sequence: n.directory().sequence.Add(1),
 	}
@@ -204,7 +204,7 @@
 	ctx     context.Context
 	log     *fakeLog
 	members []*testMember
-	nodes   []*testNode
+	nodes   []*directoryNode
 	running sync.WaitGroup
 }
 
@@ -217,7 +217,7 @@
 		s.running.Go(func() { server.Run(ctx) })
 	}
 	for i := range 4 {
-		n := &testNode{t: t, name: fmt.Sprint("node-", i)}
+		n := &directoryNode{t: t, name: fmt.Sprint("node-", i)}
 		s.nodes = append(s.nodes, n)
 		s.startNode(n)
 	}
@@ -225,7 +225,7 @@
 }
 
 // startNode starts a node without any state, as after a loss of its process.
-func (s *testSystem) startNode(n *testNode) {
+func (s *testSystem) startNode(n *directoryNode) {
 	if n.stop != nil {
 		n.stop()
 	}
@@ -312,7 +312,7 @@
 }
 
 // replay delivers an old document and a difference that starts elsewhere.
-func (s *testSystem) replay(n *testNode) {
+func (s *testSystem) replay(n *directoryNode) {
 	own := n.Revision()
 	if own == 0 {
 		return
