--- a/internal/coordination/membership/guard.go
+++ b/internal/coordination/membership/guard.go
@@ -185,7 +185,7 @@
 		}
 		r.guard.allowance--
 		r.guard.removals = append(r.guard.removals, l.lateSince())
-		r.own.renewed(id)
+		r.own.add(id)
 		r.remove(id)
 	}
 }
--- a/internal/coordination/membership/merge.go
+++ b/internal/coordination/membership/merge.go
@@ -26,14 +26,14 @@
 	return ownLog{changed: make(chan struct{})}
 }
 
-func (l *ownLog) renewed(node string) { l.append(ownChange{node: node}) }
+func (l *ownLog) add(node string) { l.append(ownChange{node: node}) }
 
 func (l *ownLog) stopped(last *wire.Lease) {
 	l.append(ownChange{node: last.GetNodeId(), stopped: last})
 }
 
 func (l *ownLog) append(c ownChange) {
-	l.add(c, ownLogSize)
+	l.history.add(c, ownLogSize)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -99,7 +99,7 @@
 		return true
 	}
 	r.put(&lease{Lease: next, expires: expires})
-	r.own.renewed(next.GetNodeId())
+	r.own.add(next.GetNodeId())
 	return true
 }
 
