Free the permit before a keyed request is answered from its record

Cause: an attempt that was answered or refused after admission sent its message before it released its permit. A caller's next request could meet the upstream in cold start, where the limit is 1, with the permit still taken and was refused. TestKeyedRequests showed it as status 503 under load. Ruled out: the claim and the fake control, which had answered. Change: the permit is released before the message is sent.

--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -75,17 +75,16 @@
 	s.stop()
 }
 
-// takeClaim claims the key of a keyed request. It returns false when the request was
-// answered or refused instead.
-func (r *received) takeClaim(ctx context.Context) bool {
+// takeClaim claims the key of a keyed request. It returns nil when the request may
+// run, and otherwise what answers or refuses it.
+func (r *received) takeClaim(ctx context.Context) (answer func()) {
 	key := r.head.GetIdempotencyKey()
 	if key == "" {
-		return true
+		return nil
 	}
 	settler := r.node.settler
 	if !settler.reserve() {
-		r.refuse(wire.RefusalReason_REFUSAL_CLAIM_UNAVAILABLE, "too many claims are being settled")
-		return false
+		return func() { r.refuse(wire.RefusalReason_REFUSAL_CLAIM_UNAVAILABLE, "too many claims are being settled") }
 	}
 	claim := &wire.Claim{
 		Service:     r.head.GetService(),
@@ -103,16 +102,14 @@
 		// The claim may have been granted, or may still be. It is asked again until
 		// the result is known, and then given back.
 		settler.settle(func(ctx context.Context) error { return resolve(ctx, settler.claimer, claim, held) })
-		r.refuse(wire.RefusalReason_REFUSAL_CLAIM_UNAVAILABLE, "")
-		return false
+		return func() { r.refuse(wire.RefusalReason_REFUSAL_CLAIM_UNAVAILABLE, "") }
 	}
 	if result.GetState() == wire.ClaimState_CLAIM_GRANTED {
 		r.claim = held
-		return true
+		return nil
 	}
 	settler.free()
-	r.answerClaim(result)
-	return false
+	return func() { r.answerClaim(result) }
 }
 
 // resolve finds out whether a claim was granted and gives it back. The request was
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -87,7 +87,10 @@
 	outcome := admission.Outcome{Result: admission.ResultCancelled}
 	r.permit = permit
 	defer func() { permit.Release(outcome) }()
-	if !r.takeClaim(ctx) {
+	if answer := r.takeClaim(ctx); answer != nil {
+		// The permit is free before the caller can send its next request.
+		permit.Release(outcome)
+		answer()
 		return
 	}
 	outcome = r.forward(ctx, cancel)
@@ -189,6 +192,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
 		reason = wire.RefusalReason_REFUSAL_DEADLINE
 	}
+	r.permit.Release(outcome)
 	r.refuse(reason, "")
 	return outcome
 }
