Test control members as processes under faults and racing operators

Cause: the log, the API and the document were tested together only in parts. Change: an editor edits without pause through three members while one is killed, returns on an empty folder, a second one is killed right after, and leaders are frozen and resumed. Racing operators edit one version through all members.

--- /dev/null
+++ b/test/e2e/control_test.go
@@ -0,0 +1,315 @@
+package e2e
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/control/api"
+	"github.com/chicorylever/chicorylever/internal/settings"
+)
+
+const (
+	testToken     = "e2e-token"
+	editedSection = "services/drafts"
+)
+
+// apiClient does not wait long for a member that is frozen.
+var apiClient = &http.Client{Timeout: 500 * time.Millisecond}
+
+// members are control members, each a process of its own.
+type members struct {
+	*cluster
+	settings []*settings.Control
+}
+
+func newMembers(t *testing.T, count int) *members {
+	m := &members{cluster: newCluster(t)}
+	digest := sha256.Sum256([]byte(testToken))
+	path := filepath.Join(m.dir, "document.json")
+	withToken := strings.Replace(testDocument, `"token_sha256": []`, `"token_sha256": ["`+hex.EncodeToString(digest[:])+`"]`, 1)
+	assert.NilError(t, os.WriteFile(path, []byte(withToken), 0o600))
+	var bootstrap []string
+	for range count {
+		bootstrap = append(bootstrap, freeAddress(t))
+	}
+	for i, mesh := range bootstrap {
+		m.settings = append(m.settings, &settings.Control{
+			ID: fmt.Sprintf("control-%d", i+1), Zone: "seq-a", DataDir: filepath.Join(m.dir, fmt.Sprintf("data-%d", i+1)),
+			MeshListen: mesh, APIListen: freeAddress(t), Bootstrap: bootstrap, BootstrapDocument: path,
+		})
+		m.startMember(i)
+	}
+	m.control = m.settings[0]
+	eventually(t, func() error { _, err := m.status(0); return err })
+	return m
+}
+
+func (m *members) startMember(i int) {
+	m.start("chicorylever-control", m.settings[i].ID, m.settings[i])
+}
+
+func (m *members) killMember(i int) {
+	id := m.settings[i].ID
+	command := m.processes[id]
+	delete(m.processes, id)
+	_ = command.Process.Kill()
+	_ = command.Wait()
+}
+
+func (m *members) status(i int) (api.StatusBody, error) {
+	var body api.StatusBody
+	_, err := m.api(i, http.MethodGet, "/v1/status", "", nil, &body)
+	return body, err
+}
+
+// leader returns the index of the leading member.
+func (m *members) leader() int {
+	found := -1
+	eventually(m.t, func() error {
+		for i, s := range m.settings {
+			if _, running := m.processes[s.ID]; !running {
+				continue
+			}
+			if body, err := m.status(i); err == nil && body.Cluster.Leader == body.Cluster.ID {
+				found = i
+				return nil
+			}
+		}
+		return fmt.Errorf("no leader")
+	})
+	return found
+}
+
+// waitVoters waits until the member sees that many voters and no learner.
+func (m *members) waitVoters(i, voters int) {
+	eventually(m.t, func() error {
+		body, err := m.status(i)
+		if err != nil {
+			return err
+		}
+		for _, member := range body.Cluster.Members {
+			if member.Learner {
+				return fmt.Errorf("%d is a learner", member.ID)
+			}
+		}
+		if len(body.Cluster.Members) != voters {
+			return fmt.Errorf("%d voters", len(body.Cluster.Members))
+		}
+		return nil
+	})
+}
+
+func (m *members) api(i int, method, path, body string, header map[string]string, target any) (int, error) {
+	request, err := http.NewRequest(method, "http://"+m.settings[i].APIListen+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := apiClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode, fmt.Errorf("%s: %s", response.Status, data)
+	}
+	return response.StatusCode, json.Unmarshal(data, target)
+}
+
+// editor makes one edit after another while members fail.
+type editor struct {
+	*members
+	stop chan struct{}
+	done chan struct{}
+
+	mu       sync.Mutex
+	version  uint64
+	accepted int
+	longest  time.Duration
+	err      error
+}
+
+func (m *members) startEditor() *editor {
+	e := &editor{members: m, version: 1, stop: make(chan struct{}), done: make(chan struct{})}
+	go e.run()
+	return e
+}
+
+func (e *editor) run() {
+	defer close(e.done)
+	for number := 1; ; number++ {
+		select {
+		case <-e.stop:
+			return
+		default:
+		}
+		started := time.Now()
+		version, err := e.edit(number, e.version)
+		e.mu.Lock()
+		if e.err = err; err == nil {
+			e.version, e.accepted, e.longest = version, number, max(e.longest, time.Since(started))
+		}
+		e.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// edit resends one edit through all members in turn until one answers. A conflict is
+// an error: there is one editor, so it means that an accepted edit was lost or that
+// a resend took effect twice.
+func (e *editor) edit(number int, base uint64) (version uint64, err error) {
+	body := fmt.Sprintf(`{"owner": "platform", "timeout_ms": %d}`, 1000+number)
+	header := map[string]string{
+		"If-Match": `"` + strconv.FormatUint(base, 10) + `"`,
+		"Edit-Id":  "edit-" + strconv.Itoa(number),
+	}
+	for attempt := range 400 {
+		var result api.EditBody
+		status, err := e.api((number+attempt)%len(e.settings), http.MethodPut, "/v1/sections/"+editedSection, body, header, &result)
+		switch status {
+		case http.StatusOK:
+			return result.Version, err
+		case http.StatusServiceUnavailable, 0:
+			time.Sleep(20 * time.Millisecond)
+		default:
+			return 0, fmt.Errorf("edit %d on version %d: %w", number, base, err)
+		}
+	}
+	return 0, fmt.Errorf("edit %d got no answer", number)
+}
+
+// progress waits until more edits are accepted.
+func (e *editor) progress(count int) {
+	e.t.Helper()
+	target := -1
+	eventually(e.t, func() error {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		assert.NilError(e.t, e.err)
+		if target < 0 {
+			target = e.accepted + count
+		}
+		if e.accepted < target {
+			return fmt.Errorf("%d of %d edits are accepted", e.accepted, target)
+		}
+		return nil
+	})
+}
+
+func (e *editor) finish() {
+	e.t.Helper()
+	close(e.stop)
+	<-e.done
+	assert.NilError(e.t, e.err)
+	e.t.Logf("%d edits, longest with resends %v", e.accepted, e.longest)
+}
+
+// requireLast checks that every member has the last edit.
+func (e *editor) requireLast() {
+	e.t.Helper()
+	for i := range e.settings {
+		var section api.SectionBody
+		eventually(e.t, func() error {
+			_, err := e.api(i, http.MethodGet, "/v1/sections/"+editedSection, "", nil, &section)
+			return err
+		})
+		assert.Equal(e.t, section.Version, e.version)
+		assert.Assert(e.t, strings.Contains(string(section.Body), strconv.Itoa(1000+e.accepted)), "%s", section.Body)
+	}
+}
+
+// TestControlFaults guards against accepted edits that are lost or take effect
+// twice, and against edits that stay blocked, while members are killed, lose their
+// folder, lose a second one right after the repair, freeze and return.
+func TestControlFaults(t *testing.T) {
+	m := newMembers(t, 3)
+	m.waitVoters(0, 3)
+	e := m.startEditor()
+	e.progress(20)
+
+	first := m.leader()
+	m.killMember(first)
+	e.progress(20)
+
+	// The killed member returns on a new disk and must learn before it votes.
+	assert.NilError(t, os.RemoveAll(m.settings[first].DataDir))
+	m.settings[first].Join, m.settings[first].Bootstrap = m.settings[first].Bootstrap, nil
+	m.startMember(first)
+	m.waitVoters(first, 3)
+
+	second := (first + 1) % len(m.settings)
+	m.killMember(second)
+	e.progress(20)
+	m.startMember(second)
+	m.waitVoters(second, 3)
+
+	for range 3 {
+		frozen := m.leader()
+		m.signal(m.settings[frozen].ID, syscall.SIGSTOP)
+		e.progress(10)
+		m.signal(m.settings[frozen].ID, syscall.SIGCONT)
+		e.progress(10)
+	}
+	e.finish()
+	e.requireLast()
+}
+
+// TestRacingOperators guards against two accepted edits of one version, through
+// different members.
+func TestRacingOperators(t *testing.T) {
+	m := newMembers(t, 3)
+	m.waitVoters(0, 3)
+	version := uint64(1)
+	for round := range 10 {
+		var mu sync.Mutex
+		var accepted []uint64
+		var group sync.WaitGroup
+		for i := range m.settings {
+			group.Go(func() {
+				body := fmt.Sprintf(`{"owner": "platform", "timeout_ms": %d}`, 2000+i)
+				header := map[string]string{
+					"If-Match": fmt.Sprintf(`"%d"`, version), "Edit-Id": fmt.Sprintf("race-%d-%d", round, i),
+				}
+				var result api.EditBody
+				eventually(t, func() error {
+					status, err := m.api(i, http.MethodPut, "/v1/sections/services/approvals", body, header, &result)
+					if status == http.StatusConflict {
+						return nil
+					}
+					if err == nil {
+						mu.Lock()
+						defer mu.Unlock()
+						accepted = append(accepted, result.Version)
+					}
+					return err
+				})
+			})
+		}
+		group.Wait()
+		assert.Equal(t, len(accepted), 1, "round %d", round)
+		version = accepted[0]
+	}
+}
