Bound queues by size, replace repeated learners, add benchmarks

Proposals waiting for a quorum were bounded by number only: 4,096 commands of 1 MiB were possible. They are now bounded by 64 MiB too, and waiting reads by number. A member that lost its folder again before its promotion left a learner behind each time; the next join removes it. A leader asked to remove itself hands over first.

--- /dev/null
+++ b/internal/coordination/replica/benchmark_test.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+)
+
+const benchmarkCommandBytes = 128
+
+// BenchmarkPropose measures proposals made on the leader: rate and latency.
+func BenchmarkPropose(b *testing.B) {
+	for _, members := range []int{1, 3} {
+		for _, proposers := range []int{1, 64} {
+			b.Run(fmt.Sprintf("members=%d/proposers=%d", members, proposers), func(b *testing.B) {
+				c := newCluster(b, members, 0, 0)
+				c.waitVoters(members)
+				benchmarkPropose(b, c.members[c.leader()], proposers)
+			})
+		}
+	}
+}
+
+func benchmarkPropose(b *testing.B, p *process, proposers int) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var next atomic.Int64
+	total := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	b.ResetTimer()
+	for range proposers {
+		group.Go(func() {
+			own := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+			command := make([]byte, benchmarkCommandBytes)
+			for next.Add(1) <= int64(b.N) {
+				began := time.Now()
+				_, _, err := p.Propose(context.Background(), command)
+				assert.Check(b, err)
+				_ = own.RecordValue(time.Since(began).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total.Merge(own)
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
+	b.ReportMetric(float64(total.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(total.ValueAtQuantile(99))/1000, "p99-ms")
+}
+
+// BenchmarkRestart measures the time from Open of a single member until a confirmed
+// read, after a number of entries.
+func BenchmarkRestart(b *testing.B) {
+	for _, entries := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			c := newCluster(b, 1, 0, 0)
+			c.waitVoters(1)
+			fill(b, c.members[0], entries)
+			b.ResetTimer()
+			for range b.N {
+				b.StopTimer()
+				c.kill(0)
+				b.StartTimer()
+				c.restart(0)
+				_, err := c.members[0].Confirm(context.Background())
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
+
+func fill(b *testing.B, p *process, entries int) {
+	var group sync.WaitGroup
+	var next atomic.Int64
+	for range 256 {
+		group.Go(func() {
+			for next.Add(1) <= int64(entries) {
+				_, _, err := p.Propose(context.Background(), make([]byte, benchmarkCommandBytes))
+				assert.Check(b, err)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -9,21 +9,26 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/wal"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
 // patience bounds waiting for something that must happen; no test measures time.
 const patience = 60 * time.Second
 
+var errSync = errors.New("injected failure of sync")
+
 // counter is a state machine that counts how often each command was applied.
 type counter struct {
 	mu     sync.Mutex
@@ -63,6 +68,30 @@
 	client  *mesh.Client
 	server  *mesh.Server
 	close   func()
+	// failSync makes all further syncs of files fail.
+	failSync atomic.Bool
+}
+
+type failingFS struct {
+	wal.OS
+	failed *atomic.Bool
+}
+
+func (f failingFS) Create(path string) (wal.File, error) {
+	file, err := f.OS.Create(path)
+	return failingFile{file, f.failed}, err
+}
+
+type failingFile struct {
+	wal.File
+	failed *atomic.Bool
+}
+
+func (f failingFile) Sync() error {
+	if f.failed.Load() {
+		return errSync
+	}
+	return f.File.Sync()
 }
 
 type cluster struct {
@@ -110,6 +139,7 @@
 	replica, err := Open(Options{
 		DataDir: c.folder(i), Address: c.addresses[i], Bootstrap: c.addresses,
 		Machine: p.machine, Mesh: p.client, SnapshotEvery: c.snapshotEvery, TickInterval: c.tick,
+		fs: failingFS{failed: &p.failSync},
 	})
 	assert.NilError(c.t, err)
 	p.Replica = replica
@@ -162,7 +192,6 @@
 	assert.NilError(c.t, os.RemoveAll(c.folder(i)))
 	c.restart(i)
 	assert.Assert(c.t, c.members[i].ID() != old)
-	c.waitVoters(len(c.members))
 }
 
 func (c *cluster) wait(what string, condition func() bool) {
@@ -181,6 +210,10 @@
 	}
 }
 
+func (p *process) knows(id uint64) bool {
+	return slices.ContainsFunc(p.Status().Members, func(m Member) bool { return m.ID == id })
+}
+
 // waitVoters waits until all running members know a leader and the same voters,
 // which are the running members.
 func (c *cluster) waitVoters(voters int) {
@@ -191,7 +224,7 @@
 				continue
 			}
 			s := p.Status()
-			if s.Leader == 0 || len(s.Members) != voters {
+			if s.Leader == 0 || len(s.Members) != voters || !p.knows(p.ID()) {
 				return false
 			}
 			for _, m := range s.Members {
--- a/internal/coordination/replica/form.go
+++ b/internal/coordination/replica/form.go
@@ -155,7 +155,8 @@
 }
 
 // addLearner takes a joining member into the configuration if this member leads. A
-// learner that had the same address and lost its data is removed by admit.
+// learner with the same address lost its data before it was promoted and is removed
+// at once, so that repeated losses do not pile up; a voter is removed by admit.
 func (r *Replica) addLearner(ctx context.Context, request introduction) {
 	s := r.Status()
 	known := slices.ContainsFunc(s.Members, func(m Member) bool { return m.ID == request.memberID })
@@ -164,6 +165,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	for _, m := range s.Members {
+		if !m.Learner || m.Address != request.address {
+			continue
+		}
+		if err := r.RemoveMember(ctx, m.ID); err != nil {
+			return
+		}
+	}
 	err := r.AddMember(ctx, request.memberID, request.address)
 	_ = level.Info(r.logger).Log("msg", "member joins", "member", request.memberID, "address", request.address, "err", err)
 }
--- a/internal/coordination/replica/loop.go
+++ b/internal/coordination/replica/loop.go
@@ -25,9 +25,11 @@
 	// pending holds the proposals of pendingTerm by index.
 	pending     map[uint64]*proposal
 	pendingTerm uint64
-	reads       map[uint64]*read
-	lastRead    uint64
-	peers       map[uint64]*peer
+	// pendingBytes is the size of their commands.
+	pendingBytes int
+	reads        map[uint64]*read
+	lastRead     uint64
+	peers        map[uint64]*peer
 	// addresses holds those of senders that the configuration does not name.
 	addresses map[uint64]string
 	// members is the published form of configuration.
@@ -64,7 +66,7 @@
 			l.stepQueued()
 		case p := <-l.openProposals():
 			l.propose(p)
-		case read := <-l.r.reads:
+		case read := <-l.openReads():
 			l.startRead(read)
 		case call := <-l.r.calls:
 			call()
@@ -118,12 +120,20 @@
 
 // openProposals stops taking proposals while too many wait for a quorum.
 func (l *loop) openProposals() chan *proposal {
-	if len(l.pending) >= maxPending {
+	if len(l.pending) >= maxPending || l.pendingBytes >= maxPendingBytes {
 		return nil
 	}
 	return l.r.proposals
 }
 
+// openReads stops taking reads while too many wait for a quorum.
+func (l *loop) openReads() chan *read {
+	if len(l.reads) >= maxPending {
+		return nil
+	}
+	return l.r.reads
+}
+
 // stepQueued handles the messages that are already there before the next write.
 func (l *loop) stepQueued() {
 	for range maxBatch {
@@ -191,6 +201,7 @@
 			continue
 		}
 		delete(l.pending, e.Index)
+		l.pendingBytes -= len(p.command)
 		if e.Term != l.pendingTerm {
 			// Another leader's entry took the place, so the command never takes effect.
 			p.finish(outcome{err: ErrNotLeader})
@@ -235,6 +246,7 @@
 		p.finish(outcome{err: ErrUnknown})
 		delete(l.pending, index)
 	}
+	l.pendingBytes = 0
 }
 
 // stop ends everything that waits for the loop.
--- a/internal/coordination/replica/members.go
+++ b/internal/coordination/replica/members.go
@@ -21,8 +21,16 @@
 }
 
 // RemoveMember removes a voter or learner. Only the leader does; errors are as for
-// AddMember.
+// AddMember. A leader asked to remove itself hands over and returns ErrNotLeader; the
+// call is then repeated on its successor.
 func (r *Replica) RemoveMember(ctx context.Context, id uint64) error {
+	if id == r.id {
+		r.inLoop(ctx, func() {
+			// Without a successor the leader stays, and the caller sees it in Status.
+			_ = r.loop.core.TransferLeader(r.loop.core.BestSuccessor())
+		})
+		return ErrNotLeader
+	}
 	return r.change(ctx, raft.Change{Kind: raft.Remove, ID: id})
 }
 
--- a/internal/coordination/replica/open.go
+++ b/internal/coordination/replica/open.go
@@ -72,7 +72,7 @@
 	if err := options.setDefaults(); err != nil {
 		return nil, err
 	}
-	store, contents, err := wal.Open(wal.Options{Dir: options.DataDir})
+	store, contents, err := wal.Open(wal.Options{Dir: options.DataDir, FS: options.fs})
 	if err != nil {
 		return nil, errors.WithMessage(err, "replica: open log")
 	}
--- a/internal/coordination/replica/options.go
+++ b/internal/coordination/replica/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/state/wal"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -38,6 +39,8 @@
 	// maxPending bounds the proposals that wait for a quorum. Further ones wait in
 	// Propose until their context ends.
 	maxPending = 4096
+	// maxPendingBytes bounds the size of their commands in the same way.
+	maxPendingBytes = 64 << 20
 	// maxBatch bounds the proposals taken from the queue for one write.
 	maxBatch = 512
 
@@ -72,7 +75,9 @@
 	// Address is the mesh address under which other members reach this one.
 	Address string
 	// Bootstrap names the mesh addresses of the first members, this one included,
-	// in the same order on each. It is read only while this member belongs to no cluster.
+	// in the same order on each. It is read only while this member belongs to no
+	// cluster. The first address creates the cluster once all others answer; a list
+	// of one address creates a cluster at once, so a larger cluster must list all.
 	Bootstrap []string
 	// Join names mesh addresses of running members for a member that joins them.
 	Join []string
@@ -87,6 +92,9 @@
 	TickInterval time.Duration
 	// SnapshotEvery is the number of entries between snapshots; default 10,000.
 	SnapshotEvery uint64
+
+	// fs replaces the operating system's filesystem when it is not nil.
+	fs wal.FS
 }
 
 func (o *Options) setDefaults() error {
--- a/internal/coordination/replica/peer.go
+++ b/internal/coordination/replica/peer.go
@@ -95,13 +95,17 @@
 
 // learnAddress notes the address of a member that the log does not name yet.
 func (l *loop) learnAddress(id uint64, address string) {
-	if len(l.addresses) < maxAddresses {
+	if _, ok := l.core.Status().Configuration.Find(id); !ok && len(l.addresses) < maxAddresses {
 		l.addresses[id] = address
 	}
 }
 
-// stopUnusedPeers ends the senders to members that left.
+// stopUnusedPeers ends the senders to members that left, and forgets addresses that
+// the configuration names by now.
 func (l *loop) stopUnusedPeers() {
+	for _, m := range l.core.Status().Configuration.Members {
+		delete(l.addresses, m.ID)
+	}
 	for id, p := range l.peers {
 		if l.address(id) != p.address {
 			p.stop()
--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -186,6 +186,7 @@
 	}
 	l.pendingTerm = l.core.Status().Term
 	l.pending[index] = p
+	l.pendingBytes += len(p.command)
 }
 
 func (l *loop) appendProposal(p *proposal) (uint64, error) {
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/state/wal"
 )
 
 // TestLeaderKilled guards against losing or repeating commands when the leader dies
@@ -46,6 +47,11 @@
 	accepted, unknown := c.members[1].propose("x", keepEntries+2000, 128)
 	for i := range c.members {
 		c.replace(i)
+		if i == 1 {
+			c.wait("the replacement to be known", func() bool { return c.members[0].knows(c.members[1].ID()) })
+			c.replace(i)
+		}
+		c.waitVoters(3)
 		a, u := c.members[i].propose(string(rune('a'+i)), 50, 8)
 		accepted, unknown = append(accepted, a...), append(unknown, u...)
 	}
@@ -105,11 +111,34 @@
 	leader := c.leader()
 	removed := (leader + 1) % 3
 	id := c.members[removed].ID()
-	assert.NilError(t, c.members[leader].RemoveMember(context.Background(), id))
+	err := c.members[leader].RemoveMember(context.Background(), c.members[leader].ID())
+	assert.ErrorIs(t, err, ErrNotLeader)
+	c.wait("the leader to hand over", func() bool {
+		leader = c.leader()
+		return c.members[leader].RemoveMember(context.Background(), id) == nil
+	})
 	c.kill(removed)
 	c.waitVoters(2)
-	s := c.members[leader].Status()
-	assert.Assert(t, !slices.ContainsFunc(s.Members, func(m Member) bool { return m.ID == id }))
+	assert.Assert(t, !c.members[leader].knows(id))
 	accepted, _ := c.members[leader].propose("x", 10, 2)
 	assert.Equal(t, len(accepted), 10)
 }
+
+// TestFailedSyncStopsMember guards against a leader that goes on, or reports success,
+// after a sync failed.
+func TestFailedSyncStopsMember(t *testing.T) {
+	c := newCluster(t, 3, 0, slowTick)
+	c.waitVoters(3)
+	leader := c.leader()
+	failing, other := c.members[leader], c.members[(leader+1)%3]
+	failing.failSync.Store(true)
+	_, _, err := failing.Propose(context.Background(), []byte("lost"))
+	assert.ErrorIs(t, err, ErrUnknown)
+	<-failing.Failed()
+	assert.ErrorIs(t, failing.Err(), wal.ErrFailed)
+	_, _, err = failing.Propose(context.Background(), nil)
+	assert.ErrorIs(t, err, ErrStopped)
+	c.kill(leader)
+	accepted, unknown := other.propose("x", 10, 2)
+	c.requireApplied(accepted, append(unknown, "lost"))
+}
