--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -73,7 +73,11 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (c *Control) Run(ctx context.Context) error {
-	server := mesh.NewServer(mesh.DefaultConfig(), c.serveStream)
+	config, err := mesh.Configure(c.settings.ID, c.settings.TLSCert, c.settings.TLSKey, c.settings.TLSCA)
+	if err != nil {
+		return errors.Wrap(err, "control")
+	}
+	server := mesh.NewServer(config, c.serveStream)
 	api := &http.Server{
 		Handler:           c.routes(),
 		ReadHeaderTimeout: apiHeaderTimeout,
@@ -93,7 +97,7 @@
 		return err
 	})
 	_ = level.Info(c.logger).Log("msg", "control member started", "mesh", c.MeshAddress(), "api", c.APIAddress())
-	err := group.Wait()
+	err = group.Wait()
 	_ = level.Info(c.logger).Log("msg", "control member stopped", "err", err)
 	return err
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -58,6 +58,8 @@
 	// uploading is set once rest may have been read; the body can't be sent again.
 	uploading bool
 	retries   int
+	// stopsRetries is set when callers above must not retry either.
+	stopsRetries bool
 	// status of the response that was passed on.
 	status int
 	// stopReading makes a pending read of rest fail.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -169,20 +169,20 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	return n.peers.mayRetry(c.service, c.limits, retry.Failure{
+	verdict := n.peers.decideRetry(c.service, c.limits, retry.Failure{
 		NotRun:     result.outcome == outcomeNotRun,
 		Repeatable: c.isRepeatable(),
 		Resendable: !c.uploading,
 		Attempts:   number,
 		Remaining:  time.Until(c.deadline),
 	})
+	c.stopsRetries = verdict != retry.VerdictRetry && verdict.StopsRetriesAbove(number)
+	return verdict == retry.VerdictRetry
 }
 
 // writeFailure answers a call that got no response.
 func writeFailure(ctx context.Context, w http.ResponseWriter, c *call, failure attemptResult) callResult {
-	if c.retries > 0 {
-		w.Header().Set(httpapi.HeaderRetried, strconv.Itoa(c.retries))
-	}
+	setRetried(w, c)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return callCancelled
 	}
@@ -211,6 +211,14 @@
 	return callUnknown
 }
 
+// setRetried tells callers above that this hop has retried, or would have but for its
+// budget, so that they do not multiply the attempts.
+func setRetried(w http.ResponseWriter, c *call) {
+	if c.retries > 0 || c.stopsRetries {
+		w.Header().Set(httpapi.HeaderRetried, strconv.Itoa(c.retries))
+	}
+}
+
 func unknownStatus(ctx context.Context, failure attemptResult) int {
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -35,6 +35,7 @@
 	version  uint64
 	listed   map[string]*wire.Instance
 	changed  chan struct{}
+	deaf     bool // ignores announcements
 	// onClaim answers claims; nil is no answer.
 	onClaim  func(*wire.Claim) *wire.ClaimResult
 	claims   []*wire.Claim
@@ -79,7 +80,11 @@
 				return
 			}
 			if instance := message.GetHeartbeat().GetInstance(); instance != nil {
-				c.change(func() { c.listed[instance.GetId()] = instance })
+				c.change(func() {
+					if !c.deaf {
+						c.listed[instance.GetId()] = instance
+					}
+				})
 			}
 		}
 	}()
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -95,6 +95,10 @@
 
 func (h *hedge) second() attemptResult {
 	n, c := h.node, h.call
+	if n.peers.heardSince(h.primary.GetId(), c.started) {
+		// The upstream works; this request is slow by itself and would be elsewhere.
+		return attemptResult{}
+	}
 	instance, candidate, ok := n.peers.pick(c.view, c.service, map[string]bool{h.primary.GetId(): true})
 	if !ok {
 		return attemptResult{}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,8 +40,10 @@
 	set     *metrics.Set
 	retries *metrics.Counter
 	hedges  *metrics.Counter
-	added   *metrics.PrometheusHistogram
-	reasons map[wire.RefusalReason]*metrics.Counter
+	// ejections counts the times this entry stopped choosing a failing instance.
+	ejections *metrics.Counter
+	added     *metrics.PrometheusHistogram
+	reasons   map[wire.RefusalReason]*metrics.Counter
 
 	mu       sync.RWMutex
 	services map[string]*serviceMetrics
@@ -60,12 +62,13 @@
 func newNodeMetrics() *nodeMetrics {
 	set := metrics.NewSet()
 	m := &nodeMetrics{
-		set:      set,
-		retries:  set.NewCounter("chicorylever_retries_total"),
-		hedges:   set.NewCounter("chicorylever_hedges_total"),
-		added:    set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
-		reasons:  map[wire.RefusalReason]*metrics.Counter{},
-		services: map[string]*serviceMetrics{},
+		set:       set,
+		retries:   set.NewCounter("chicorylever_retries_total"),
+		hedges:    set.NewCounter("chicorylever_hedges_total"),
+		ejections: set.NewCounter("chicorylever_ejections_total"),
+		added:     set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
+		reasons:   map[wire.RefusalReason]*metrics.Counter{},
+		services:  map[string]*serviceMetrics{},
 	}
 	for number := range wire.RefusalReason_name {
 		reason := wire.RefusalReason(number)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,10 +59,13 @@
 		start:     uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
 		directory: newDirectory(),
 		upstream:  newUpstream(),
-		peers:     newPeers(s.Zone),
 		metrics:   newNodeMetrics(),
 		client:    mesh.NewClient(config),
 	}
+	n.peers = newPeers(s.Zone, func(instance string) {
+		n.metrics.ejections.Inc()
+		_ = level.Warn(n.logger).Log("msg", "instance ejected", "instance", instance)
+	})
 	n.settler = newSettler(newMeshClaimer(n.client, s.Control))
 	n.server = mesh.NewServer(config, n.serveStream)
 	n.registerGauges()
@@ -71,13 +74,7 @@
 
 // meshConfig returns the transport settings, with TLS when the settings name files.
 func meshConfig(s *settings.Node) (mesh.Config, error) {
-	config := mesh.DefaultConfig()
-	config.Identity = s.ID
-	if s.TLSCert == "" {
-		return config, nil
-	}
-	secured, err := mesh.LoadTLS(s.TLSCert, s.TLSKey, s.TLSCA)
-	config.TLS = secured
+	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	return config, errors.Wrap(err, "node")
 }
 
--- a/internal/node/pass.go
+++ b/internal/node/pass.go
@@ -10,7 +10,6 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
-	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
@@ -126,9 +125,7 @@
 	}
 	r.begun = true
 	decodeHeaders(r.w.Header(), r.head.GetHeaders())
-	if r.call.retries > 0 {
-		r.w.Header().Set(httpapi.HeaderRetried, strconv.Itoa(r.call.retries))
-	}
+	setRetried(r.w, r.call)
 	r.w.WriteHeader(int(r.head.GetStatus()))
 	if len(r.held) == 0 {
 		return nil
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -13,9 +13,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
 // hangUp reads the request and closes the connection.
@@ -102,6 +104,18 @@
 	})
 	eventually(t, func() bool { return beside.directory.view().revision == 3 && entry.directory.view().revision == 3 })
 	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
+	instances := entry.directory.view().services["s"]
+	control.change(func() { // a registry entry whose address another instance has taken over
+		ghost := proto.Clone(instances[0]).(*wire.Instance)
+		ghost.Id = "ghost"
+		control.deaf, control.listed = true, map[string]*wire.Instance{"ghost": ghost}
+	})
+	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() == "ghost" })
+	a = send(t, "POST", entry.url("/p"), nil)
+	assert.Equal(t, a.Header.Get(httpapi.HeaderReason), "wrong-instance")
+	control.change(func() { control.deaf, control.listed = false, map[string]*wire.Instance{instances[0].GetId(): instances[0]} })
+	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() != "ghost" })
+
 	response, err := http.Post("http://"+beside.LocalAddress()+"/v1/leave", "", strings.NewReader(`{"start_id": "1"}`))
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -24,6 +24,8 @@
 	states     map[string]*peerState
 	candidates []balance.Candidate // reused by pick
 	swept      *view
+	// onEject is told of each ejection of an instance.
+	onEject func(instance string)
 }
 
 type peerState struct {
@@ -31,10 +33,12 @@
 	inFlight int
 	report   *wire.LoadReport
 	reportAt time.Time
+	ejected  bool
 }
 
-func newPeers(zone string) *peers {
+func newPeers(zone string, onEject func(instance string)) *peers {
 	return &peers{
+		onEject: onEject,
 		picker:  balance.New(balance.Config{Zone: zone}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // no secret
 		retries: map[string]*retry.Policy{},
 		states:  map[string]*peerState{},
@@ -107,6 +111,11 @@
 		return
 	}
 	state.inFlight--
+	ejected := p.picker.Ejected(now, instance.GetId())
+	if ejected && !state.ejected {
+		p.onEject(instance.GetId())
+	}
+	state.ejected = ejected
 	if load != nil && state.startID == instance.GetStartId() {
 		state.report, state.reportAt = load, now
 	}
@@ -153,10 +162,17 @@
 	return delay
 }
 
-func (p *peers) mayRetry(service string, limits document.Limits, failure retry.Failure) bool {
+func (p *peers) decideRetry(service string, limits document.Limits, failure retry.Failure) retry.Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryLocked(service, limits).Decide(time.Now(), failure)
+}
+
+// heardSince reports whether the upstream has answered this entry after since.
+func (p *peers) heardSince(instance string, since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.retryLocked(service, limits).Decide(time.Now(), failure) == retry.VerdictRetry
+	return p.picker.HeardSince(instance, since)
 }
 
 func (p *peers) mayHedge(service string, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -140,9 +140,7 @@
 
 func (p *peer) watch(s *session) {
 	ping, dead := p.client.config.watchTimes(p.key.class)
-	if s.watch(ping, dead, p.client.config.IdleTimeout) == endSilent {
-		p.client.replaced.Add(1)
-	}
+	s.watch(ping, dead, p.client.config.IdleTimeout, func() { p.client.replaced.Add(1) })
 }
 
 func dialSession(ctx context.Context, config Config, key peerKey) (*session, error) {
--- a/internal/transport/mesh/handshake.go
+++ b/internal/transport/mesh/handshake.go
@@ -87,6 +87,19 @@
 	return errors.WithMessagef(ErrHandshake, "certificate is not for %q", identity)
 }
 
+// Configure returns the configuration of a process with the identity. With the names
+// of PEM files its connections use mutual TLS; without them they are open.
+func Configure(identity, certFile, keyFile, caFile string) (Config, error) {
+	config := DefaultConfig()
+	config.Identity = identity
+	if certFile == "" {
+		return config, nil
+	}
+	secured, err := LoadTLS(certFile, keyFile, caFile)
+	config.TLS = secured
+	return config, err
+}
+
 // LoadTLS returns a configuration for mutual TLS. Each process has a certificate
 // whose common name or DNS name is its identity, signed by the CA in caFile.
 // Addresses are not compared with certificates, since VMs change theirs.
--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -79,7 +79,7 @@
 		return
 	}
 	// Idle connections are closed by the side that dialled.
-	go accepted.watch(s.config.SlowPingAfter, s.config.SlowDeadAfter, 0)
+	go accepted.watch(s.config.SlowPingAfter, s.config.SlowDeadAfter, 0, func() {})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for {
--- a/internal/transport/mesh/watchdog.go
+++ b/internal/transport/mesh/watchdog.go
@@ -35,36 +35,30 @@
 	return time.Duration(now.UnixNano() - c.lastRead.Load())
 }
 
-// end tells why a watchdog ended.
-type end int
-
-const (
-	endClosed end = iota
-	endSilent
-	endIdle
-)
-
 // watch closes the session when it holds open streams and no byte has arrived for
 // the dead time. It pings after the ping time, so that a peer that only works on a
 // long request is not taken for a dead one. From two thirds of the dead time on, new
 // streams are kept off the connection. Without open streams there is no traffic;
-// after the idle timeout, when it is not 0, the session is closed.
-func (s *session) watch(ping, dead, idle time.Duration) end {
+// after the idle timeout, when it is not 0, the session is closed. It calls onSilent
+// before it closes a silent session, and returns when the session has ended.
+func (s *session) watch(ping, dead, idle time.Duration, onSilent func()) {
 	for {
 		switch s.waitForStream(idle) {
 		case wakeClosed:
-			return endClosed
+			return
 		case wakeIdle:
 			if s.closeUnused() {
-				return endIdle
+				return
 			}
 		case wakeStream:
 		}
-		if reason, ended := s.watchActive(ping, dead); ended {
-			return reason
+		if s.isSilent(ping, dead) {
+			onSilent()
+			s.close()
+			return
 		}
 		if s.retired.Load() && s.closeUnused() {
-			return endIdle
+			return
 		}
 	}
 }
@@ -97,9 +91,10 @@
 	}
 }
 
-// watchActive watches while streams are open. Silence before that says nothing
-// about the peer, and neither does silence while this process itself was frozen.
-func (s *session) watchActive(ping, dead time.Duration) (reason end, ended bool) {
+// isSilent watches while streams are open and returns true when the peer is silent.
+// Silence before that says nothing about the peer, and neither does silence while this
+// process itself was frozen.
+func (s *session) isSilent(ping, dead time.Duration) bool {
 	interval := ping / ticksPerPing
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -109,7 +104,7 @@
 	for s.NumStreams() > 0 {
 		select {
 		case <-s.CloseChan():
-			return endClosed, true
+			return false
 		case <-ticker.C:
 		}
 		now := time.Now()
@@ -119,8 +114,7 @@
 		last = now
 		silence := s.activity.silence(now)
 		if silence > dead {
-			s.close()
-			return endSilent, true
+			return true
 		}
 		if silence > dead*2/3 {
 			s.retire()
@@ -132,5 +126,5 @@
 			}()
 		}
 	}
-	return endClosed, false
+	return false
 }
