Bound the arrival of request bodies by the deadline; test a planned stop

A caller that stopped in the middle of a small body held its place without end; it now gets 408 at the deadline. Instances that are gone are forgotten outside of the request path.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -93,6 +93,7 @@
 	ticker := time.NewTicker(stateInterval)
 	defer ticker.Stop()
 	last := n.upstream.gate.Report().GetState()
+	var swept *view
 	for {
 		select {
 		case <-ctx.Done():
@@ -101,6 +102,10 @@
 		}
 		n.syncZone()
 		n.syncMeasuring()
+		if current := n.directory.view(); current != swept {
+			n.peers.sweep(current)
+			swept = current
+		}
 		state := n.upstream.gate.Report().GetState()
 		if state == last {
 			continue
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -126,31 +126,43 @@
 		c.length = 0
 		return nil
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(c.deadline)
 	body := http.MaxBytesReader(w, c.request.Body, c.limits.MaxBodyBytes)
 	if c.length > heldBodyBytes {
-		c.stream(w, body)
+		c.stream(control, body)
 		return nil
 	}
 	if c.length > 0 {
 		c.body = make([]byte, c.length)
 		_, err := io.ReadFull(body, c.body)
-		return err
+		return heldBodyRead(control, err)
 	}
 	var held bytes.Buffer
 	_, err := io.CopyN(&held, body, heldBodyBytes+1)
 	c.body = held.Bytes()
 	if errors.Is(err, io.EOF) {
 		c.length = int64(len(c.body))
-		return nil
+		return heldBodyRead(control, nil)
+	}
+	c.stream(control, body)
+	return err
+}
+
+// heldBodyRead ends the reading of a body that is held. The deadline must not end the
+// read by which the HTTP server notices that the caller goes away. For bodies that were
+// not read whole the deadline stays; the HTTP server removes it before it reuses the
+// connection.
+func heldBodyRead(control *http.ResponseController, err error) error {
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 	}
-	c.stream(w, body)
 	return err
 }
 
 // stream prepares the exchange of a body while the response is written. HTTP/1.1
 // servers otherwise read the rest of a body before they write.
-func (c *call) stream(w http.ResponseWriter, rest io.Reader) {
-	control := http.NewResponseController(w)
+func (c *call) stream(control *http.ResponseController, rest io.Reader) {
 	_ = control.EnableFullDuplex()
 	c.streamed, c.rest = true, rest
 	c.stopReading = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -30,17 +31,17 @@
 	defer func() { n.metrics.end(c, result) }()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer func() {
+		if c.resetWrite != nil {
+			c.resetWrite()
+		}
+	}()
 	if err := c.hold(w); err != nil {
 		rejectBody(w, err)
 		return
 	}
 	n.waitForInstances(ctx, c.service)
 	c.view = n.directory.view()
-	defer func() {
-		if c.resetWrite != nil {
-			c.resetWrite()
-		}
-	}()
 	result = n.serveCall(ctx, w, c)
 }
 
@@ -67,6 +68,10 @@
 		rejectCall(w, errBodyLength)
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		writeError(w, http.StatusRequestTimeout, httpapi.ErrorBody{Error: "body did not arrive in time", Outcome: httpapi.OutcomeNotRun})
+		return
+	}
 	rejectCall(w, errors.WithMessage(err, "read body"))
 }
 
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -113,7 +113,9 @@
 	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() == "ghost" })
 	a = send(t, "POST", entry.url("/p"), nil)
 	assert.Equal(t, a.Header.Get(httpapi.HeaderReason), "wrong-instance")
-	control.change(func() { control.deaf, control.listed = false, map[string]*wire.Instance{instances[0].GetId(): instances[0]} })
+	control.change(func() {
+		control.deaf, control.listed = false, map[string]*wire.Instance{instances[0].GetId(): instances[0]}
+	})
 	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() != "ghost" })
 
 	response, err := http.Post("http://"+beside.LocalAddress()+"/v1/leave", "", strings.NewReader(`{"start_id": "1"}`))
@@ -196,6 +198,10 @@
 	})
 	a := send(t, "POST", entry.url("/p"), nil, httpapi.HeaderTimeout, "0")
 	assert.Equal(t, a.outcome(), httpapi.OutcomeNotRun)
+	half, respond := io.Pipe()
+	go func() { _, _ = respond.Write([]byte("half")) }()
+	a = send(t, "POST", entry.url("/p"), half, httpapi.HeaderTimeout, "50")
+	assert.Equal(t, a.StatusCode, http.StatusRequestTimeout)
 	assert.Equal(t, beside.requests.Load(), int32(0))
 	// A cold upstream takes one request at a time.
 	idle := func() bool { return beside.Node.upstream.gate.Report().GetInFlight() == 0 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -23,7 +23,6 @@
 	retries    map[string]*retry.Policy
 	states     map[string]*peerState
 	candidates []balance.Candidate // reused by pick
-	swept      *view
 	// onEject is told of each ejection of an instance.
 	onEject func(instance string)
 }
@@ -50,7 +49,6 @@
 func (p *peers) pick(v *view, service string, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sweepLocked(v)
 	now := time.Now()
 	instances := v.services[service]
 	p.candidates = p.candidates[:0]
@@ -121,18 +119,16 @@
 	}
 }
 
-// sweepLocked drops what is known of instances that are gone from the registry.
-func (p *peers) sweepLocked(v *view) {
-	if v == p.swept {
-		return
-	}
-	p.swept = v
+// sweep drops what is known of instances that are gone from the registry.
+func (p *peers) sweep(v *view) {
 	listed := map[string]bool{}
 	for _, instances := range v.services {
 		for _, instance := range instances {
 			listed[instance.GetId()] = true
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for id, state := range p.states {
 		if !listed[id] && state.inFlight == 0 {
 			delete(p.states, id)
--- a/test/e2e/fault_test.go
+++ b/test/e2e/fault_test.go
@@ -98,6 +98,25 @@
 	t.Log(outcomes)
 }
 
+// TestPlannedStop guards against requests that a planned stop of a node interrupts.
+func TestPlannedStop(t *testing.T) {
+	c, entry := startService(t, 3)
+	var group sync.WaitGroup
+	for caller := range 6 {
+		group.Go(func() {
+			for i := range 60 {
+				path := fmt.Sprintf("/stop/%d-%d", caller, i)
+				status, outcome, _, err := callHeader("POST", entry+path+"?delay_ms=20", "body", "")
+				assert.Check(t, err)
+				assert.Check(t, status == http.StatusOK || outcome == httpapi.OutcomeNotRun, "%s: %d %s", path, status, outcome)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, c.stop("node-2"), 0)
+	group.Wait()
+}
+
 // TestFrozenNode guards against work that a node dispatches after it was frozen past
 // the deadline. The entry is frozen as well, so that its cancellation of the attempts
 // does not arrive before the node has read them.
