--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -35,6 +35,12 @@
 	attempt *attempt
 }
 
+// isBroken reports whether the connection to the node beside the upstream ended
+// before the node said anything.
+func (r *attemptResult) isBroken() bool {
+	return r.outcome == outcomeUnknown && r.reason == wire.RefusalReason_REFUSAL_UNSPECIFIED
+}
+
 // finish ends an answered attempt whose response is not used.
 func (r *attemptResult) finish() {
 	if r.outcome == outcomeAnswered {
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -10,10 +10,11 @@
 )
 
 // TestWholePath guards against a broken path from an announced upstream to a
-// caller's response, through every node, and against responses that reach the
+// caller's response, through every node and over mutual TLS, and against responses that reach the
 // wrong caller.
 func TestWholePath(t *testing.T) {
 	c := newCluster(t)
+	c.useTLS()
 	c.startControl()
 	for i, zone := range []string{"seq-a", "seq-b", "seq-c"} {
 		node := c.startNode(zone)
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -42,6 +43,8 @@
 	control   *settings.Control
 	nodes     []*settings.Node
 	processes map[string]*exec.Cmd
+	// authority signs a certificate for each process when it is set.
+	authority *tls.Certificate
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -65,6 +68,7 @@
 		MeshListen: mesh, APIListen: freeAddress(c.t),
 		Bootstrap: []string{mesh}, BootstrapDocument: document,
 	}
+	c.control.TLSCert, c.control.TLSKey, c.control.TLSCA = c.certify(c.control.ID)
 	c.start("chicorylever-control", "control-1", c.control)
 }
 
@@ -75,6 +79,7 @@
 		EntryListen: freeAddress(c.t), LocalListen: freeAddress(c.t), MeshListen: freeAddress(c.t), AdminListen: freeAddress(c.t),
 		Control: []string{c.control.MeshListen},
 	}
+	node.TLSCert, node.TLSKey, node.TLSCA = c.certify(id)
 	c.nodes = append(c.nodes, node)
 	c.start("chicorylever-node", id, node)
 	return node
--- /dev/null
+++ b/test/e2e/tls_test.go
@@ -0,0 +1,62 @@
+package e2e
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// useTLS makes processes that are started later speak mutual TLS.
+func (c *cluster) useTLS() {
+	authority := c.sign("authority", nil)
+	c.authority = &authority
+	c.writePEM("ca.pem", "CERTIFICATE", authority.Certificate[0])
+}
+
+// certify returns the names of files for a process, empty without TLS.
+func (c *cluster) certify(identity string) (cert, key, ca string) {
+	if c.authority == nil {
+		return "", "", ""
+	}
+	signed := c.sign(identity, c.authority)
+	der, err := x509.MarshalPKCS8PrivateKey(signed.PrivateKey)
+	assert.NilError(c.t, err)
+	cert = c.writePEM(identity+".pem", "CERTIFICATE", signed.Certificate[0])
+	key = c.writePEM(identity+".key", "PRIVATE KEY", der)
+	return cert, key, filepath.Join(c.dir, "ca.pem")
+}
+
+func (c *cluster) sign(identity string, authority *tls.Certificate) tls.Certificate {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(c.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: identity},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: authority == nil, BasicConstraintsValid: true,
+	}
+	parent, signer := template, any(key)
+	if authority != nil {
+		parent, signer = authority.Leaf, authority.PrivateKey
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	assert.NilError(c.t, err)
+	leaf, err := x509.ParseCertificate(der)
+	assert.NilError(c.t, err)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
+}
+
+func (c *cluster) writePEM(name, kind string, der []byte) string {
+	path := filepath.Join(c.dir, name)
+	assert.NilError(c.t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
