--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -51,7 +51,7 @@
 
 // New opens the listeners and the state of a member.
 func New(s *settings.Control, logger log.Logger) (*Control, error) {
-	config, err := mesh.NewConfig(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
+	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	if err != nil {
 		return nil, errors.WithMessage(err, "control")
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -30,17 +31,17 @@
 	defer func() { n.metrics.end(c, result) }()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer func() {
+		if c.resetWrite != nil {
+			c.resetWrite()
+		}
+	}()
 	if err := c.hold(w); err != nil {
 		rejectBody(w, err)
 		return
 	}
 	n.waitForInstances(ctx, c.service)
 	c.view = n.directory.view()
-	defer func() {
-		if c.resetWrite != nil {
-			c.resetWrite()
-		}
-	}()
 	result = n.serveCall(ctx, w, c)
 }
 
@@ -67,6 +68,10 @@
 		rejectCall(w, errBodyLength)
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		writeError(w, http.StatusRequestTimeout, httpapi.ErrorBody{Error: "body did not arrive in time", Outcome: httpapi.OutcomeNotRun})
+		return
+	}
 	rejectCall(w, errors.WithMessage(err, "read body"))
 }
 
@@ -80,6 +85,12 @@
 	failure := attemptResult{reason: wire.RefusalReason_REFUSAL_NO_UPSTREAM}
 	for number := 1; ; number++ {
 		instance, _, ok := n.peers.pick(c.view, c.service, tried)
+		if !ok && failure.isBroken() {
+			// All instances were tried. The last one, whose connection went silent or
+			// broke, may answer on a new one; only repeatable requests get here.
+			tried = nil
+			instance, _, ok = n.peers.pick(c.view, c.service, tried)
+		}
 		if !ok {
 			break
 		}
@@ -169,20 +180,20 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	return n.peers.mayRetry(c.service, c.limits, retry.Failure{
+	verdict := n.peers.decideRetry(c.service, c.limits, retry.Failure{
 		NotRun:     result.outcome == outcomeNotRun,
 		Repeatable: c.isRepeatable(),
 		Resendable: !c.uploading,
 		Attempts:   number,
 		Remaining:  time.Until(c.deadline),
 	})
+	c.stopsRetries = verdict != retry.VerdictRetry && verdict.StopsRetriesAbove(number)
+	return verdict == retry.VerdictRetry
 }
 
 // writeFailure answers a call that got no response.
 func writeFailure(ctx context.Context, w http.ResponseWriter, c *call, failure attemptResult) callResult {
-	if c.retries > 0 {
-		w.Header().Set(httpapi.HeaderRetried, strconv.Itoa(c.retries))
-	}
+	setRetried(w, c)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return callCancelled
 	}
@@ -211,6 +222,14 @@
 	return callUnknown
 }
 
+// setRetried tells callers above that this hop has retried, or would have but for its
+// budget, so that they do not multiply the attempts.
+func setRetried(w http.ResponseWriter, c *call) {
+	if c.retries > 0 || c.stopsRetries {
+		w.Header().Set(httpapi.HeaderRetried, strconv.Itoa(c.retries))
+	}
+}
+
 func unknownStatus(ctx context.Context, failure attemptResult) int {
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,7 +49,7 @@
 
 // New opens the listeners of a node.
 func New(s *settings.Node, logger log.Logger) (*Node, error) {
-	config, err := mesh.NewConfig(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
+	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	if err != nil {
 		return nil, errors.WithMessage(err, "node")
 	}
@@ -59,18 +59,20 @@
 		start:     uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
 		directory: newDirectory(),
 		upstream:  newUpstream(),
-		peers:     newPeers(s.Zone),
 		metrics:   newNodeMetrics(),
 		client:    mesh.NewClient(config),
 	}
 	n.directory.fetch = n.fetchRevision
+	n.peers = newPeers(s.Zone, func(instance string) {
+		n.metrics.ejections.Inc()
+		_ = level.Warn(n.logger).Log("msg", "instance ejected", "instance", instance)
+	})
 	n.settler = newSettler(newMeshClaimer(n.client, s.Control))
 	n.server = mesh.NewServer(config, n.serveStream)
 	n.registerGauges()
 	return n, n.listen()
 }
 
-// meshConfig returns the transport settings, with TLS when the settings name files.
 func (n *Node) listen() error {
 	listeners := []struct {
 		field   string
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -13,9 +13,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
 // hangUp reads the request and closes the connection.
@@ -102,6 +104,20 @@
 	})
 	eventually(t, func() bool { return beside.directory.view().revision == 3 && entry.directory.view().revision == 3 })
 	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
+	instances := entry.directory.view().services["s"]
+	control.change(func() { // a registry entry whose address another instance has taken over
+		ghost := proto.Clone(instances[0]).(*wire.Instance)
+		ghost.Id = "ghost"
+		control.deaf, control.listed = true, map[string]*wire.Instance{"ghost": ghost}
+	})
+	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() == "ghost" })
+	a = send(t, "POST", entry.url("/p"), nil)
+	assert.Equal(t, a.Header.Get(httpapi.HeaderReason), "wrong-instance")
+	control.change(func() {
+		control.deaf, control.listed = false, map[string]*wire.Instance{instances[0].GetId(): instances[0]}
+	})
+	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() != "ghost" })
+
 	response, err := http.Post("http://"+beside.LocalAddress()+"/v1/leave", "", strings.NewReader(`{"start_id": "1"}`))
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
@@ -182,6 +198,10 @@
 	})
 	a := send(t, "POST", entry.url("/p"), nil, httpapi.HeaderTimeout, "0")
 	assert.Equal(t, a.outcome(), httpapi.OutcomeNotRun)
+	half, respond := io.Pipe()
+	go func() { _, _ = respond.Write([]byte("half")) }()
+	a = send(t, "POST", entry.url("/p"), half, httpapi.HeaderTimeout, "50")
+	assert.Equal(t, a.StatusCode, http.StatusRequestTimeout)
 	assert.Equal(t, beside.requests.Load(), int32(0))
 	// A cold upstream takes one request at a time.
 	idle := func() bool { return beside.Node.upstream.gate.Report().GetInFlight() == 0 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -23,7 +23,8 @@
 	retries    map[string]*retry.Policy
 	states     map[string]*peerState
 	candidates []balance.Candidate // reused by pick
-	swept      *view
+	// onEject is told of each ejection of an instance.
+	onEject func(instance string)
 }
 
 type peerState struct {
@@ -31,10 +32,12 @@
 	inFlight int
 	report   *wire.LoadReport
 	reportAt time.Time
+	ejected  bool
 }
 
-func newPeers(zone string) *peers {
+func newPeers(zone string, onEject func(instance string)) *peers {
 	return &peers{
+		onEject: onEject,
 		picker:  balance.New(balance.Config{Zone: zone}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // no secret
 		retries: map[string]*retry.Policy{},
 		states:  map[string]*peerState{},
@@ -46,7 +49,6 @@
 func (p *peers) pick(v *view, service string, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sweepLocked(v)
 	now := time.Now()
 	instances := v.services[service]
 	p.candidates = p.candidates[:0]
@@ -107,23 +109,26 @@
 		return
 	}
 	state.inFlight--
+	ejected := p.picker.Ejected(now, instance.GetId())
+	if ejected && !state.ejected {
+		p.onEject(instance.GetId())
+	}
+	state.ejected = ejected
 	if load != nil && state.startID == instance.GetStartId() {
 		state.report, state.reportAt = load, now
 	}
 }
 
-// sweepLocked drops what is known of instances that are gone from the registry.
-func (p *peers) sweepLocked(v *view) {
-	if v == p.swept {
-		return
-	}
-	p.swept = v
+// sweep drops what is known of instances that are gone from the registry.
+func (p *peers) sweep(v *view) {
 	listed := map[string]bool{}
 	for _, instances := range v.services {
 		for _, instance := range instances {
 			listed[instance.GetId()] = true
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for id, state := range p.states {
 		if !listed[id] && state.inFlight == 0 {
 			delete(p.states, id)
@@ -153,10 +158,17 @@
 	return delay
 }
 
-func (p *peers) mayRetry(service string, limits document.Limits, failure retry.Failure) bool {
+func (p *peers) decideRetry(service string, limits document.Limits, failure retry.Failure) retry.Verdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryLocked(service, limits).Decide(time.Now(), failure)
+}
+
+// heardSince reports whether the upstream has answered this entry after since.
+func (p *peers) heardSince(instance string, since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.retryLocked(service, limits).Decide(time.Now(), failure) == retry.VerdictRetry
+	return p.picker.HeardSince(instance, since)
 }
 
 func (p *peers) mayHedge(service string, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
--- a/internal/transport/mesh/handshake.go
+++ b/internal/transport/mesh/handshake.go
@@ -87,9 +87,9 @@
 	return errors.WithMessagef(ErrHandshake, "certificate is not for %q", identity)
 }
 
-// NewConfig returns the default configuration of a process with its identity, and
-// with mutual TLS when certFile is not empty.
-func NewConfig(identity, certFile, keyFile, caFile string) (Config, error) {
+// Configure returns the configuration of a process with the identity. With the names
+// of PEM files its connections use mutual TLS; without them they are open.
+func Configure(identity, certFile, keyFile, caFile string) (Config, error) {
 	config := DefaultConfig()
 	config.Identity = identity
 	if certFile == "" {
