Count only a clearly longer service time as slow

The reported service time differs by chance, and entries avoided instances for it. It now counts from 1.5 times the usual one, and the node averages it over 32 instead of 16 requests.

--- a/internal/coordination/admission/ramp.go
+++ b/internal/coordination/admission/ramp.go
@@ -9,7 +9,7 @@
 	// slowMargin is added so that timer resolution does not count as slowness.
 	slowMargin = 0.001 // seconds
 	// recentGain is the weight of one request in the reported service time.
-	recentGain = 1.0 / 16
+	recentGain = 1.0 / 32
 	// usualGain is the weight of one request in the usual service time.
 	usualGain = 1.0 / 128
 	// coldGain is the weight while cold, so that a lasting change is accepted.
--- a/internal/coordination/balance/track.go
+++ b/internal/coordination/balance/track.go
@@ -15,6 +15,9 @@
 	// slowMemory is the time constant with which a slow instance is forgiven. With
 	// 0.2 s, p99.9 beside an instance ten times slower rose from 42 to 59 ms.
 	slowMemory = time.Second
+	// slowRatio times the usual service time is the shortest that counts as slow.
+	// Differences below it are mostly chance and refused 0.03 % more at 50 to 95 % load.
+	slowRatio = 1.5
 	// refusalMemory is the time constant with which refusals lose weight.
 	refusalMemory = 20 * time.Millisecond
 	// errorMemory is the time constant with which errors lose weight.
@@ -140,15 +143,15 @@
 	return t.errors.weighted(now, errorMemory)
 }
 
-// serviceTime returns the reported service time of the instance. It returns to the
-// mean of the service as the report ages, so that an instance that was slow is tried
-// again.
+// serviceTime returns the service time expected of the instance: the usual one of the
+// service, or the reported one when that is clearly longer. The difference loses
+// weight as the report ages, so that an instance that was slow is tried again.
 func (t *track) serviceTime(c *Candidate) float64 {
 	usual := t.service.usualTime()
-	if c.Report.ServiceTime == 0 {
+	excess := c.Report.ServiceTime.Seconds() - slowRatio*usual
+	if excess <= 0 {
 		return usual
 	}
-	excess := c.Report.ServiceTime.Seconds() - usual
 	return usual + excess*decay(c.ReportAge, slowMemory)
 }
 
