Begin with a stale registry; measure counts for each node and service

Cause: a node that connected before the first tick of a starting member got an empty list as complete and dropped its instances. Found in review. Change: a new registry is stale until Tick decides; TestStart, seen failing without it. The benchmark of checkpoints varies nodes and services.

--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -57,7 +57,8 @@
 	until           time.Time
 }
 
-// NewRegistry returns an empty registry.
+// NewRegistry returns an empty registry. Its list counts as stale until the first
+// Tick decides, so that a node which connects at once drops no instance.
 func NewRegistry() *Registry {
 	return &Registry{
 		leases:  map[string]*lease{},
@@ -66,6 +67,7 @@
 		removed: map[string]tombstone{},
 		own:     newOwnLog(),
 		changed: make(chan struct{}),
+		guard:   guard{stale: true, reason: ReasonStarting},
 		peers:   map[string]uint64{},
 	}
 }
--- a/internal/coordination/membership/registry_test.go
+++ b/internal/coordination/membership/registry_test.go
@@ -95,6 +95,18 @@
 	assert.DeepEqual(t, listed(c.registry), expected(nodes...))
 }
 
+// TestStart guards against a member that hands out an incomplete list as complete
+// before nodes had time to connect to it.
+func TestStart(t *testing.T) {
+	c := newClock()
+	for range int(settleHold.Seconds()) {
+		assert.Assert(t, c.registry.Instances(nil).Stale)
+		c.run(time.Second)
+	}
+	c.run(2 * time.Second)
+	assert.Assert(t, !c.registry.Instances(nil).Stale)
+}
+
 // TestNoQuorum guards against a member that was cut off from the others and
 // removes nodes that it cannot hear. Afterwards the list must become exact.
 func TestNoQuorum(t *testing.T) {
--- a/internal/state/slo/scale_test.go
+++ b/internal/state/slo/scale_test.go
@@ -28,10 +28,18 @@
 	return l.machine.Apply(1, command), 1, nil
 }
 
-// BenchmarkCheckpoint measures one minute of counts of 6,400 nodes with four
-// services each, of 360 services: time, bytes in the log, the snapshot and memory.
+// BenchmarkCheckpoint measures one minute of counts of nodes with four services
+// each: time, bytes in the log, the snapshot and memory.
 func BenchmarkCheckpoint(b *testing.B) {
-	const nodes, used, services = 6400, 4, 360
+	for _, size := range [][2]int{{6400, 360}, {3200, 360}, {6400, 720}} {
+		b.Run(fmt.Sprintf("nodes=%d/services=%d", size[0], size[1]), func(b *testing.B) {
+			benchmarkCheckpoint(b, size[0], size[1])
+		})
+	}
+}
+
+func benchmarkCheckpoint(b *testing.B, nodes, services int) {
+	const used = 4
 	before := heapBytes()
 	machine, now := NewMachine(), start
 	commands := &sizeLog{machine: machine}
@@ -44,7 +52,7 @@
 			counts := make([]*wire.BurnCount, used)
 			for s := range counts {
 				counts[s] = &wire.BurnCount{
-					Service: fmt.Sprint("service-", (n/18+s)%services), Good: uint64(4500 * minute), Bad: uint64(minute),
+					Service: fmt.Sprint("service-", (n*services/nodes+s)%services), Good: uint64(4500 * minute), Bad: uint64(minute),
 				}
 			}
 			collector.Observe(now, fmt.Sprintf("node-%05d", n), 1<<60, counts)
