--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -57,7 +57,8 @@
 	until           time.Time
 }
 
-// NewRegistry returns an empty registry.
+// NewRegistry returns an empty registry. Its list counts as stale until the first
+// Tick decides, so that a node which connects at once drops no instance.
 func NewRegistry() *Registry {
 	return &Registry{
 		leases:  map[string]*lease{},
@@ -66,6 +67,7 @@
 		removed: map[string]tombstone{},
 		own:     newOwnLog(),
 		changed: make(chan struct{}),
+		guard:   guard{stale: true, reason: ReasonStarting},
 		peers:   map[string]uint64{},
 	}
 }
@@ -94,9 +96,10 @@
 	expires := now.Add(LeaseDuration)
 	if old != nil && old.owner == "" && old.GetNodeStart() == next.GetNodeStart() &&
 		sameInstance(old.GetInstance(), next.GetInstance()) {
-		// Only a new revision in force is news to other members, which tell operators
-		// when it is in force everywhere.
-		if old.GetRevision() != next.GetRevision() {
+		// The usual renewal changes nothing that others need to know, but for a new
+		// revision in force, which operators ask for. After a gap in the sequence the
+		// node was with another member, which may have told others.
+		if old.GetRevision() != next.GetRevision() || next.GetSequence() > old.GetSequence()+1 {
 			r.own.add(next.GetNodeId())
 		}
 		old.Sequence, old.Revision, old.expires = next.GetSequence(), next.GetRevision(), expires
