--- /dev/null
+++ b/test/e2e/bench_test.go
@@ -0,0 +1,69 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/control/api"
+)
+
+// BenchmarkEdits measures edits through the operators' API of control members that
+// run as separate processes on one machine, with one editor.
+func BenchmarkEdits(b *testing.B) {
+	for _, count := range []int{1, 3} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			m := newMembers(b, count)
+			m.waitVoters(0, count)
+			e := &editor{members: m, version: 1}
+			leader := m.leader()
+			// All edits go to the leader: a forwarded edit adds a hop.
+			e.settings = e.settings[leader : leader+1]
+			times := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+			b.ResetTimer()
+			for i := range b.N {
+				started := time.Now()
+				version, err := e.edit(i+1, e.version)
+				assert.NilError(b, err)
+				e.version = version
+				assert.NilError(b, times.RecordValue(time.Since(started).Microseconds()))
+			}
+			b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-us")
+			b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-us")
+		})
+	}
+}
+
+// BenchmarkFailover measures how long edits are blocked by the death of the leader
+// of three members: from the kill to the next accepted edit.
+func BenchmarkFailover(b *testing.B) {
+	m := newMembers(b, 3)
+	m.waitVoters(0, 3)
+	e := &editor{members: m, version: 1}
+	pauses := hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+	for i := range b.N {
+		leader := m.leader()
+		version, err := e.edit(i+1, e.version)
+		assert.NilError(b, err)
+		m.killMember(leader)
+		started := time.Now()
+		survivor := (leader + 1) % len(m.settings)
+		eventually(b, func() error {
+			body := fmt.Sprintf(`{"owner": "platform", "timeout_ms": %d}`, 500+i)
+			header := map[string]string{"If-Match": fmt.Sprintf(`"%d"`, version), "Edit-Id": fmt.Sprint("failover-", i)}
+			var result api.EditBody
+			_, err := m.api(survivor, http.MethodPut, "/v1/sections/"+editedSection, body, header, &result)
+			e.version = result.Version
+			return err
+		})
+		assert.NilError(b, pauses.RecordValue(time.Since(started).Milliseconds()))
+		m.startMember(leader)
+		m.waitVoters(leader, 3)
+	}
+	b.ReportMetric(float64(pauses.ValueAtQuantile(50)), "p50-ms")
+	b.ReportMetric(float64(pauses.Max()), "max-ms")
+}
--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -36,7 +36,7 @@
 	settings []*settings.Control
 }
 
-func newMembers(t *testing.T, count int) *members {
+func newMembers(t testing.TB, count int) *members {
 	m := &members{cluster: newCluster(t)}
 	digest := sha256.Sum256([]byte(testToken))
 	path := filepath.Join(m.dir, "document.json")
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -37,7 +37,7 @@
 
 // cluster is one control member and nodes, each a process of its own.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	bin       string
 	dir       string
 	control   *settings.Control
@@ -47,7 +47,7 @@
 	authority *tls.Certificate
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}}
 	c.bin = filepath.Join(c.dir, "bin")
@@ -163,7 +163,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = listener.Close() }()
@@ -171,7 +171,7 @@
 }
 
 // eventually retries a check while processes start.
-func eventually(t *testing.T, check func() error) {
+func eventually(t testing.TB, check func() error) {
 	t.Helper()
 	var err error
 	for range 400 {
