Refuse waiting requests that a cold start cannot serve in time

A burst in the machine's property found that requests kept waiting beyond the queue's bound when an upstream restarted with fewer slots. The bound now holds at each change, and at the begin of a cold start the requests that the limit of 1 cannot serve within their patience are refused at once. The comparison is unchanged. Pick keeps no state for services without candidates.

--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -88,6 +88,8 @@
 	queue    []waiter
 	events   []Event
 	ramp     ramp
+	// chilled is set from the begin of a cold start until the queue was reassessed.
+	chilled bool
 }
 
 type waiter struct {
@@ -259,5 +261,6 @@
 // chill begins a cold start. Requests admitted before no longer count for growth.
 func (m *Machine) chill(now time.Time) {
 	m.epoch++
+	m.chilled = true
 	m.ramp.chill(now)
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -71,13 +71,9 @@
 }
 
 func (m *Machine) refuseWaiting(now time.Time) {
-	closed := m.closed()
 	kept := m.queue[:0]
 	for _, w := range m.queue {
-		reason := closed
-		if reason == notRefused && !now.Before(w.expiry) {
-			reason = m.expiredReason(w)
-		}
+		reason := m.waitingReason(now, w, len(kept))
 		if reason == notRefused {
 			kept = append(kept, w)
 			continue
@@ -85,6 +81,24 @@
 		m.events = append(m.events, Event{Ticket: w.ticket, Reason: reason})
 	}
 	m.queue = kept
+	m.chilled = false
+}
+
+// waitingReason returns why a request with ahead others before it must not wait
+// longer. After a cold start began, requests that the limit of 1 cannot serve in time
+// are refused at once.
+func (m *Machine) waitingReason(now time.Time, w waiter, ahead int) wire.RefusalReason {
+	if reason := m.closed(); reason != notRefused {
+		return reason
+	}
+	if !now.Before(w.expiry) {
+		return m.expiredReason(w)
+	}
+	hopeless := m.chilled && now.Add(m.expectedWait(ahead)).After(w.expiry)
+	if hopeless || ahead >= queuePerSlot*m.slots {
+		return m.fullReason()
+	}
+	return notRefused
 }
 
 func (m *Machine) expiredReason(w waiter) wire.RefusalReason {
--- a/internal/coordination/balance/policy.go
+++ b/internal/coordination/balance/policy.go
@@ -100,6 +100,9 @@
 
 // Pick implements Picker. It allocates only for instances seen for the first time.
 func (p *Policy) Pick(now time.Time, service string, candidates []Candidate, tried map[string]bool) (Candidate, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
 	state := p.service(service)
 	state.size = len(candidates)
 	p.collect(candidates, tried)
