--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -100,7 +100,10 @@
 			_ = stream.Close()
 			continue
 		}
-		s.begin()
+		if !s.begin() {
+			_ = stream.Close()
+			return
+		}
 		go func() {
 			defer s.finish()
 			defer func() { _ = stream.Close() }()
@@ -109,10 +112,15 @@
 	}
 }
 
-func (s *Server) begin() {
+// begin counts a stream unless Close may already be waiting for the last one.
+func (s *Server) begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
 	s.active++
+	return true
 }
 
 func (s *Server) finish() {
