--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,7 +75,7 @@
 func (c *Control) Run(ctx context.Context) error {
 	config, err := mesh.Configure(c.settings.ID, c.settings.TLSCert, c.settings.TLSKey, c.settings.TLSCA)
 	if err != nil {
-		return errors.Wrap(err, "control")
+		return &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
 	}
 	server := mesh.NewServer(config, c.serveStream)
 	api := &http.Server{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,10 @@
 // meshConfig returns the transport settings, with TLS when the settings name files.
 func meshConfig(s *settings.Node) (mesh.Config, error) {
 	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
-	return config, errors.Wrap(err, "node")
+	if err != nil {
+		return config, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
+	}
+	return config, nil
 }
 
 func (n *Node) listen() error {
--- a/internal/transport/mesh/session.go
+++ b/internal/transport/mesh/session.go
@@ -10,6 +10,10 @@
 	"github.com/hashicorp/yamux"
 )
 
+// keepAlive finds idle connections whose peer is gone. The default probes every 15 s,
+// which for thousands of idle connections exceeds the traffic that a node may cause.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Minute, Interval: time.Minute, Count: 3}
+
 type side int
 
 const (
@@ -34,6 +38,9 @@
 	if err := raw.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive)
+	}
 	activity := newActivityConn(raw)
 	secured, err := secure(activity, config, s)
 	if err != nil {
