--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -209,11 +209,14 @@
 		_, ok = current.doc.Services[name]
 		return name, "/" + path, ok
 	}
+	if service, ok = current.hosts[r.Host]; ok {
+		return service, target, true
+	}
 	host := strings.ToLower(r.Host)
-	if service, ok = current.hosts[host]; !ok {
-		name, _, _ := net.SplitHostPort(host)
-		service, ok = current.hosts[name]
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
 	}
+	service, ok = current.hosts[host]
 	return service, target, ok
 }
 
@@ -233,7 +236,7 @@
 	if err != nil {
 		return 0, errTimeout
 	}
-	return time.Duration(ms) * time.Millisecond, nil //nolint:gosec // 31 bits
+	return min(time.Duration(ms)*time.Millisecond, maxTimeout), nil //nolint:gosec // 31 bits
 }
 
 func requestDepth(r *http.Request) uint32 {
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -189,10 +189,16 @@
 func TestAdmin(t *testing.T) {
 	_, entry, beside := pair(t, func(http.ResponseWriter, *http.Request) {})
 	send(t, "GET", entry.url("/p"), nil)
+	// The service may also be named by the Host header.
+	request, _ := http.NewRequest("GET", "http://"+entry.EntryAddress()+"/p", nil)
+	request.Host = "S.example:80"
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
 	page := send(t, "GET", "http://"+entry.adminListener.Addr().String()+"/metrics", nil).body
 	for _, line := range []string{
-		`chicorylever_requests_total{service="s",outcome="answered"} 1`,
-		`chicorylever_added_latency_seconds_count 1`,
+		`chicorylever_requests_total{service="s",outcome="answered"} 2`,
+		`chicorylever_added_latency_seconds_count 2`,
 		`chicorylever_configuration_revision 1`,
 	} {
 		assert.Assert(t, strings.Contains(page, line+"\n"), line)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -22,7 +22,7 @@
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
-const testDocument = `{"zones": {"a": {"state": "in"}, "b": {"state": "in"}}, "services": {"s": {"timeout_ms": 20000,
+const testDocument = `{"zones": {"a": {"state": "in"}, "b": {"state": "in"}}, "services": {"s": {"hosts": ["s.example"], "timeout_ms": 20000,
 	"rules": [{"path_prefix": "/once", "repeatable": false}]}}, "limits": {"retry_share": 1, "hedge_share": 1, "max_body_bytes": 8388608}}`
 
 // fakeControl distributes a document and what nodes announce, and grants claims from
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -18,8 +18,8 @@
 	firstMessageTimeout = 5 * time.Second
 	// attemptIDBytes is the length of attempt IDs.
 	attemptIDBytes = 16
-	// maxTimeoutUs is the longest time left that a request may state: one day.
-	maxTimeoutUs = uint64(24 * time.Hour / time.Microsecond)
+	// maxTimeout is the longest time left that a request may state.
+	maxTimeout = 24 * time.Hour
 )
 
 // chunkBuffers holds buffers for body chunks.
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -56,7 +56,7 @@
 	defer stream.Close()
 	defer stream.ReleaseWriter()
 	now := time.Now()
-	left := time.Duration(min(head.GetTimeoutUs(), maxTimeoutUs)) * time.Microsecond //nolint:gosec // bounded
+	left := time.Duration(min(head.GetTimeoutUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond //nolint:gosec // bounded
 	r := &received{
 		node:     n,
 		stream:   stream,
