--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -33,6 +34,7 @@
 	logger   log.Logger
 	client   *mesh.Client
 	mesh     mesh.Config
+	apiTLS   *tls.Config
 	log      *replica.Replica
 
 	documents *document.Machine
@@ -53,13 +55,18 @@
 func New(s *settings.Control, logger log.Logger) (*Control, error) {
 	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	if err != nil {
-		return nil, errors.WithMessage(err, "control")
+		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
+	}
+	apiTLS, err := loadAPITLS(s)
+	if err != nil {
+		return nil, &settings.Error{File: "settings", Field: "api_tls", Problem: err.Error()}
 	}
 	c := &Control{
 		settings:  s,
 		logger:    log.With(logger, "member", s.ID),
 		client:    mesh.NewClient(config),
 		mesh:      config,
+		apiTLS:    apiTLS,
 		documents: document.NewMachine(),
 		records:   claims.NewMachine(),
 		burn:      slo.NewMachine(),
@@ -139,12 +146,8 @@
 	if err != nil {
 		return err
 	}
-	apiTLS, err := c.apiTLS()
-	if err != nil {
-		return err
-	}
 	streams := mesh.NewServer(c.mesh, c.serveStream)
-	operators := api.NewServer(handler, apiTLS)
+	operators := api.NewServer(handler, c.apiTLS)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return streams.Serve(groupCtx, c.meshListener) })
 	group.Go(func() error { return api.Serve(operators, c.apiListener) })
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/chicorylever/chicorylever/internal/control/api"
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/slo"
 )
 
@@ -93,12 +94,12 @@
 	return state
 }
 
-// apiTLS returns nil when the operators' API is served without TLS.
-func (c *Control) apiTLS() (*tls.Config, error) {
-	if c.settings.APITLSCert == "" {
+// loadAPITLS returns nil when the operators' API is served without TLS.
+func loadAPITLS(s *settings.Control) (*tls.Config, error) {
+	if s.APITLSCert == "" {
 		return nil, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(c.settings.APITLSCert, c.settings.APITLSKey)
+	certificate, err := tls.LoadX509KeyPair(s.APITLSCert, s.APITLSKey)
 	if err != nil {
 		return nil, errors.Wrap(err, "api_tls_cert, api_tls_key")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,7 +51,7 @@
 func New(s *settings.Node, logger log.Logger) (*Node, error) {
 	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	if err != nil {
-		return nil, errors.WithMessage(err, "node")
+		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
 	}
 	n := &Node{
 		settings:  s,
