Tell control of a node's stop before its connections are closed

Cause: a node closed its mesh client before the subscription could send its last heartbeat, so a stopped node stayed listed until its lease of 8 s ended. Ruled out: control, which removes a node at once when it is told. Change: the subscription ends, with its goodbye, before the connections do. Before: TestStoppedNodeIsGone finds the instance listed after the process has exited.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,13 +122,20 @@
 	group.Go(func() error { return ignoreClosed(local.Serve(limitConnections(n.localListener, maxLocalConnections))) })
 	group.Go(func() error { return ignoreClosed(admin.Serve(limitConnections(n.adminListener, maxAdminConnections))) })
 	group.Go(func() error { return n.server.Serve(lateCtx, n.meshListener) })
-	group.Go(func() error { n.runControl(lateCtx); return nil })
+	controlCtx, stopControl := context.WithCancel(lateCtx)
+	defer stopControl()
+	controlDone := make(chan struct{})
+	group.Go(func() error {
+		defer close(controlDone)
+		n.runControl(controlCtx)
+		return nil
+	})
 	group.Go(func() error { n.watchState(lateCtx); return nil })
 	group.Go(func() error { n.freeze.run(lateCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
 		defer stopLate()
-		return n.stop(entry, local, admin)
+		return n.stop(func() { stopControl(); <-controlDone }, entry, local, admin)
 	})
 	_ = level.Info(n.logger).Log("msg", "node started", "entry", n.EntryAddress(), "local", n.LocalAddress())
 	err := group.Wait()
@@ -145,8 +152,8 @@
 
 // stop refuses new work for the upstream, finishes accepted requests of callers and of
 // other entries, and closes everything. Entries learn of the stop from refusals and
-// from control.
-func (n *Node) stop(entry, local, admin *http.Server) error {
+// from control, which leave tells over connections that are still open.
+func (n *Node) stop(leave func(), entry, local, admin *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.StopTimeoutMs)*time.Millisecond)
 	defer cancel()
 	n.upstream.gate.Stop()
@@ -161,6 +168,7 @@
 		}
 	}
 	n.settler.close(ctx)
+	leave()
 	n.closeListeners()
 	n.server.Close()
 	n.client.Close()
--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -313,3 +313,23 @@
 		version = accepted[0]
 	}
 }
+
+// TestStoppedNodeIsGone guards against entries that choose an instance whose node
+// has stopped, until its lease of 8 s ends.
+func TestStoppedNodeIsGone(t *testing.T) {
+	m := newMembers(t, 1)
+	m.startUpstream("drafts", "drafts-1", m.startNode("seq-a"))
+	listed := func() int {
+		body, err := m.status(0)
+		assert.NilError(t, err)
+		return len(body.Fleet.Upstreams)
+	}
+	eventually(t, func() error {
+		if listed() == 0 {
+			return fmt.Errorf("the upstream is not listed")
+		}
+		return nil
+	})
+	assert.Equal(t, m.stop("node-1"), 0)
+	assert.Equal(t, listed(), 0)
+}
