Never answer "not run" once an earlier attempt of the call may have run

A repeatable request whose first attempt broke after dispatch and whose retry was refused was answered with "not run", although it had run: TestUnknownStaysUnknown failed on it. The outcome of a call is now "unknown" from the first attempt that may have run; the same holds for hedged attempts. TestFaults sends GETs as well.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -35,6 +35,15 @@
 	attempt *attempt
 }
 
+// followedBy returns what is known of a call after a further attempt. Once one attempt
+// may have run, the call is never "not run" again.
+func (r *attemptResult) followedBy(next attemptResult) attemptResult {
+	if r.outcome != outcomeNotRun && next.outcome == outcomeNotRun {
+		next.outcome = outcomeUnknown
+	}
+	return next
+}
+
 // isBroken reports whether the connection to the node beside the upstream ended
 // before the node said anything.
 func (r *attemptResult) isBroken() bool {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -105,7 +105,7 @@
 				return callAnswered
 			}
 		}
-		failure = result
+		failure = failure.followedBy(result)
 		if !n.mayRetry(ctx, c, result, number) {
 			break
 		}
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -52,7 +52,7 @@
 	second := <-h.result
 	if second.outcome != outcomeAnswered {
 		cancelSecondary()
-		return ownContext(result, cancelPrimary)
+		return ownContext(second.followedBy(result), cancelPrimary)
 	}
 	if result.outcome == outcomeAnswered {
 		result.attempt.finish(balance.Outcome{Result: balance.ResultCancelled})
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -86,6 +86,21 @@
 	assert.Equal(t, counts[0].GetBad(), uint64(calls-answered))
 }
 
+// TestUnknownStaysUnknown guards against calling a repeatable request "not run" because
+// its last attempt was refused, when an earlier attempt may have run.
+func TestUnknownStaysUnknown(t *testing.T) {
+	control, entry, beside := pair(t, hangUp)
+	dead := control.startNode(t, "dead", "a", "")
+	dead.announce(t, "127.0.0.1:1", "1")
+	entry.waitFor(t, 2)
+	for range 20 {
+		before := beside.requests.Load()
+		outcome := send(t, "GET", entry.url("/g"), nil).outcome()
+		ran := beside.requests.Load() > before
+		assert.Equal(t, outcome == httpapi.OutcomeNotRun, !ran, outcome)
+	}
+}
+
 // TestRefusals guards against new work for an upstream that is leaving, was
 // restarted under another identity, or whose zone is out.
 func TestRefusals(t *testing.T) {
--- a/test/e2e/fault_test.go
+++ b/test/e2e/fault_test.go
@@ -59,7 +59,11 @@
 			for i := range calls {
 				path := fmt.Sprintf("/once/%d-%d", caller, i)
 				r := &results[caller][i]
-				r.status, r.outcome, _, r.err = callHeader("POST", entry+path+"?delay_ms=20", "body", "")
+				method := "POST"
+				if isRepeatable(i) {
+					method = "GET"
+				}
+				r.status, r.outcome, _, r.err = callHeader(method, entry+path+"?delay_ms=20", "body", "")
 			}
 		})
 	}
@@ -86,18 +90,23 @@
 			assert.Check(t, r.err, path)
 			outcomes[fmt.Sprint(r.status, r.outcome)]++
 			switch {
+			case r.status == http.StatusOK && isRepeatable(i):
+				assert.Check(t, runs[path] >= 1, "%s was answered without a run", path)
 			case r.status == http.StatusOK:
 				assert.Check(t, runs[path] == 1, "%s was answered and ran %d times", path, runs[path])
 			case r.outcome == httpapi.OutcomeNotRun:
 				assert.Check(t, runs[path] == 0, "%s was refused and ran %d times", path, runs[path])
 			default:
-				assert.Check(t, r.outcome == httpapi.OutcomeUnknown && runs[path] <= 1, "%s: %+v ran %d times", path, r, runs[path])
+				assert.Check(t, r.outcome == httpapi.OutcomeUnknown && (runs[path] <= 1 || isRepeatable(i)), "%s: %+v ran %d times", path, r, runs[path])
 			}
 		}
 	}
 	t.Log(outcomes)
 }
 
+// isRepeatable makes each third call of a caller a GET.
+func isRepeatable(call int) bool { return call%3 == 0 }
+
 // TestPlannedStop guards against requests that a planned stop of a node interrupts.
 func TestPlannedStop(t *testing.T) {
 	c, entry := startService(t, 3)
