--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
 // silentRelay forwards connections until it is muted; muted connections still accept
@@ -115,6 +118,59 @@
 	assert.Equal(t, entry.client.Replaced(), uint64(3))
 }
 
+// TestBrokenPeer guards against passing on messages of another attempt, or a response
+// that has no end or another length, when the node beside an upstream is broken.
+func TestBrokenPeer(t *testing.T) {
+	control := newFakeControl(t)
+	entry := control.startNode(t, "entry", "a", "")
+	head := func() *wire.Envelope { return responseHead(&wire.ResponseHead{Status: http.StatusOK}) }
+	end := func(count uint64) *wire.Envelope { return responseEnd(&wire.ResponseEnd{ByteCount: count}) }
+	replies := map[string]func(s *meshStream) []*wire.Envelope{
+		"/other-attempt": func(s *meshStream) []*wire.Envelope {
+			s.BindAttempt(make([]byte, attemptIDBytes))
+			return []*wire.Envelope{head(), end(0)}
+		},
+		"/nothing":        func(*meshStream) []*wire.Envelope { return nil },
+		"/no-end":         func(*meshStream) []*wire.Envelope { return []*wire.Envelope{head(), bodyChunk([]byte("part"))} },
+		"/other-length":   func(*meshStream) []*wire.Envelope { return []*wire.Envelope{head(), bodyChunk([]byte("part")), end(5)} },
+		"/end-first":      func(*meshStream) []*wire.Envelope { return []*wire.Envelope{end(0)} },
+		"/request-inside": func(*meshStream) []*wire.Envelope { return []*wire.Envelope{head(), bodyEnd(0), end(0)} },
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := mesh.NewServer(mesh.DefaultConfig(), func(_ context.Context, raw net.Conn) {
+		stream := newMeshStream(raw)
+		first, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		stream.BindAttempt(first.GetAttemptId())
+		for _, message := range replies[first.GetRequestHead().GetTarget()](stream) {
+			_ = stream.Send(message)
+		}
+		_ = stream.Flush()
+	})
+	go func() { _ = server.Serve(context.Background(), listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.Close()
+	})
+	control.change(func() {
+		control.listed["broken"] = &wire.Instance{Id: "broken", Service: "s", NodeAddress: listener.Addr().String(), Slots: 4, NodeId: "broken"}
+	})
+	entry.waitFor(t, 1)
+	for path := range replies {
+		request, _ := http.NewRequest("POST", entry.url(path), nil)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			continue // the connection was aborted
+		}
+		_, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		assert.Assert(t, err != nil || response.Header.Get(httpapi.HeaderOutcome) == httpapi.OutcomeUnknown, "%s looks whole", path)
+	}
+}
+
 // TestHedge guards against waiting for a slow instance with a repeatable request, and
 // against leaving the losing attempt running.
 func TestHedge(t *testing.T) {
