Test the queue's bound at the offer and refusals at the begin of a cold start

Both were run with their mechanism broken: without the bound at the offer and without the refusal of requests that the limit of 1 cannot serve, the tests fail.

--- a/internal/coordination/admission/machine_test.go
+++ b/internal/coordination/admission/machine_test.go
@@ -69,6 +69,7 @@
 		o.admit(ticket)
 	case admission.Queued:
 		o.waiting[ticket] = true
+		assert.Assert(t, len(o.waiting) <= 2*o.slots, "queue is not bounded")
 	case admission.Refused:
 		assert.Assert(t, reason != wire.RefusalReason_REFUSAL_UNSPECIFIED)
 	}
@@ -213,7 +214,8 @@
 	assert.Equal(t, m.Report().Limit, uint32(1))
 }
 
-// TestRestart guards against requests of the previous start warming a new one.
+// TestRestart guards against requests of the previous start warming a new one, and
+// against requests that wait in vain for the limit of 1.
 func TestRestart(t *testing.T) {
 	m := admission.NewMachine(admission.Config{})
 	now := time.Unix(1000, 0)
@@ -225,7 +227,10 @@
 		assert.Equal(t, verdict, admission.Admitted)
 		tickets = append(tickets, ticket)
 	}
-	m.Start(now, "second", 10)
+	_, verdict, _ := m.Offer(now, admission.Request{})
+	assert.Equal(t, verdict, admission.Queued)
+	events := m.Start(now, "second", 10)
+	assert.Assert(t, len(events) == 1 && events[0].Reason == wire.RefusalReason_REFUSAL_COLD)
 	for _, ticket := range tickets {
 		m.Release(now.Add(step), ticket, admission.Outcome{ServiceTime: 5 * time.Millisecond})
 	}
