Make closing the mesh server cover connections that were just accepted

A connection accepted right before Close was not among the sessions that Close ends, so its streams went on being served by a closed server, and streams.Add ran concurrently with streams.Wait: the race detector reported it in TestLeaderKilled on one CPU (2 of 35 runs of it). The server now refuses sessions and streams once it is closed.

--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -20,6 +20,7 @@
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
+	closed   bool
 	streams  sync.WaitGroup
 }
 
@@ -53,8 +54,10 @@
 		_ = conn.Close()
 		return
 	}
-	s.track(session)
 	defer s.untrack(session)
+	if !s.track(session) {
+		return
+	}
 	go watch(session, tracked, s.config)
 	for {
 		stream, err := session.AcceptStream()
@@ -65,7 +68,10 @@
 			_ = stream.Close()
 			continue
 		}
-		s.streams.Add(1)
+		if !s.beginStream() {
+			_ = stream.Close()
+			return
+		}
 		go func() {
 			defer s.streams.Done()
 			defer func() { _ = stream.Close() }()
@@ -74,10 +80,26 @@
 	}
 }
 
-func (s *Server) track(session *yamux.Session) {
+// track returns false when the server was closed after the connection was accepted.
+func (s *Server) track(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
 	s.sessions[session] = struct{}{}
+	return true
+}
+
+// beginStream counts a stream unless Close may already be waiting for the last one.
+func (s *Server) beginStream() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.streams.Add(1)
+	return true
 }
 
 func (s *Server) untrack(session *yamux.Session) {
@@ -90,6 +112,7 @@
 // Close ends all connections and waits for the handlers.
 func (s *Server) Close() {
 	s.mu.Lock()
+	s.closed = true
 	for session := range s.sessions {
 		_ = session.Close()
 	}
