--- a/internal/control/api/types.go
+++ b/internal/control/api/types.go
@@ -91,8 +91,6 @@
 	Revision uint64 `json:"revision"`
 	// Lagging is set when the revision is older than the member's.
 	Lagging bool `json:"lagging"`
-	// AgeMs is the time since the last heartbeat in milliseconds.
-	AgeMs int64 `json:"age_ms"`
 }
 
 // Upstream is an announced upstream.
--- a/internal/ctl/cluster.go
+++ b/internal/ctl/cluster.go
@@ -64,9 +64,9 @@
 		status.Revision, cluster.ID, cluster.Leader, cluster.Term, cluster.QuorumContact, status.Fleet.Stale)
 	printMembers(w, cluster)
 	table(w, func(w io.Writer) {
-		row(w, "NODE", "ZONE", "REVISION", "LAGGING", "HEARTBEAT")
+		row(w, "NODE", "ZONE", "REVISION", "LAGGING")
 		for _, n := range status.Fleet.Nodes {
-			row(w, n.ID, n.Zone, n.Revision, n.Lagging, time.Duration(n.AgeMs)*time.Millisecond)
+			row(w, n.ID, n.Zone, n.Revision, n.Lagging)
 		}
 	})
 	table(w, func(w io.Writer) {
