--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -18,6 +18,7 @@
 	control := newFakeControl(b)
 	entry := control.startNode(b, "entry", "a", "")
 	beside := control.startNode(b, "beside", "a", "")
+	beside.slots = 16
 	beside.serve(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "response") })
 	entry.waitFor(b, 1)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -80,6 +81,7 @@
 			}
 			b.ReportMetric(float64(percentile(times[direct], 0.99).Nanoseconds())/1000, "direct-p99-us")
 			b.ReportMetric(float64(failed), "failed")
+			b.ReportMetric(float64(beside.Node.upstream.gate.Report().GetLimit()), "limit-at-end")
 		})
 	}
 }
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -144,6 +145,7 @@
 	stop     context.CancelFunc
 	upstream *httptest.Server
 	requests atomic.Int32
+	slots    int
 }
 
 func (c *fakeControl) startNode(t testing.TB, id, zone, meshAddress string) *testNode {
@@ -167,7 +169,7 @@
 		cancel()
 		<-done
 	})
-	return &testNode{Node: n, stop: cancel}
+	return &testNode{Node: n, stop: cancel, slots: 4}
 }
 
 // serve starts an upstream beside the node and announces it.
@@ -181,7 +183,7 @@
 }
 
 func (n *testNode) announce(t testing.TB, address, startID string) {
-	body := `{"service": "s", "address": "` + address + `", "instance": "i-` + n.settings.ID + `", "start_id": "` + startID + `", "slots": 4, "connections": 8}`
+	body := `{"service": "s", "address": "` + address + `", "instance": "i-` + n.settings.ID + `", "start_id": "` + startID + `", "slots": ` + strconv.Itoa(n.slots) + `, "connections": 64}`
 	response, err := http.Post("http://"+n.LocalAddress()+"/v1/announce", "application/json", strings.NewReader(body))
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
