Let certificates carry the role of a control member

Cause: with mutual TLS any process with a certificate of the CA could join the replicated log, send raft messages, proposals and leases, be dialled as a control member, and claim or renew leases for another node.

Change: a control member's certificate has the organizational unit chicorylever-control. The mesh handshake returns the verified identity and role, and the context of a stream's handler carries them. A control member checks each message of each stream: Raft, ForwardProposal and RegistryUpdate need the role; Subscribe, Heartbeat (with the instance in it), Claim, RecordOutcome and ReleaseClaim need the sender's own node_id. The last two get a node_id, which the claim record compares with its holder; an empty one, as in logs written before, is accepted there. The classes Control and ControlCall (claims of nodes) and all dials of a member refuse a server without the role. A member whose own certificate lacks it does not start. A refusal is a *mesh.PermissionError and one warning in 10 s. An empty identity is refused with TLS, since a certificate with DNS names only has an empty common name.

Tests: each was seen to fail without the mechanism. TestGuard and TestRolesOverTLS without the check of the role ("the node joined the log"), of node_id, and of the instance in a heartbeat; TestRolesOverTLS without the check on the stream, the identity in the context (times out after 1 min), DialsControl, and the check at the start; TestDialledRole without the check of the server; TestHandshake without the check of an empty identity; TestStates without the comparison of the holder; TestLimit without the limit. Not covered by a test: the class in the node's claims and its log line.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,6 +34,7 @@
 	logger   log.Logger
 	client   *mesh.Client
 	mesh     mesh.Config
+	guard    *guard
 	apiTLS   *tls.Config
 	log      *replica.Replica
 
@@ -57,15 +58,24 @@
 	if err != nil {
 		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
 	}
+	if !config.PermitsControl() {
+		problem := "the certificate lacks the organizational unit " + mesh.ControlUnit
+		return nil, &settings.Error{File: "settings", Field: "tls_cert", Problem: problem}
+	}
 	apiTLS, err := loadAPITLS(s)
 	if err != nil {
 		return nil, &settings.Error{File: "settings", Field: "api_tls", Problem: err.Error()}
 	}
+	logger = log.With(logger, "member", s.ID)
+	permissions := newGuard(config.TLS != nil, logger)
+	config.DialsControl = true
+	config.PeerRefused = permissions.report
 	c := &Control{
 		settings:  s,
-		logger:    log.With(logger, "member", s.ID),
+		logger:    logger,
 		client:    mesh.NewClient(config),
 		mesh:      config,
+		guard:     permissions,
 		apiTLS:    apiTLS,
 		documents: document.NewMachine(),
 		records:   claims.NewMachine(),
--- /dev/null
+++ b/internal/control/guard_test.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/settings"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
+)
+
+// TestGuard guards against a message that the certificate of its sender does not
+// permit, and against refusing one that it does.
+func TestGuard(t *testing.T) {
+	raft := &wire.Envelope{Body: &wire.Envelope_Raft{Raft: &wire.RaftMessage{}}}
+	forward := &wire.Envelope{Body: &wire.Envelope_ForwardProposal{ForwardProposal: &wire.ForwardProposal{}}}
+	update := &wire.Envelope{Body: &wire.Envelope_RegistryUpdate{RegistryUpdate: &wire.RegistryUpdate{}}}
+	subscribe := &wire.Envelope{Body: &wire.Envelope_Subscribe{Subscribe: &wire.Subscribe{NodeId: "n1"}}}
+	heartbeat := &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{NodeId: "n1"}}}
+	borrowed := &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{NodeId: "n1", Instance: &wire.Instance{NodeId: "n2"}}}}
+	claim := &wire.Envelope{Body: &wire.Envelope_Claim{Claim: &wire.Claim{NodeId: "n1"}}}
+	record := &wire.Envelope{Body: &wire.Envelope_RecordOutcome{RecordOutcome: &wire.RecordOutcome{NodeId: "n1"}}}
+	release := &wire.Envelope{Body: &wire.Envelope_ReleaseClaim{ReleaseClaim: &wire.ReleaseClaim{NodeId: "n1"}}}
+	all := []*wire.Envelope{raft, forward, update, subscribe, heartbeat, borrowed, claim, record, release}
+	members := map[*wire.Envelope]bool{raft: true, forward: true, update: true}
+	own := map[*wire.Envelope]bool{subscribe: true, heartbeat: true, claim: true, record: true, release: true}
+	cases := []struct {
+		name      string
+		peer      mesh.Identity
+		permitted map[*wire.Envelope]bool
+	}{
+		{"node", mesh.Identity{Name: "n1", Verified: true}, own},
+		{"other node", mesh.Identity{Name: "n2", Verified: true}, nil},
+		{"member", mesh.Identity{Name: "c1", Verified: true, Control: true}, members},
+		{"no certificate", mesh.Identity{Name: "n1", Control: true}, nil},
+	}
+	for _, c := range cases {
+		for _, message := range all {
+			err := newGuard(true, log.NewNopLogger()).checkFor(c.peer)(message)
+			var refused *mesh.PermissionError
+			assert.Equal(t, !errors.As(err, &refused), c.permitted[message], "%s: %v: %v", c.name, message, err)
+			assert.NilError(t, newGuard(false, log.NewNopLogger()).checkFor(c.peer)(message), "without TLS")
+		}
+	}
+}
+
+// authority signs certificates whose files are in dir.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	cert, _, ca := a.files("authority")
+	assert.NilError(t, os.Rename(cert, ca))
+	return a
+}
+
+func (a *authority) files(name string, units ...string) (cert, key, ca string) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name, OrganizationalUnit: units},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: a.cert == nil, BasicConstraintsValid: true,
+	}
+	if a.cert == nil {
+		a.cert, a.key = template, private
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &private.PublicKey, a.key)
+	assert.NilError(a.t, err)
+	encoded, err := x509.MarshalPKCS8PrivateKey(private)
+	assert.NilError(a.t, err)
+	write := func(file, kind string, data []byte) string {
+		path := filepath.Join(a.dir, file)
+		assert.NilError(a.t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+		return path
+	}
+	return write(name+".pem", "CERTIFICATE", der), write(name+".key", "PRIVATE KEY", encoded), filepath.Join(a.dir, "ca.pem")
+}
+
+func (a *authority) config(name string, units ...string) mesh.Config {
+	cert, key, ca := a.files(name, units...)
+	config, err := mesh.Configure(name, cert, key, ca)
+	assert.NilError(a.t, err)
+	return config
+}
+
+// startNode listens with a node's certificate and returns the address.
+func (a *authority) startNode(name string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(a.t, err)
+	server := mesh.NewServer(a.config(name), func(context.Context, net.Conn) {})
+	go func() { _ = server.Serve(context.Background(), listener) }()
+	a.t.Cleanup(func() { _ = listener.Close(); server.Close() })
+	return listener.Addr().String()
+}
+
+// startMember runs a member with TLS that creates a cluster. Refused gets what it logs
+// about refused peers.
+func startMember(t *testing.T, a *authority, refused chan<- []any) *Control {
+	s := &settings.Control{
+		ID: "control-1", Zone: "seq-a", DataDir: t.TempDir(), APIListen: "127.0.0.1:0", MeshListen: "127.0.0.1:0",
+		// Nobody dials the member under the address that the log names.
+		MeshAddress: "127.0.0.1:2", Bootstrap: []string{"127.0.0.1:2"},
+	}
+	s.TLSCert, s.TLSKey, s.TLSCA = a.files(s.ID)
+	logger := log.LoggerFunc(func(keyvals ...any) error {
+		for _, value := range keyvals {
+			if value == "peer refused" {
+				refused <- keyvals
+			}
+		}
+		return nil
+	})
+	_, err := New(s, logger)
+	assert.ErrorContains(t, err, "tls_cert")
+	s.TLSCert, s.TLSKey, s.TLSCA = a.files(s.ID, mesh.ControlUnit)
+	member, err := New(s, logger)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- member.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return member
+}
+
+// join opens a replica that asks the member to add it to the log.
+func join(t *testing.T, config mesh.Config, member *Control) {
+	client := mesh.NewClient(config)
+	r, err := replica.Open(replica.Options{
+		DataDir: t.TempDir(), Address: "127.0.0.1:1", Join: []string{member.MeshAddress()},
+		Machine: newMachine(nil), Mesh: client, Logger: log.NewNopLogger(),
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = r.Close(); client.Close() })
+}
+
+// TestRolesOverTLS guards against a node whose certificate lets it join the log, speak
+// for another node, or pass for a control member.
+func TestRolesOverTLS(t *testing.T) {
+	a := newAuthority(t)
+	refused := make(chan []any, 16)
+	member := startMember(t, a, refused)
+	waitMembers := func(want int) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			status := member.log.Status()
+			if status.Leader == status.ID && len(status.Members) == want {
+				return poll.Success()
+			}
+			return poll.Continue("%d members", len(status.Members))
+		}, poll.WithTimeout(time.Minute))
+	}
+	waitMembers(1)
+	node := a.config("node-1")
+	join(t, node, member)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(member.log.Status().Members) > 1 {
+			return poll.Error(errors.New("the node joined the log"))
+		}
+		if len(refused) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no refusal logged")
+	}, poll.WithTimeout(time.Minute))
+	// The same request is granted to a member, so it was the role that was refused.
+	join(t, a.config("control-2", mesh.ControlUnit), member)
+	waitMembers(2)
+	_, err := member.client.Open(context.Background(), a.startNode("node-3"), mesh.Small)
+	var permission *mesh.PermissionError
+	assert.Assert(t, errors.As(err, &permission), "a member accepts a node as another member: %v", err)
+
+	client := mesh.NewClient(node)
+	defer client.Close()
+	for name, permitted := range map[string]bool{"node-1": true, "node-2": false} {
+		stream, err := client.Open(context.Background(), member.MeshAddress(), mesh.ControlCall)
+		assert.NilError(t, err)
+		conn := frame.NewConn(stream)
+		claim := &wire.Claim{Service: "s", Key: "k", AttemptId: []byte(name), NodeId: name}
+		assert.NilError(t, conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Claim{Claim: claim}}))
+		answer, err := conn.Receive()
+		assert.Equal(t, answer.GetClaimResult() != nil, permitted, "%s: %v", name, err)
+	}
+}
+
+// TestDialledRole guards against a node that accepts another node as a control member.
+func TestDialledRole(t *testing.T) {
+	a := newAuthority(t)
+	address := a.startNode("node-1")
+	for _, dialsControl := range []bool{false, true} {
+		reports := 0
+		config := a.config("node-2")
+		config.DialsControl = dialsControl
+		config.PeerRefused = func(*mesh.PermissionError) { reports++ }
+		client := mesh.NewClient(config)
+		for class, refused := range map[mesh.Class]bool{
+			mesh.Small: dialsControl, mesh.Bulk: dialsControl, mesh.Control: true, mesh.ControlCall: true,
+		} {
+			reports = 0
+			_, err := client.Open(context.Background(), address, class)
+			var permission *mesh.PermissionError
+			assert.Equal(t, errors.As(err, &permission) && errors.Is(err, mesh.ErrDial) && reports == 1, refused, "%v: %v", class, err)
+			assert.Assert(t, refused || err == nil, "%v", err)
+		}
+		client.Close()
+	}
+}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -9,11 +9,14 @@
 
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
-// serveStream hands a stream to the service that its first message asks for.
+// serveStream hands a stream to the service that its first message asks for. The guard
+// checks each message of the stream, also those that the service receives.
 func (c *Control) serveStream(ctx context.Context, stream net.Conn) {
 	conn := frame.NewConn(stream)
+	conn.CheckReceived(c.guard.checkFor(mesh.IdentityFrom(ctx)))
 	first, err := conn.Receive()
 	if err != nil {
 		return
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -111,7 +111,7 @@
 func (m *meshClaimer) askMember(ctx context.Context, address string, request *wire.Envelope) (*wire.Envelope, error) {
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	stream, err := m.client.Open(ctx, address, mesh.Small)
+	stream, err := m.client.Open(ctx, address, mesh.ControlCall)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -32,6 +32,7 @@
 	service   string
 	key       string
 	attemptID []byte
+	nodeID    string
 }
 
 // settler tells control how claims ended, in the background and until control has
@@ -95,7 +96,7 @@
 		AttemptId:   r.id,
 		NodeId:      r.node.settings.ID,
 	}
-	held := &heldClaim{service: claim.GetService(), key: key, attemptID: r.id}
+	held := &heldClaim{service: claim.GetService(), key: key, attemptID: r.id, nodeID: claim.GetNodeId()}
 	// The entry must hear "not run" before it gives up at the deadline.
 	claimCtx, cancel := context.WithTimeout(ctx, min(claimTimeout, time.Until(r.deadline)*3/4))
 	defer cancel()
@@ -125,7 +126,7 @@
 }
 
 func (h *heldClaim) release(ctx context.Context, claimer Claimer) error {
-	return claimer.Release(ctx, &wire.ReleaseClaim{Service: h.service, Key: h.key, AttemptId: h.attemptID})
+	return claimer.Release(ctx, &wire.ReleaseClaim{Service: h.service, Key: h.key, AttemptId: h.attemptID, NodeId: h.nodeID})
 }
 
 // releaseNow gives the claim back before the attempt is refused, because another
@@ -190,7 +191,9 @@
 		settler.settle(func(ctx context.Context) error { return held.release(ctx, settler.claimer) })
 		return
 	}
-	outcome := &wire.RecordOutcome{Service: held.service, Key: held.key, AttemptId: held.attemptID, Response: response}
+	outcome := &wire.RecordOutcome{
+		Service: held.service, Key: held.key, AttemptId: held.attemptID, NodeId: held.nodeID, Response: response,
+	}
 	settler.settle(func(ctx context.Context) error { return settler.claimer.RecordOutcome(ctx, outcome) })
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
+	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
@@ -23,6 +24,8 @@
 	maxEntryConnections = 20000
 	maxLocalConnections = 4096
 	maxAdminConnections = 64
+	// refusalLogInterval is the shortest time between two lines about refused servers.
+	refusalLogInterval = 10 * time.Second
 )
 
 // Node is one node.
@@ -53,6 +56,10 @@
 	if err != nil {
 		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
 	}
+	refusals := obs.Limit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval)
+	config.PeerRefused = func(err *mesh.PermissionError) {
+		_ = refusals.Log("msg", "control member refused", "peer", err.Peer.Name, "err", err)
+	}
 	n := &Node{
 		settings:  s,
 		logger:    log.With(logger, "node", s.ID),
--- /dev/null
+++ b/internal/obs/limit_test.go
@@ -0,0 +1,27 @@
+package obs
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// TestLimit guards against a log that a repeating event fills, and against events
+// that vanish without a count.
+func TestLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		logger := Limit(log.NewLogfmtLogger(&out), time.Second)
+		for range 25 {
+			assert.NilError(t, logger.Log("msg", "refused"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		want := []string{"suppressed=0 msg=refused", "suppressed=9 msg=refused", "suppressed=9 msg=refused", ""}
+		assert.DeepEqual(t, strings.Split(out.String(), "\n"), want)
+	})
+}
--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -40,6 +40,7 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	attemptID []byte
+	check     func(*wire.Envelope) error
 	sending   []byte // reused for encoding
 	receiving []byte // reused for messages larger than the reader's buffer
 }
@@ -82,6 +83,12 @@
 	c.attemptID = attemptID
 }
 
+// CheckReceived makes Receive refuse each message for which check returns an error,
+// with that error.
+func (c *Conn) CheckReceived(check func(*wire.Envelope) error) {
+	c.check = check
+}
+
 // Send buffers a message; Flush writes it. The message is not used after Send
 // returns.
 func (c *Conn) Send(message *wire.Envelope) error {
@@ -135,6 +142,11 @@
 	if c.attemptID != nil && !bytes.Equal(message.GetAttemptId(), c.attemptID) {
 		return nil, ErrAttemptMismatch
 	}
+	if c.check != nil {
+		if err := c.check(message); err != nil {
+			return nil, err
+		}
+	}
 	return message, nil
 }
 
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -24,7 +24,9 @@
 	// Join lists mesh addresses of running members for a member that joins.
 	Join []string `json:"join,omitempty"`
 	// TLSCert, TLSKey and TLSCA name PEM files. When they are set, the processes of
-	// the system speak mutual TLS; the certificate's common name or DNS name is ID.
+	// the system speak mutual TLS; the certificate's common name or DNS name is ID and
+	// its organizational unit is mesh.ControlUnit. Without them any process that
+	// reaches the mesh port is trusted as a node and as a control member.
 	TLSCert string `json:"tls_cert,omitempty"`
 	TLSKey  string `json:"tls_key,omitempty"`
 	TLSCA   string `json:"tls_ca,omitempty"`
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -21,6 +21,7 @@
 	Control []string `json:"control"`
 	// TLSCert, TLSKey and TLSCA name PEM files. When they are set, the processes of
 	// the system speak mutual TLS; the certificate's common name or DNS name is ID.
+	// Without them any process that reaches the mesh port is trusted.
 	TLSCert string `json:"tls_cert,omitempty"`
 	TLSKey  string `json:"tls_key,omitempty"`
 	TLSCA   string `json:"tls_ca,omitempty"`
--- a/internal/state/claims/machine.go
+++ b/internal/state/claims/machine.go
@@ -189,6 +189,9 @@
 	if r.attempt != string(outcome.GetAttemptId()) {
 		return refuse("another attempt holds the claim")
 	}
+	if !r.isHeldBy(outcome.GetNodeId()) {
+		return refuse("another node holds the claim")
+	}
 	if r.state == completed {
 		return acknowledge()
 	}
@@ -200,6 +203,12 @@
 	return acknowledge()
 }
 
+// isHeldBy returns whether the node was granted the claim. Commands written before
+// messages named their node have an empty one and are told apart by the attempt only.
+func (r *record) isHeldBy(node string) bool {
+	return node == "" || r.node.Value() == node
+}
+
 // complete records only the status when the response does not fit into the capacity.
 func (m *Machine) complete(r *record, response *wire.RecordedResponse) {
 	encoded := encodeResponse(response)
@@ -220,6 +229,9 @@
 		m.rememberReleased(id)
 		return refuse("another attempt holds the claim")
 	}
+	if found && !r.isHeldBy(release.GetNodeId()) {
+		return refuse("another node holds the claim")
+	}
 	if found && (r.state == completed || r.state == unknown) {
 		return refuse("the holder dispatched the request")
 	}
--- a/internal/state/claims/machine_test.go
+++ b/internal/state/claims/machine_test.go
@@ -201,7 +201,11 @@
 		outcome := &wire.RecordOutcome{Service: "s", Key: "k", AttemptId: []byte("b"), Response: &wire.RecordedResponse{Status: 201, Body: body}}
 		c.machine.capacity, c.steady.capacity = 1<<20, 1<<20
 		assert.Assert(t, !c.ack(c.apply(EncodeRecord(outcome, c.now))), "recorded by another attempt")
-		outcome.AttemptId = []byte("a")
+		outcome.AttemptId, outcome.NodeId = []byte("a"), "n2"
+		assert.Assert(t, !c.ack(c.apply(EncodeRecord(outcome, c.now))), "recorded by another node")
+		release := &wire.ReleaseClaim{Service: "s", Key: "k", AttemptId: []byte("a"), NodeId: "n2"}
+		assert.Assert(t, !c.ack(c.apply(EncodeRelease(release, c.now))), "released by another node")
+		outcome.NodeId = "n1"
 		assert.Assert(t, c.ack(c.apply(EncodeRecord(outcome, c.now))))
 		claim := &wire.Claim{Service: "s", Key: "k", Fingerprint: []byte("f"), AttemptId: []byte("b")}
 		result, err = DecodeClaimResult(c.apply(EncodeClaim(claim, Terms{At: c.now})))
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -56,7 +57,9 @@
 func (c *Client) Replaced() uint64 { return c.replaced.Load() }
 
 // Open returns a new stream to the peer, dialling when there is no connection.
-// It returns ErrDial, ErrOpen or ErrClosed; no byte of the caller was sent then.
+// It returns ErrDial, ErrOpen or ErrClosed; no byte of the caller was sent then. ErrDial
+// comes with a *PermissionError when the server should be a control member by the class
+// or the configuration, but its certificate does not say so.
 // The opener must be the first to send on the stream: opening is announced to the
 // peer together with its first bytes.
 func (c *Client) Open(ctx context.Context, address string, class Class) (net.Conn, error) {
@@ -121,7 +124,7 @@
 	defer cancel()
 	s, err := dialSession(ctx, p.client.config, p.key)
 	if err != nil {
-		err = errors.WithMessagef(ErrDial, "%s: %v", p.key.address, err)
+		err = p.dialError(err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,6 +141,17 @@
 	close(d.done)
 }
 
+func (p *peer) dialError(err error) error {
+	var refused *PermissionError
+	if !errors.As(err, &refused) {
+		return errors.WithMessagef(ErrDial, "%s: %v", p.key.address, err)
+	}
+	if report := p.client.config.PeerRefused; report != nil {
+		report(refused)
+	}
+	return fmt.Errorf("%w: %s: %w", ErrDial, p.key.address, refused)
+}
+
 func (p *peer) watch(s *session) {
 	ping, dead := p.client.config.watchTimes(p.key.class)
 	s.watch(ping, dead, p.client.config.IdleTimeout, func() { p.client.replaced.Add(1) })
@@ -155,6 +169,10 @@
 		_ = raw.Close()
 		return nil, err
 	}
+	if err := checkServer(config, key.class, s.remote); err != nil {
+		s.close()
+		return nil, err
+	}
 	return s, nil
 }
 
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -24,6 +24,8 @@
 	// Control carries long-lived streams that are mostly idle. A silent connection
 	// is found later, which keeps the traffic of idle streams low.
 	Control
+	// ControlCall carries short requests to a control member.
+	ControlCall
 )
 
 var (
@@ -45,6 +47,12 @@
 	// Identity is sent to the peer when a connection opens, at most 255 bytes. With
 	// TLS it must be a name in the certificate.
 	Identity string
+	// DialsControl is set by a process that dials control members only: its client
+	// requires the role of each server, whatever the class.
+	DialsControl bool
+	// PeerRefused is called for each dialled server that lacks the role of a control
+	// member, when it is not nil. It must not block.
+	PeerRefused func(err *PermissionError)
 	// DialTimeout bounds opening a connection, the handshake included.
 	DialTimeout time.Duration
 	// PingAfter is the silence on a connection with open streams that causes a ping.
--- a/internal/transport/mesh/handshake.go
+++ b/internal/transport/mesh/handshake.go
@@ -22,25 +22,26 @@
 // magic begins each handshake, followed by version, identity length and identity.
 var magic = []byte("CHLV")
 
-// handshake sends this side's hello and checks the peer's. The client speaks first,
-// so that a server tells nothing to a stranger.
-func handshake(conn net.Conn, config Config, s side) error {
+// handshake sends this side's hello, checks the peer's and returns who the peer is.
+// The client speaks first, so that a server tells nothing to a stranger.
+func handshake(conn net.Conn, config Config, s side) (Identity, error) {
 	if s == clientSide {
 		if err := sendHello(conn, config.Identity); err != nil {
-			return err
+			return Identity{}, err
 		}
 	}
-	identity, err := receiveHello(conn)
+	name, err := receiveHello(conn)
 	if err != nil {
-		return err
+		return Identity{}, err
 	}
-	if err := checkCertificate(conn, identity); err != nil {
-		return err
+	identity, err := checkCertificate(conn, name)
+	if err != nil {
+		return Identity{}, err
 	}
 	if s == serverSide {
-		return sendHello(conn, config.Identity)
+		err = sendHello(conn, config.Identity)
 	}
-	return nil
+	return identity, err
 }
 
 func sendHello(conn net.Conn, identity string) error {
@@ -70,25 +71,31 @@
 	return string(name), err
 }
 
-// checkCertificate compares the identity with the peer's certificate, when there is one.
-func checkCertificate(conn net.Conn, identity string) error {
+// checkCertificate compares the name with the peer's certificate. Without TLS the
+// identity is what the peer says and is not verified.
+func checkCertificate(conn net.Conn, name string) (Identity, error) {
 	secured, ok := conn.(*tls.Conn)
 	if !ok {
-		return nil
+		return Identity{Name: name}, nil
 	}
 	certificates := secured.ConnectionState().PeerCertificates
 	if len(certificates) == 0 {
-		return errors.WithMessage(ErrHandshake, "peer has no certificate")
+		return Identity{}, errors.WithMessage(ErrHandshake, "peer has no certificate")
 	}
 	leaf := certificates[0]
-	if leaf.Subject.CommonName == identity || slices.Contains(leaf.DNSNames, identity) {
-		return nil
+	// A certificate with DNS names only has an empty common name, which names nobody.
+	if name == "" {
+		return Identity{}, errors.WithMessage(ErrHandshake, "peer has no identity")
+	}
+	if leaf.Subject.CommonName != name && !slices.Contains(leaf.DNSNames, name) {
+		return Identity{}, errors.WithMessagef(ErrHandshake, "certificate is not for %q", name)
 	}
-	return errors.WithMessagef(ErrHandshake, "certificate is not for %q", identity)
+	return Identity{Name: name, Verified: true, Control: isControl(leaf)}, nil
 }
 
 // Configure returns the configuration of a process with the identity. With the names
-// of PEM files its connections use mutual TLS; without them they are open.
+// of PEM files its connections use mutual TLS. Without them they are open, and any
+// process that reaches a mesh port is trusted, as a control member too.
 func Configure(identity, certFile, keyFile, caFile string) (Config, error) {
 	config := DefaultConfig()
 	config.Identity = identity
@@ -101,7 +108,8 @@
 }
 
 // LoadTLS returns a configuration for mutual TLS. Each process has a certificate
-// whose common name or DNS name is its identity, signed by the CA in caFile.
+// whose common name or DNS name is its identity, signed by the CA in caFile. That of
+// a control member has the organizational unit ControlUnit.
 // Addresses are not compared with certificates, since VMs change theirs.
 func LoadTLS(certFile, keyFile, caFile string) (*tls.Config, error) {
 	certificate, err := tls.LoadX509KeyPair(certFile, keyFile)
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -249,6 +249,7 @@
 		{"mutual TLS", secured("node-2", "node-2", &authority), server, true},
 		{"false identity", secured("node-2", "node-3", &authority), server, false},
 		{"other authority", secured("node-2", "node-2", &stranger), server, false},
+		{"no identity", secured("", "", &authority), server, false},
 		{"no TLS", DefaultConfig(), server, false},
 		{"server without TLS", secured("node-2", "node-2", &authority), serve(t, DefaultConfig(), echo), false},
 		{"server with a false identity", secured("node-2", "node-2", &authority), serve(t, secured("node-1", "node-9", &authority), echo), false},
--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -12,7 +12,8 @@
 // acceptPause is the pause after a connection could not be accepted.
 const acceptPause = 50 * time.Millisecond
 
-// Handler serves one stream. The stream is closed when it returns.
+// Handler serves one stream. The stream is closed when it returns. IdentityFrom gives
+// the peer's identity from ctx.
 type Handler func(ctx context.Context, stream net.Conn)
 
 // Server accepts connections and hands their streams to a handler.
@@ -88,7 +89,7 @@
 	}
 	// Idle connections are closed by the side that dialled.
 	go accepted.watch(s.config.SlowPingAfter, s.config.SlowDeadAfter, 0, func() {})
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(withIdentity(ctx, accepted.remote))
 	defer cancel()
 	for {
 		stream, err := accepted.AcceptStream()
--- a/internal/transport/mesh/session.go
+++ b/internal/transport/mesh/session.go
@@ -25,6 +25,8 @@
 type session struct {
 	*yamux.Session
 	activity *activityConn
+	// remote is the identity of the peer.
+	remote Identity
 	// wake tells the watchdog that a stream was opened or accepted.
 	wake    chan struct{}
 	retired atomic.Bool
@@ -46,7 +48,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := handshake(secured, config, s); err != nil {
+	remote, err := handshake(secured, config, s)
+	if err != nil {
 		return nil, err
 	}
 	if err := raw.SetDeadline(time.Time{}); err != nil {
@@ -60,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &session{Session: muxed, activity: activity, wake: make(chan struct{}, 1)}, nil
+	return &session{Session: muxed, activity: activity, remote: remote, wake: make(chan struct{}, 1)}, nil
 }
 
 func secure(conn net.Conn, config Config, s side) (net.Conn, error) {
--- a/test/e2e/tls_test.go
+++ b/test/e2e/tls_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
 // useTLS makes processes that are started later speak mutual TLS.
@@ -28,7 +30,11 @@
 	if c.authority == nil {
 		return "", "", ""
 	}
-	signed := c.sign(identity, c.authority)
+	var units []string
+	if c.control != nil && identity == c.control.ID {
+		units = []string{mesh.ControlUnit}
+	}
+	signed := c.sign(identity, c.authority, units...)
 	der, err := x509.MarshalPKCS8PrivateKey(signed.PrivateKey)
 	assert.NilError(c.t, err)
 	cert = c.writePEM(identity+".pem", "CERTIFICATE", signed.Certificate[0])
@@ -36,11 +42,11 @@
 	return cert, key, filepath.Join(c.dir, "ca.pem")
 }
 
-func (c *cluster) sign(identity string, authority *tls.Certificate) tls.Certificate {
+func (c *cluster) sign(identity string, authority *tls.Certificate, units ...string) tls.Certificate {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(c.t, err)
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: identity},
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: identity, OrganizationalUnit: units},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 		IsCA: authority == nil, BasicConstraintsValid: true,
 	}
