--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
+	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
@@ -30,6 +31,8 @@
 	lingerQuiet = 300 * time.Millisecond
 	// lingerMax bounds the wait while entries cut off from control keep trying.
 	lingerMax = 3 * time.Second
+	// refusalLogInterval is the shortest time between two lines about refused servers.
+	refusalLogInterval = 10 * time.Second
 )
 
 // Node is one node.
@@ -62,6 +65,10 @@
 	if err != nil {
 		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
 	}
+	refusals := obs.Limit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval)
+	config.PeerRefused = func(err *mesh.PermissionError) {
+		_ = refusals.Log("msg", "control member refused", "peer", err.Peer.Name, "err", err)
+	}
 	n := &Node{
 		settings:  s,
 		logger:    log.With(logger, "node", s.ID),
