--- /dev/null
+++ b/internal/state/slo/fuzz_test.go
@@ -0,0 +1,80 @@
+package slo
+
+import (
+	"bytes"
+	"strconv"
+	"testing"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+func fuzzCommand(unixMs int64, good uint64) []byte {
+	counts := []*wire.BurnCount{{Service: "s", Good: good, Bad: 1}}
+	node := &wire.NodeCounts{NodeId: "n", NodeStart: 1, Counts: counts}
+	data, _ := proto.Marshal(&wire.BurnCheckpoint{UnixMs: unixMs, Nodes: []*wire.NodeCounts{node}})
+	return data
+}
+
+func snapshotOf(t *testing.T, m *Machine) []byte {
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	return data
+}
+
+// FuzzApply guards against a command that stops a member, or that has another result
+// or effect at a member that was restarted before it.
+func FuzzApply(f *testing.F) {
+	f.Add(fuzzCommand(start.UnixMilli(), 5), fuzzCommand(start.UnixMilli()+60_000, 7))
+	f.Add(fuzzCommand(1, 5), fuzzCommand(1<<62, 0))
+	f.Add(fuzzCommand(start.UnixMilli(), ^uint64(0)), fuzzCommand(0, 0))
+	f.Add(fuzzCommand(-1, 1), []byte{0xff})
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		steady, restarted := NewMachine(), NewMachine()
+		for i, command := range [][]byte{first, second} {
+			assert.NilError(t, restarted.Restore(snapshotOf(t, steady)))
+			result := steady.Apply(uint64(i), command)
+			assert.Assert(t, bytes.Equal(result, restarted.Apply(uint64(i), command)))
+			assert.Assert(t, bytes.Equal(snapshotOf(t, steady), snapshotOf(t, restarted)))
+		}
+	})
+}
+
+func manySeries(count int) []*wire.BurnSeries {
+	series := make([]*wire.BurnSeries, count)
+	for i := range series {
+		series[i] = &wire.BurnSeries{Service: strconv.Itoa(i)}
+	}
+	return series
+}
+
+// FuzzRestore guards against a panic on a damaged snapshot, against a state that
+// changes through it, against a state that is restored differently next time, and
+// against more services or nodes than Apply admits.
+func FuzzRestore(f *testing.F) {
+	m := NewMachine()
+	m.Apply(0, fuzzCommand(start.UnixMilli(), 5))
+	data, _ := m.Snapshot()
+	f.Add(data)
+	f.Add(data[:len(data)-1])
+	bucket := []*wire.BurnBucket{{Start: -1, Good: 1}, {Start: 1 << 62, Good: ^uint64(0), Bad: 1}}
+	damaged, _ := proto.Marshal(&wire.BurnSnapshot{Series: []*wire.BurnSeries{{Minutes: bucket, Hours: bucket}}})
+	f.Add(damaged)
+	many, _ := proto.Marshal(&wire.BurnSnapshot{Series: manySeries(maxServices + 1)})
+	f.Add(many)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, again := NewMachine(), NewMachine()
+		empty := snapshotOf(t, m)
+		if err := m.Restore(data); err != nil {
+			assert.Assert(t, errors.Is(err, ErrSnapshot))
+			assert.Assert(t, bytes.Equal(snapshotOf(t, m), empty))
+			return
+		}
+		assert.Assert(t, len(m.series) <= maxServices && len(m.nodes) <= maxNodes)
+		assert.NilError(t, again.Restore(snapshotOf(t, m)))
+		assert.Assert(t, bytes.Equal(snapshotOf(t, again), snapshotOf(t, m)))
+	})
+}
--- a/internal/state/slo/machine.go
+++ b/internal/state/slo/machine.go
@@ -161,12 +161,15 @@
 }
 
 // Restore replaces the whole state. It returns ErrSnapshot and leaves the state
-// unchanged when the snapshot cannot be decoded.
+// unchanged when the snapshot cannot be decoded or exceeds maxServices or maxNodes.
 func (m *Machine) Restore(data []byte) error {
 	snapshot := &wire.BurnSnapshot{}
 	if err := proto.Unmarshal(data, snapshot); err != nil {
 		return errors.WithMessage(ErrSnapshot, err.Error())
 	}
+	if len(snapshot.GetSeries()) > maxServices || len(snapshot.GetNodes()) > maxNodes {
+		return errors.WithMessage(ErrSnapshot, "more services or nodes than are counted")
+	}
 	restored := NewMachine()
 	restored.now = time.UnixMilli(snapshot.GetUnixMs())
 	for _, node := range snapshot.GetNodes() {
--- a/internal/state/slo/series.go
+++ b/internal/state/slo/series.go
@@ -82,7 +82,7 @@
 func (r *ring) encode() []*wire.BurnBucket {
 	var encoded []*wire.BurnBucket
 	for _, b := range r.buckets {
-		if b.All() > 0 {
+		if b.Totals != (Totals{}) {
 			encoded = append(encoded, &wire.BurnBucket{Start: b.start, Good: b.Good, Bad: b.Bad})
 		}
 	}
@@ -91,7 +91,7 @@
 
 func (r *ring) decode(buckets []*wire.BurnBucket) {
 	for _, b := range buckets {
-		if b.GetStart() > 0 {
+		if b.GetStart() >= 0 {
 			r.add(b.GetStart(), Totals{Good: b.GetGood(), Bad: b.GetBad()})
 		}
 	}
