--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -62,12 +62,19 @@
 	return data, nil
 }
 
-// Restore replaces the state of every part.
+// Restore replaces the state of every part. It returns errSnapshot and changes
+// nothing when the snapshot is malformed or holds a part that is unknown here: the
+// part would be lost with the next snapshot of this member.
 func (m *machine) Restore(data []byte) error {
 	states, err := splitSnapshot(data)
 	if err != nil {
 		return err
 	}
+	for name := range states {
+		if _, ok := m.parts[name]; !ok {
+			return errors.WithMessagef(errSnapshot, "unknown part %d", name)
+		}
+	}
 	for _, name := range m.order {
 		if err := m.parts[name].Restore(states[name]); err != nil {
 			return errors.WithMessagef(err, "restore part %d", name)
@@ -84,6 +91,9 @@
 		if n <= 0 || size > uint64(len(data)-1-n) {
 			return nil, errSnapshot
 		}
+		if _, ok := states[name]; ok {
+			return nil, errors.WithMessagef(errSnapshot, "part %d is repeated", name)
+		}
 		data = data[1+n:]
 		states[name] = data[:size]
 		data = data[size:]
--- /dev/null
+++ b/internal/control/machine_test.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+)
+
+// fakePart keeps its state as bytes and refuses to restore "bad".
+type fakePart struct {
+	state string
+}
+
+func (p *fakePart) Apply(_ uint64, command []byte) []byte {
+	p.state += string(command)
+	return command
+}
+
+func (p *fakePart) Snapshot() ([]byte, error) { return []byte(p.state), nil }
+
+func (p *fakePart) Restore(data []byte) error {
+	if string(data) == "bad" {
+		return errors.New("bad state")
+	}
+	p.state = string(data)
+	return nil
+}
+
+func newFakeMachine() (*machine, *fakePart, *fakePart) {
+	first, second := &fakePart{state: "old"}, &fakePart{state: "old"}
+	return newMachine(map[section]replica.StateMachine{sectionDocument: first, sectionClaims: second}), first, second
+}
+
+// TestSnapshot guards against a part that is restored from the state of another one
+// or from half a snapshot, and against the loss of a part that this version does not
+// know. A refused snapshot leaves every part as it was.
+func TestSnapshot(t *testing.T) {
+	long := strings.Repeat("x", 300)
+	tests := []struct {
+		name, data    string
+		first, second string
+		err           error
+	}{
+		{"both parts", "\x01\x01a\x02\x02bc", "a", "bc", nil},
+		{"other order", "\x02\x02bc\x01\x01a", "a", "bc", nil},
+		{"empty state", "\x01\x00\x02\x01b", "", "b", nil},
+		{"long state", "\x01\xac\x02" + long + "\x02\x00", long, "", nil},
+		{"missing part", "\x01\x01a", "a", "", nil},
+		{"name only", "\x01\x01a\x02", "old", "old", errSnapshot},
+		{"truncated length", "\x01\x01a\x02\x80", "old", "old", errSnapshot},
+		{"truncated state", "\x01\x01a\x02\x02b", "old", "old", errSnapshot},
+		{"huge length", "\x01\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01a", "old", "old", errSnapshot},
+		{"unknown part", "\x01\x01a\x02\x01b\x09\x01c", "old", "old", errSnapshot},
+		{"repeated part", "\x01\x01a\x01\x01b", "old", "old", errSnapshot},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m, first, second := newFakeMachine()
+			err := m.Restore([]byte(test.data))
+			assert.Assert(t, errors.Is(err, test.err), "%v", err)
+			assert.Equal(t, first.state, test.first)
+			assert.Equal(t, second.state, test.second)
+			saved, err := m.Snapshot()
+			assert.NilError(t, err)
+			restored, first, second := newFakeMachine()
+			assert.NilError(t, restored.Restore(saved))
+			assert.Equal(t, first.state, m.parts[sectionDocument].(*fakePart).state)
+			assert.Equal(t, second.state, m.parts[sectionClaims].(*fakePart).state)
+		})
+	}
+	m, _, _ := newFakeMachine()
+	assert.ErrorContains(t, m.Restore([]byte("\x01\x00\x02\x03bad")), "restore part 2: bad state")
+}
+
+// FuzzMachine guards against a panic on foreign commands and snapshots, against a
+// command that reaches another part than the one it names, and against a snapshot
+// that is restored differently next time.
+func FuzzMachine(f *testing.F) {
+	f.Add([]byte("\x01\x01a\x02\x02bc"), []byte("\x01command"))
+	f.Add([]byte("\x09\x01a"), []byte("\x09command"))
+	f.Add([]byte("\x01\x80"), []byte{})
+	f.Fuzz(func(t *testing.T, data, command []byte) {
+		m, first, second := newFakeMachine()
+		_ = m.Restore(data)
+		before := []string{first.state, second.state}
+		result := m.Apply(1, command)
+		if len(command) > 0 && section(command[0]) == sectionDocument {
+			before[0] += string(command[1:])
+		}
+		if len(command) > 0 && section(command[0]) == sectionClaims {
+			before[1] += string(command[1:])
+		}
+		assert.DeepEqual(t, []string{first.state, second.state}, before)
+		assert.Assert(t, result == nil || bytes.Equal(result, command[1:]))
+		saved, err := m.Snapshot()
+		assert.NilError(t, err)
+		again, _, _ := newFakeMachine()
+		if second.state == "bad" || first.state == "bad" {
+			return
+		}
+		assert.NilError(t, again.Restore(saved))
+		resaved, err := again.Snapshot()
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(resaved, saved))
+	})
+}
