Refuse sections that cannot be joined to a document

Cause: a top-level field with a slash, a path such as limits/a, or JSON that is not valid was taken into the sections. Joining them gave another document, one that depended on the order of a map, or an error for every peer that asked. Change: split returns ErrDocument for such a field, and Patch refuses such a section, after which the node asks for the whole document. Before: the seed {"a":1,"a/b":2} of FuzzSections failed, with one part left of two. After: all seeds pass.

--- a/internal/coordination/distribute/sections.go
+++ b/internal/coordination/distribute/sections.go
@@ -76,11 +76,17 @@
 }
 
 // Patch returns the sections after a difference. It returns false when the
-// difference does not start at the revision of s.
+// difference does not start at the revision of s, or has a section that no
+// document can be split into.
 func (s *Sections) Patch(diff *wire.StateDiff) (*Sections, bool) {
 	if diff.GetBaseRevision() != s.revision || diff.GetRevision() <= s.revision {
 		return s, false
 	}
+	for _, section := range diff.GetSections() {
+		if !isPath(section.GetPath()) || (len(section.GetJson()) > 0 && !json.Valid(section.GetJson())) {
+			return s, false
+		}
+	}
 	return s.with(diff.GetRevision(), diff.GetSections()), true
 }
 
@@ -151,6 +157,9 @@
 	}
 	parts := map[string][]byte{}
 	for key, data := range root {
+		if strings.Contains(key, "/") {
+			return nil, errors.WithMessagef(ErrDocument, "field %q has a slash", key)
+		}
 		if !splitKeys[key] {
 			parts[key] = data
 			continue
@@ -166,6 +175,13 @@
 	return parts, nil
 }
 
+// isPath reports whether split gives such a path: a split field with the name of an
+// entry, or another field alone. JSON would join other paths in no certain way.
+func isPath(path string) bool {
+	key, _, nested := strings.Cut(path, "/")
+	return nested == splitKeys[key]
+}
+
 func sortSections(sections []*wire.Section) {
 	sort.Slice(sections, func(i, j int) bool { return sections[i].GetPath() < sections[j].GetPath() })
 }
