Carry header values that are not UTF-8 between nodes

Cause: values of headers may hold any bytes (RFC 9110, section 5.5), but proto3 refuses to encode a string that is not UTF-8. A request with such a header could not be sent to another node, and a response with one was lost after the request had run. A claim whose recorded response holds one would never be settled. Change: Header moves to a file with the syntax proto2, which does not check strings; the encoding is the same. Keys, targets and hosts that are not UTF-8 are refused with 400 and not-run.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
@@ -39,7 +40,7 @@
 	r.settleClaim(recorder.response())
 	trailers := encodeHeaders(response.Trailer, nil)
 	trailers = append(trailers, &wire.Header{
-		Name:   trailerUpstreamTime,
+		Name:   proto.String(trailerUpstreamTime),
 		Values: []string{strconv.FormatInt(outcome.ServiceTime.Microseconds(), 10)},
 	})
 	_ = sendNow(r.stream, responseEnd(&wire.ResponseEnd{
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -9,9 +9,11 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
@@ -30,7 +32,8 @@
 var (
 	errNoService  = errors.New("no such service")
 	errTimeout    = errors.New(httpapi.HeaderTimeout + " must be a number of milliseconds")
-	errKey        = errors.New(httpapi.HeaderIdempotencyKey + " must have 1 to 255 bytes and occur once")
+	errKey        = errors.New(httpapi.HeaderIdempotencyKey + " must have 1 to 255 bytes of UTF-8 and occur once")
+	errTarget     = errors.New("target and host must be UTF-8")
 	errDepth      = errors.New("chain of calls is too deep")
 	errBodyLength = errors.New("body is too large")
 )
@@ -76,6 +79,9 @@
 	if !ok {
 		return nil, errNoService
 	}
+	if !utf8.ValidString(target) || !utf8.ValidString(r.Host) {
+		return nil, errTarget
+	}
 	config := current.doc.Services[service]
 	path, _, _ := strings.Cut(target, "?")
 	c := &call{
@@ -98,13 +104,13 @@
 	}
 	if keys := r.Header.Values(httpapi.HeaderIdempotencyKey); len(keys) > 0 {
 		c.key = keys[0]
-		if len(keys) > 1 || c.key == "" || len(c.key) > maxKeyBytes {
+		if len(keys) > 1 || c.key == "" || len(c.key) > maxKeyBytes || !utf8.ValidString(c.key) {
 			return nil, errKey
 		}
 	}
 	timeout, err := requestTimeout(r, c.rule.Timeout())
 	c.deadline = now.Add(timeout)
-	c.headers = append(encodeHeaders(r.Header, nil), &wire.Header{Name: httpapi.HeaderRequestID, Values: []string{c.id.String()}})
+	c.headers = append(encodeHeaders(r.Header, nil), &wire.Header{Name: proto.String(httpapi.HeaderRequestID), Values: []string{c.id.String()}})
 	return c, err
 }
 
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -5,6 +5,8 @@
 	"net/textproto"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -39,7 +41,7 @@
 		if hopByHop[name] || dropped[name] || named[name] {
 			continue
 		}
-		encoded = append(encoded, &wire.Header{Name: name, Values: values})
+		encoded = append(encoded, &wire.Header{Name: proto.String(name), Values: values})
 	}
 	return encoded
 }
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chicorylever/chicorylever/internal/node/egress"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
@@ -160,7 +162,7 @@
 	if response.GetTruncated() {
 		recorded = httpapi.RecordedStatusOnly
 	}
-	headers := []*wire.Header{{Name: httpapi.HeaderRecorded, Values: []string{recorded}}}
+	headers := []*wire.Header{{Name: proto.String(httpapi.HeaderRecorded), Values: []string{recorded}}}
 	for _, header := range response.GetHeaders() {
 		if !response.GetTruncated() || header.GetName() != "Content-Length" {
 			headers = append(headers, header)
--- a/internal/node/keyed_test.go
+++ b/internal/node/keyed_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -41,7 +42,7 @@
 	post := func(path string) answer {
 		return send(t, "POST", entry.url(path), strings.NewReader("body"), httpapi.HeaderIdempotencyKey, "key")
 	}
-	recordedHeader := []*wire.Header{{Name: "Invoice", Values: []string{"7"}}}
+	recordedHeader := []*wire.Header{{Name: proto.String("Invoice"), Values: []string{"7"}}}
 	cases := []struct {
 		state    wire.ClaimState
 		response *wire.RecordedResponse
--- a/internal/protocol/wire/doc.go
+++ b/internal/protocol/wire/doc.go
@@ -3,4 +3,4 @@
 // protoc-gen-go and run go generate in this folder.
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative wire.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative header.proto wire.proto
