--- a/internal/state/slo/fuzz_test.go
+++ b/internal/state/slo/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"strconv"
 	"testing"
 
@@ -32,6 +33,7 @@
 	f.Add(fuzzCommand(1, 5), fuzzCommand(1<<62, 0))
 	f.Add(fuzzCommand(start.UnixMilli(), ^uint64(0)), fuzzCommand(0, 0))
 	f.Add(fuzzCommand(-1, 1), []byte{0xff})
+	f.Add(fuzzCommand(1<<40, 5), fuzzCommand(1<<40+minuteBuckets*60_000, 5))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		steady, restarted := NewMachine(), NewMachine()
 		for i, command := range [][]byte{first, second} {
@@ -39,7 +41,10 @@
 			result := steady.Apply(uint64(i), command)
 			assert.Assert(t, bytes.Equal(result, restarted.Apply(uint64(i), command)))
 			assert.Assert(t, bytes.Equal(snapshotOf(t, steady), snapshotOf(t, restarted)))
+			assert.Assert(t, reflect.DeepEqual(steady.series, restarted.series))
 		}
+		assert.NilError(t, restarted.Restore(snapshotOf(t, steady)))
+		assert.Assert(t, reflect.DeepEqual(steady.series, restarted.series))
 	})
 }
 
--- a/internal/state/slo/series.go
+++ b/internal/state/slo/series.go
@@ -82,7 +82,8 @@
 func (r *ring) encode() []*wire.BurnBucket {
 	var encoded []*wire.BurnBucket
 	for _, b := range r.buckets {
-		if b.Totals != (Totals{}) {
+		// A bucket without counts matters too: it refuses counts of an older round.
+		if b != (bucket{}) {
 			encoded = append(encoded, &wire.BurnBucket{Start: b.start, Good: b.Good, Bad: b.Bad})
 		}
 	}
