--- /dev/null
+++ b/internal/coordination/replica/fuzz_test.go
@@ -0,0 +1,53 @@
+package replica
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// FuzzIntroduction guards against a panic on a foreign introduction and against an
+// identity that is read differently from how it was written.
+func FuzzIntroduction(f *testing.F) {
+	f.Add(introduction{memberID: 7, clusterID: 1 << 63, address: "10.0.0.1:7000"}.encode(payloadHello))
+	f.Add(introduction{}.encode(payloadProbe))
+	f.Add([]byte{payloadJoin, 1, 2})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		decoded, err := decodeIntroduction(payload)
+		if err != nil {
+			assert.ErrorIs(t, err, errPayload)
+			return
+		}
+		assert.Assert(t, bytes.Equal(decoded.encode(payload[0]), payload))
+	})
+}
+
+// FuzzAssembler guards against a panic, bytes that are lost, repeated or taken from
+// another message, and memory beyond the bytes received. The payloads all have the
+// same size, but for the last one.
+func FuzzAssembler(f *testing.F) {
+	f.Add([]byte("\x02ab\x02cd\x01ef\x01gh"), uint8(3))
+	f.Add([]byte("\x02\x02\x01"), uint8(1))
+	f.Add([]byte("\x02ab\x03cd"), uint8(3))
+	f.Fuzz(func(t *testing.T, stream []byte, size uint8) {
+		parts := &assembler{}
+		var want []byte
+		for len(stream) > 0 {
+			payload := stream[:min(max(1, int(size)), len(stream))]
+			stream = stream[len(payload):]
+			encoded, complete, err := parts.add(payload)
+			if err != nil {
+				assert.Assert(t, errors.Is(err, errPayload))
+				return
+			}
+			want = append(want, payload[1:]...)
+			if complete {
+				assert.Assert(t, bytes.Equal(encoded, want))
+				want = nil
+			}
+			assert.Assert(t, len(parts.parts) <= len(want))
+		}
+	})
+}
