--- a/internal/state/claims/fuzz_test.go
+++ b/internal/state/claims/fuzz_test.go
@@ -49,8 +49,12 @@
 // changes through it, and against a state that is restored differently next time.
 func FuzzRestore(f *testing.F) {
 	m := NewMachine()
-	for _, command := range fuzzCommands() {
+	for i, command := range fuzzCommands() {
 		m.Apply(0, command)
+		if i == 0 {
+			twice := appendInts([]byte{snapshotFormat}, 0, 0, 2, 0)
+			f.Add(appendRecord(appendRecord(twice, m.expiry[0]), m.expiry[0]))
+		}
 		data, _ := m.Snapshot()
 		f.Add(data)
 		f.Add(data[:len(data)-1])
--- a/internal/state/claims/snapshot.go
+++ b/internal/state/claims/snapshot.go
@@ -74,7 +74,11 @@
 	m.capacity = reader.int64()
 	records, releases := reader.int64(), reader.int64()
 	for ; records > 0 && !reader.failed; records-- {
-		m.add(reader.record())
+		r := reader.record()
+		if _, found := m.records[r.key]; found {
+			return errors.Wrap(ErrSnapshot, "two records of one key")
+		}
+		m.add(r)
 	}
 	for ; releases > 0 && !reader.failed; releases-- {
 		id := reader.digest()
