--- a/internal/transport/mesh/fuzz_test.go
+++ b/internal/transport/mesh/fuzz_test.go
@@ -29,7 +29,7 @@
 	f.Add([]byte("GET / HTTP/1.1\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		conn := &scriptedConn{in: bytes.NewReader(data)}
-		if handshake(conn, Config{Identity: "server"}, serverSide) != nil {
+		if _, err := handshake(conn, Config{Identity: "server"}, serverSide); err != nil {
 			assert.Equal(t, conn.out.Len(), 0)
 			return
 		}
