Answer forwarded proposals before a member that closes ends their streams

Cause, from reading the code: Close returned while a forwarded proposal was committed but its answer was not yet written, and the caller then closed the stream, so the forwarding member reported an unknown outcome. TestGracefulClose had shown one unknown outcome in about 180 runs; the cause of that run is not known for certain, and 48 further runs before the change did not show it again.

--- a/internal/coordination/replica/close.go
+++ b/internal/coordination/replica/close.go
@@ -24,6 +24,7 @@
 	r.closing.Store(true)
 	r.closed.Do(func() {
 		r.handOver()
+		r.finishForwards()
 		r.closeErr = r.shutDown()
 	})
 	return r.closeErr
@@ -36,6 +37,15 @@
 	return r.store.Close()
 }
 
+// finishForwards waits until forwarded requests are answered, for at most
+// drainTimeout: the caller closes their streams once Close has returned.
+func (r *Replica) finishForwards() {
+	deadline := time.Now().Add(drainTimeout)
+	for r.forwards.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+}
+
 func (r *Replica) handOver() {
 	if r.Status().Leader != r.id {
 		return
--- a/internal/coordination/replica/open.go
+++ b/internal/coordination/replica/open.go
@@ -56,6 +56,8 @@
 	cancel   context.CancelFunc
 	routines sync.WaitGroup
 	closing  atomic.Bool
+	// forwards counts the forwarded requests that are not answered yet.
+	forwards atomic.Int64
 	closed   sync.Once
 	closeErr error
 
--- a/internal/coordination/replica/stream.go
+++ b/internal/coordination/replica/stream.go
@@ -120,6 +120,8 @@
 	if !ok || clusterID != r.clusterID() || clusterID == 0 {
 		return ErrOtherCluster
 	}
+	r.forwards.Add(1)
+	defer r.forwards.Add(-1)
 	conn.BindAttempt(first.GetAttemptId())
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
