--- a/internal/coordination/distribute/scale_test.go
+++ b/internal/coordination/distribute/scale_test.go
@@ -210,7 +210,7 @@
 		node.services = append(node.services, fmt.Sprint("service-", (i/instancesService+s)%targetServices))
 	}
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return client.Open(ctx, address, mesh.Small)
+		return client.Open(ctx, address, mesh.Control)
 	}
 	distribute.NewClient(node.id, []string{member}, dial, node, log.NewNopLogger()).Run(ctx)
 }
