Carry attempts with held bodies on a stream one after the other

Opening a yamux stream for each attempt costs SYN, ACK and FIN frames with goroutine hand-offs. A stream that was disturbed in any way is closed. A receiver that stops asks for no new streams, stops reading its idle streams and then says so in a Refused without attempt ID, so that a head written meanwhile is known not to have been taken; the entry opens another stream once. Idle streams count neither as outstanding work of the watchdog nor as running work of a drain.

Seen to fail without its mechanism (scratch copy): - TestIdleStreams: idle streams counted as outstanding; no bound; streams left open by a drain - TestEntryReusesStream: disturbed streams kept; leftover bytes ignored; the notice of the receiver ignored - TestReceiverReusesStream: same ID taken again; short ID taken; a head within an attempt that does not cancel - TestIdleStreamClosedByPeer: the notice ignored.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -42,7 +42,7 @@
 		Name:   trailerUpstreamTime,
 		Values: []string{strconv.FormatInt(outcome.ServiceTime.Microseconds(), 10)},
 	})
-	_ = sendNow(r.stream, responseEnd(&wire.ResponseEnd{
+	r.sendLast(responseEnd(&wire.ResponseEnd{
 		ByteCount: sent,
 		Trailers:  trailers,
 		Load:      r.node.upstream.report(),
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -30,6 +31,9 @@
 	outcome   outcome
 	reason    wire.RefusalReason
 	uploadErr error
+	// streamClosed is set when the peer has closed a reused stream without taking the
+	// attempt from it.
+	streamClosed bool
 	// head and attempt are set when the outcome is outcomeAnswered.
 	head    *wire.ResponseHead
 	attempt *attempt
@@ -71,9 +75,13 @@
 	call     *call
 	instance *wire.Instance
 	stream   messageStream
-	id       uuid.UUID
-	started  time.Time
-	load     *wire.LoadReport
+	// kept is the stream of an attempt over the mesh whose body is held; nil for others.
+	kept *mesh.Stream
+	// isEnded is set once the last message of the peer has arrived.
+	isEnded bool
+	id      uuid.UUID
+	started time.Time
+	load    *wire.LoadReport
 
 	stopAbort func() bool
 	cancel    context.CancelFunc // nil unless the attempt has a context of its own
@@ -91,12 +99,23 @@
 		n.peers.done(instance, balance.Outcome{Result: balance.ResultCancelled}, nil)
 		return attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_DEADLINE}
 	}
-	if err := a.open(ctx); err != nil {
-		n.peers.done(instance, balance.Outcome{Result: connectOutcome(ctx)}, nil)
-		return attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_CONNECT}
+	connect := n.client.Take
+	var result attemptResult
+	for {
+		if err := a.open(ctx, connect); err != nil {
+			n.peers.done(instance, balance.Outcome{Result: connectOutcome(ctx)}, nil)
+			return attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_CONNECT}
+		}
+		a.stopAbort = context.AfterFunc(ctx, a.stream.Abort)
+		result = a.run(number)
+		if !result.streamClosed {
+			break
+		}
+		a.stopAbort()
+		a.closeStream()
+		connect = n.client.OpenFresh
+		a.id = uuid.New()
 	}
-	a.stopAbort = context.AfterFunc(ctx, a.stream.Abort)
-	result := a.run(number)
 	if result.outcome != outcomeAnswered {
 		a.finish(failureOutcome(ctx, result))
 		result.uploadErr = a.uploadErr
@@ -128,7 +147,7 @@
 
 // open connects the attempt to the node beside the instance. For this node's own
 // upstream there is no hop, but the same admission.
-func (a *attempt) open(ctx context.Context) error {
+func (a *attempt) open(ctx context.Context, connect connector) error {
 	n := a.node
 	if a.instance.GetNodeId() == n.settings.ID {
 		near, far := newPipe()
@@ -136,18 +155,30 @@
 		n.local.Go(func() { n.serveLocal(far, a.id) })
 		return nil
 	}
-	class := mesh.Small
 	if a.call.streamed {
-		class = mesh.Bulk
+		raw, err := n.client.Open(ctx, a.instance.GetNodeAddress(), mesh.Bulk)
+		if err != nil {
+			return err
+		}
+		a.bind(raw)
+		return nil
 	}
-	raw, err := n.client.Open(ctx, a.instance.GetNodeAddress(), class)
+	raw, err := connect(ctx, a.instance.GetNodeAddress(), mesh.Small)
 	if err != nil {
 		return err
 	}
+	a.kept = raw
+	a.bind(raw)
+	return nil
+}
+
+// connector returns a stream for attempts with held bodies.
+type connector func(ctx context.Context, address string, class mesh.Class) (*mesh.Stream, error)
+
+func (a *attempt) bind(raw net.Conn) {
 	stream := newMeshStream(raw)
 	stream.BindAttempt(a.id[:])
 	a.stream = stream
-	return nil
 }
 
 // run sends the request and waits for the head of the response or a refusal.
@@ -158,6 +189,9 @@
 	}
 	for {
 		message, err := a.stream.Receive()
+		if a.kept != nil && a.kept.Reused() && isClosedToAttempts(message, err) {
+			return attemptResult{outcome: outcomeNotRun, streamClosed: true}
+		}
 		if err != nil {
 			return unknown
 		}
@@ -185,6 +219,7 @@
 
 func (a *attempt) refusedResult(refusal *wire.Refused) attemptResult {
 	a.learn(refusal.GetLoad(), refusal.GetRevision())
+	a.isEnded = refusal.GetReason() != wire.RefusalReason_REFUSAL_DEADLINE
 	result := attemptResult{outcome: outcomeUnknown, reason: refusal.GetReason()}
 	if refusal.GetNotRun() {
 		result.outcome = outcomeNotRun
@@ -224,12 +259,13 @@
 // reports the outcome. It waits for the end of an upload.
 func (a *attempt) finish(outcome balance.Outcome) {
 	a.once.Do(func() {
-		a.stopAbort()
+		isUndisturbed := a.stopAbort()
 		a.stopUpload()
-		a.stream.ReleaseReader()
-		a.stream.ReleaseWriter()
-		// Closing a mesh stream waits for a write, which the caller need not.
-		go a.stream.Close()
+		if a.kept != nil && a.isEnded && isUndisturbed && !a.stream.HasMore() {
+			a.keepStream()
+		} else {
+			a.closeStream()
+		}
 		if a.cancel != nil {
 			a.cancel()
 		}
@@ -237,6 +273,20 @@
 	})
 }
 
+// keepStream gives the stream back for another attempt.
+func (a *attempt) keepStream() {
+	a.stream.ReleaseReader()
+	a.stream.ReleaseWriter()
+	a.kept.Keep()
+}
+
+func (a *attempt) closeStream() {
+	a.stream.ReleaseReader()
+	a.stream.ReleaseWriter()
+	// Closing a mesh stream waits for a write, which the caller need not.
+	go a.stream.Close()
+}
+
 func (a *attempt) stopUpload() {
 	if a.upload == nil {
 		return
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -171,7 +171,7 @@
 	if len(body) > 0 {
 		_ = r.stream.Send(bodyChunk(body))
 	}
-	_ = sendNow(r.stream, responseEnd(&wire.ResponseEnd{ByteCount: uint64(len(body)), Load: r.node.upstream.report()}))
+	r.sendLast(responseEnd(&wire.ResponseEnd{ByteCount: uint64(len(body)), Load: r.node.upstream.report()}))
 }
 
 // settleClaim ends the claim: with the response, as unknown when the request was
--- a/internal/node/pass.go
+++ b/internal/node/pass.go
@@ -48,6 +48,7 @@
 		result.outcome = outcomeUnknown
 		return false
 	}
+	a.isEnded = true
 	a.learn(end.GetLoad(), end.GetRevision())
 	c.status = int(result.head.GetStatus())
 	outcome.Result = statusOutcome(result.head.GetStatus())
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/state/document"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
 const (
@@ -25,7 +26,7 @@
 // chunkBuffers holds buffers for body chunks.
 var chunkBuffers = sync.Pool{New: func() any { return new([frame.ChunkBytes]byte) }}
 
-// serveStream serves one stream of another node.
+// serveStream serves one stream of another node, which is a *mesh.Accepted.
 func (n *Node) serveStream(ctx context.Context, raw net.Conn) {
 	stream := newMeshStream(raw)
 	_ = raw.SetReadDeadline(time.Now().Add(firstMessageTimeout))
@@ -38,12 +39,9 @@
 		n.serveRevision(stream.Conn, fetch)
 		return
 	}
-	head := first.GetRequestHead()
-	if head == nil || len(first.GetAttemptId()) != attemptIDBytes {
-		return
+	if isHead(first) {
+		n.serveAttempts(ctx, raw.(*mesh.Accepted), stream, first)
 	}
-	stream.BindAttempt(first.GetAttemptId())
-	n.serveAttempt(ctx, stream, first.GetAttemptId(), head)
 }
 
 // serveLocal serves an attempt of this node's own entry.
@@ -53,7 +51,8 @@
 		stream.Close()
 		return
 	}
-	n.serveAttempt(context.Background(), stream, id[:], first.GetRequestHead())
+	defer stream.Close()
+	n.newReceived(stream, id[:], first.GetRequestHead()).serve(context.Background())
 }
 
 // syncZone applies the state of this node's zone in the configuration in force.
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -49,16 +49,19 @@
 
 	state        atomic.Int32
 	dispatchedAt time.Time
+	// watch reads the stream of an attempt that came over the mesh with a held body.
+	watch *attemptWatch
+	// isEnded is set when the last message was sent to an entry that had sent nothing
+	// out of turn. Only then may watch.next be read.
+	isEnded bool
 }
 
-// serveAttempt serves one attempt of this or another entry. It closes the stream.
-func (n *Node) serveAttempt(ctx context.Context, stream messageStream, id []byte, head *wire.RequestHead) {
-	defer stream.Close()
-	defer stream.ReleaseWriter()
+// newReceived returns an attempt of this or another entry whose head has arrived.
+func (n *Node) newReceived(stream messageStream, id []byte, head *wire.RequestHead) *received {
 	n.directory.observeRevision(head.GetSenderAddress(), head.GetRevision())
 	now := time.Now()
 	left := time.Duration(min(head.GetTimeoutUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond //nolint:gosec // bounded
-	r := &received{
+	return &received{
 		node:     n,
 		stream:   stream,
 		head:     head,
@@ -66,9 +69,15 @@
 		deadline: now.Add(left - n.freeze.age(now)),
 		streamed: head.GetBodyLength() < 0 || head.GetBodyLength() > heldBodyBytes,
 	}
+}
+
+// serve serves the attempt. It returns true when both sides have ended it, nothing has
+// disturbed it, and its stream may carry another one.
+func (r *received) serve(ctx context.Context) bool {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	r.run(ctx, cancel)
+	return r.isEnded && ctx.Err() == nil
 }
 
 func (r *received) run(ctx context.Context, cancel context.CancelFunc) {
@@ -76,7 +85,11 @@
 		if err := r.receiveBody(); err != nil {
 			return
 		}
-		go cancelOnClose(r.stream, cancel)
+		if stream, ok := r.stream.(*meshStream); ok {
+			r.watch = watchAttempt(stream, cancel)
+		} else {
+			go cancelOnClose(r.stream, cancel)
+		}
 	}
 	permit, refusal := r.admit(ctx)
 	if permit == nil {
@@ -173,7 +186,7 @@
 		return r.fail(ctx, err)
 	}
 	defer func() {
-		if !response.IsSent() {
+		if r.streamed && !response.IsSent() {
 			r.stream.Abort() // the sender of the body may wait for the entry
 		}
 		response.Close()
@@ -212,11 +225,19 @@
 	}
 }
 
+// sendLast sends the last message of the attempt. The next head may arrive as soon as
+// the entry has it.
+func (r *received) sendLast(message *wire.Envelope) {
+	inTurn := r.watch != nil && r.watch.end()
+	err := sendNow(r.stream, message)
+	r.isEnded = inTurn && err == nil
+}
+
 // refuse ends the attempt without a response. Whether it was run follows from its
 // state alone.
 func (r *received) refuse(reason wire.RefusalReason, detail string) {
 	r.node.metrics.refused(reason)
-	_ = sendNow(r.stream, refused(&wire.Refused{
+	r.sendLast(refused(&wire.Refused{
 		Reason:   reason,
 		NotRun:   !r.isDispatched(),
 		Load:     r.node.upstream.report(),
--- /dev/null
+++ b/internal/node/reuse_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
+)
+
+// TestReceiverReusesStream guards against an attempt that gets what belongs to another
+// one on its stream, and against running what follows a message out of turn.
+func TestReceiverReusesStream(t *testing.T) {
+	held, cancelled := make(chan struct{}, 1), make(chan struct{}, 1)
+	_, entry, beside := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hold" {
+			held <- struct{}{}
+			<-r.Context().Done()
+			cancelled <- struct{}{}
+		}
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})
+	open := func() *meshStream {
+		raw, err := entry.client.OpenFresh(context.Background(), beside.meshListener.Addr().String(), mesh.Small)
+		assert.NilError(t, err)
+		return newMeshStream(raw)
+	}
+	sendHead := func(s *meshStream, id []byte, path, body string) {
+		s.BindAttempt(id)
+		assert.NilError(t, s.Send(requestHead(&wire.RequestHead{
+			Service: "s", Instance: "i-beside", Method: "POST", Target: path, TimeoutUs: 20e6, BodyLength: int64(len(body)),
+		})))
+		assert.NilError(t, sendHeldBody(s, []byte(body)))
+		assert.NilError(t, s.Flush())
+	}
+	newID := func() []byte {
+		id := uuid.New()
+		return id[:]
+	}
+	echo := func(s *meshStream, body string) []byte {
+		id := newID()
+		sendHead(s, id, "/p", body)
+		got := ""
+		for {
+			message, err := s.Receive()
+			assert.NilError(t, err)
+			got += string(message.GetBodyChunk().GetData())
+			if message.GetResponseEnd() != nil {
+				assert.Equal(t, got, body)
+				return id
+			}
+		}
+	}
+	for name, next := range map[string]func(s *meshStream, previous []byte){
+		"same ID":  func(s *meshStream, previous []byte) { sendHead(s, previous, "/p", "") },
+		"short ID": func(s *meshStream, _ []byte) { sendHead(s, []byte{1}, "/p", "") },
+		"no head": func(s *meshStream, _ []byte) {
+			s.BindAttempt(newID())
+			assert.NilError(t, s.SendNow(bodyEnd(0)))
+		},
+		"head inside": func(s *meshStream, _ []byte) {
+			sendHead(s, newID(), "/hold", "")
+			<-held
+			sendHead(s, newID(), "/p", "")
+			<-cancelled
+			message, err := s.ReceiveAny()
+			assert.NilError(t, err)
+			assert.Assert(t, !message.GetRefused().GetNotRun())
+			assert.Equal(t, message.GetRefused().GetReason(), wire.RefusalReason_REFUSAL_CONNECT, "not its deadline")
+		},
+	} {
+		stream := open()
+		var id []byte
+		for i := range 5 {
+			id = echo(stream, strings.Repeat(strconv.Itoa(i), 1+i*10000))
+		}
+		before := beside.requests.Load()
+		next(stream, id)
+		_, err := stream.ReceiveAny()
+		assert.ErrorIs(t, err, io.EOF, name)
+		assert.Equal(t, beside.requests.Load()-before, map[bool]int32{true: 1}[name == "head inside"], name)
+		stream.Close()
+	}
+}
+
+// TestEntryReusesStream guards against reuse of a stream whose attempt was disturbed,
+// and against an unknown outcome of a request that the peer promised not to have taken
+// from a stream.
+func TestEntryReusesStream(t *testing.T) {
+	control := newFakeControl(t)
+	entry := control.startNode(t, "entry", "a", "")
+	var streams atomic.Int32
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := mesh.NewServer(mesh.DefaultConfig(), func(_ context.Context, raw net.Conn) {
+		streams.Add(1)
+		stream := newMeshStream(raw)
+		for number := 1; ; number++ {
+			first, err := stream.ReceiveAny()
+			if err != nil {
+				return
+			}
+			target := first.GetRequestHead().GetTarget()
+			if target == "/refuse-reuse" && number > 1 {
+				closeToAttempts(stream)
+				return
+			}
+			stream.BindAttempt(first.GetAttemptId())
+			if _, err := stream.Receive(); err != nil || target == "/timeout" {
+				_, _ = stream.ReceiveAny()
+				return
+			}
+			_ = stream.Send(responseHead(&wire.ResponseHead{Status: http.StatusOK}))
+			_ = stream.Send(bodyChunk([]byte(target)))
+			_ = stream.Send(responseEnd(&wire.ResponseEnd{ByteCount: uint64(len(target))}))
+			if target == "/leftover" {
+				_ = stream.Send(bodyChunk([]byte("leftover")))
+			}
+			_ = stream.Flush()
+		}
+	})
+	go func() { _ = server.Serve(context.Background(), listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.Close()
+	})
+	control.change(func() {
+		control.listed["peer"] = &wire.Instance{Id: "peer", Service: "s", NodeAddress: listener.Addr().String(), Slots: 4, NodeId: "peer"}
+	})
+	entry.waitFor(t, 1)
+	for _, step := range []struct {
+		path    string
+		status  int
+		streams int32
+	}{
+		{"/a", http.StatusOK, 1},
+		{"/b", http.StatusOK, 1},
+		{"/leftover", http.StatusOK, 1},
+		{"/c", http.StatusOK, 2},
+		{"/timeout", http.StatusGatewayTimeout, 2},
+		{"/d", http.StatusOK, 3},
+		{"/refuse-reuse", http.StatusOK, 4},
+		{"/e", http.StatusOK, 4},
+	} {
+		timeout := "20000"
+		if step.path == "/timeout" {
+			timeout = "100"
+		}
+		a := send(t, "POST", entry.url(step.path), nil, httpapi.HeaderTimeout, timeout)
+		assert.Equal(t, a.StatusCode, step.status, step.path)
+		assert.Equal(t, a.StatusCode == http.StatusOK, a.body == step.path, step.path)
+		assert.Equal(t, streams.Load(), step.streams, step.path)
+	}
+}
+
+// TestIdleStreamClosedByPeer guards against an unknown outcome of a request that must
+// not be repeated when the peer ends idle streams because it stops.
+func TestIdleStreamClosedByPeer(t *testing.T) {
+	_, entry, beside := pair(t, func(http.ResponseWriter, *http.Request) {})
+	for i := range 20 {
+		assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
+		assert.Equal(t, beside.requests.Load(), int32(i+1))
+		assert.NilError(t, beside.server.Drain(context.Background()))
+	}
+}
--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -118,9 +118,21 @@
 
 // Receive returns the next message. It returns io.EOF when the stream ends
 // between two messages, io.ErrUnexpectedEOF when it ends within one,
-// ErrAttemptMismatch for a message of another attempt, and ErrMalformed for bytes
-// that are no message.
+// ErrAttemptMismatch together with a message of another attempt, and ErrMalformed for
+// bytes that are no message.
 func (c *Conn) Receive() (*wire.Envelope, error) {
+	message, err := c.ReceiveAny()
+	if err != nil {
+		return nil, err
+	}
+	if c.attemptID != nil && !bytes.Equal(message.GetAttemptId(), c.attemptID) {
+		return message, ErrAttemptMismatch
+	}
+	return message, nil
+}
+
+// ReceiveAny returns the next message like Receive, whatever attempt it belongs to.
+func (c *Conn) ReceiveAny() (*wire.Envelope, error) {
 	size, err := binary.ReadUvarint(c.reader)
 	if err != nil {
 		return nil, receiveError(err)
@@ -132,9 +144,6 @@
 	if err := c.decode(int(size), message); err != nil {
 		return nil, err
 	}
-	if c.attemptID != nil && !bytes.Equal(message.GetAttemptId(), c.attemptID) {
-		return nil, ErrAttemptMismatch
-	}
 	return message, nil
 }
 
--- /dev/null
+++ b/internal/transport/mesh/accepted.go
@@ -0,0 +1,90 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// Accepted is a stream that a server hands to its handler. A handler that serves
+// several exchanges on one stream calls Idle between them. Idle streams are no
+// outstanding work: they cause no pings, and Drain does not wait for them.
+type Accepted struct {
+	*yamux.Stream
+	server  *Server
+	session *session
+	// isIdle is guarded by the server's lock.
+	isIdle bool
+}
+
+// Idle marks the end of an exchange. It returns false when the server is stopping and
+// the handler must serve no other exchange.
+func (a *Accepted) Idle() bool {
+	a.server.mu.Lock()
+	defer a.server.mu.Unlock()
+	if a.session.draining || a.server.closed {
+		return false
+	}
+	a.isIdle = true
+	a.server.idleStreams[a] = struct{}{}
+	a.session.idle.Add(1)
+	a.server.finishLocked()
+	return true
+}
+
+// Busy marks the beginning of an exchange after Idle. It returns false when the server
+// is stopping, which also makes reads of idle streams fail with a timeout; then the
+// handler must serve no other exchange.
+func (a *Accepted) Busy() bool {
+	a.server.mu.Lock()
+	defer a.server.mu.Unlock()
+	if !a.isIdle {
+		return false // interrupted
+	}
+	a.server.wakeLocked(a)
+	return true
+}
+
+// wakeLocked counts the handler of an idle stream as running again.
+func (s *Server) wakeLocked(a *Accepted) {
+	a.isIdle = false
+	delete(s.idleStreams, a)
+	s.active++
+	a.session.idle.Add(-1)
+	a.session.wakeWatchdog()
+}
+
+// drainSession asks the peer to open no more streams and then ends the idle ones. In the
+// other order the peer could replace an idle stream by one that is refused too late.
+func (s *Server) drainSession(accepted *session) {
+	_ = accepted.GoAway()
+	s.interruptIdle(accepted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finishLocked()
+}
+
+// interruptIdle makes the handlers of a session's idle streams return. They count as
+// running until then.
+func (s *Server) interruptIdle(accepted *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	accepted.draining = true
+	for a := range s.idleStreams {
+		if a.session != accepted {
+			continue
+		}
+		s.wakeLocked(a)
+		_ = a.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// finish ends the handler of a stream.
+func (s *Server) finish(a *Accepted) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.isIdle {
+		s.wakeLocked(a)
+	}
+	s.finishLocked()
+}
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -60,6 +60,14 @@
 // The opener must be the first to send on the stream: opening is announced to the
 // peer together with its first bytes.
 func (c *Client) Open(ctx context.Context, address string, class Class) (net.Conn, error) {
+	stream, err := c.stream(ctx, address, class, false)
+	if err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
+func (c *Client) stream(ctx context.Context, address string, class Class, reuse bool) (*Stream, error) {
 	p, err := c.peer(peerKey{address, class})
 	if err != nil {
 		return nil, err
@@ -69,7 +77,12 @@
 		if s, err = p.connect(ctx); err != nil {
 			return nil, err
 		}
-		var stream net.Conn
+		if reuse {
+			if stream := s.take(); stream != nil {
+				return stream, nil
+			}
+		}
+		var stream *Stream
 		if stream, err = s.open(); err == nil {
 			return stream, nil
 		}
--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -12,7 +12,7 @@
 // acceptPause is the pause after a connection could not be accepted.
 const acceptPause = 50 * time.Millisecond
 
-// Handler serves one stream. The stream is closed when it returns.
+// Handler serves one stream, which is an *Accepted. It is closed when Handler returns.
 type Handler func(ctx context.Context, stream net.Conn)
 
 // Server accepts connections and hands their streams to a handler.
@@ -24,13 +24,15 @@
 	conns    int
 	sessions map[*session]struct{}
 	closed   bool
-	active   int           // running handlers
-	idle     chan struct{} // closed when active falls to 0, nil while nobody waits
+	active   int // running handlers, without those of idle streams
+	// idleStreams are streams whose handlers wait for another exchange.
+	idleStreams map[*Accepted]struct{}
+	idle        chan struct{} // closed when active falls to 0, nil while nobody waits
 }
 
 // NewServer returns a server that is not yet listening.
 func NewServer(config Config, handler Handler) *Server {
-	return &Server{config: config, handler: handler, sessions: map[*session]struct{}{}}
+	return &Server{config: config, handler: handler, sessions: map[*session]struct{}{}, idleStreams: map[*Accepted]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed. Handlers get a context
@@ -105,9 +107,10 @@
 			return
 		}
 		go func() {
-			defer s.finish()
+			a := &Accepted{Stream: stream, server: s, session: accepted}
+			defer s.finish(a)
 			defer func() { _ = stream.Close() }()
-			s.handler(ctx, stream)
+			s.handler(ctx, a)
 		}()
 	}
 }
@@ -123,9 +126,7 @@
 	return true
 }
 
-func (s *Server) finish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *Server) finishLocked() {
 	s.active--
 	if s.active == 0 && s.idle != nil {
 		close(s.idle)
@@ -158,11 +159,14 @@
 	return true
 }
 
-// Drain asks peers to open no more streams and waits until the handlers have
-// returned or ctx ends.
+// Drain asks peers to open no more streams, ends idle ones, and waits until the
+// handlers have returned or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	for _, accepted := range s.list() {
-		go func() { _ = accepted.GoAway() }()
+		s.mu.Lock()
+		s.active++
+		s.mu.Unlock()
+		go s.drainSession(accepted)
 	}
 	select {
 	case <-s.idleChannel():
@@ -178,6 +182,7 @@
 	s.closed = true
 	s.mu.Unlock()
 	for _, accepted := range s.list() {
+		s.interruptIdle(accepted)
 		accepted.close()
 	}
 	<-s.idleChannel()
--- a/internal/transport/mesh/session.go
+++ b/internal/transport/mesh/session.go
@@ -30,6 +30,12 @@
 	retired atomic.Bool
 	// opening keeps closeUnused from ending the connection under a new stream.
 	opening sync.RWMutex
+	// idle counts the open streams that carry no exchange.
+	idle atomic.Int64
+	// draining is set once the peer was asked to open no more streams. It is guarded by
+	// the server's lock.
+	draining    bool
+	idleStreams idleStreams
 }
 
 // newSession secures the connection and exchanges the handshake until the
@@ -60,7 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &session{Session: muxed, activity: activity, wake: make(chan struct{}, 1)}, nil
+	created := &session{Session: muxed, activity: activity, wake: make(chan struct{}, 1)}
+	created.idleStreams.session = created
+	return created, nil
 }
 
 func secure(conn net.Conn, config Config, s side) (net.Conn, error) {
@@ -74,7 +82,10 @@
 	return secured, secured.Handshake()
 }
 
-func (s *session) open() (net.Conn, error) {
+// outstanding returns the number of streams that carry work.
+func (s *session) outstanding() int { return s.NumStreams() - int(s.idle.Load()) }
+
+func (s *session) open() (*Stream, error) {
 	s.opening.RLock()
 	defer s.opening.RUnlock()
 	if !s.isUsable() {
@@ -85,7 +96,7 @@
 		return nil, err
 	}
 	s.wakeWatchdog()
-	return stream, nil
+	return &Stream{Stream: stream, session: s}, nil
 }
 
 func (s *session) wakeWatchdog() {
--- a/internal/transport/mesh/watchdog.go
+++ b/internal/transport/mesh/watchdog.go
@@ -35,10 +35,10 @@
 	return time.Duration(now.UnixNano() - c.lastRead.Load())
 }
 
-// watch closes the session when it holds open streams and no byte has arrived for
+// watch closes the session when it holds streams with work and no byte has arrived for
 // the dead time. It pings after the ping time, so that a peer that only works on a
 // long request is not taken for a dead one. From two thirds of the dead time on, new
-// streams are kept off the connection. Without open streams there is no traffic;
+// streams are kept off the connection. Without such streams there is no traffic;
 // after the idle timeout, when it is not 0, the session is closed. It calls onSilent
 // before it closes a silent session, and returns when the session has ended.
 func (s *session) watch(ping, dead, idle time.Duration, onSilent func()) {
@@ -91,7 +91,7 @@
 	}
 }
 
-// isSilent watches while streams are open and returns true when the peer is silent.
+// isSilent watches while streams have work and returns true when the peer is silent.
 // Silence before that says nothing about the peer, and neither does silence while this
 // process itself was frozen.
 func (s *session) isSilent(ping, dead time.Duration) bool {
@@ -101,7 +101,7 @@
 	var pinging atomic.Bool
 	last := time.Now()
 	s.activity.touch(last)
-	for s.NumStreams() > 0 {
+	for s.outstanding() > 0 {
 		select {
 		case <-s.CloseChan():
 			return false
