Share one upstream emulator between tests and the development program

Cause: tests and internal/dev each had an upstream that announces itself, and each package with properties fixed its seed in its own way, some against the command line.

--- /dev/null
+++ b/cmd/chicorylever-upstream/main.go
@@ -0,0 +1,84 @@
+// Command chicorylever-upstream is an upstream for trying out and testing nodes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/chicorylever/chicorylever/internal/emulator"
+)
+
+const (
+	defaultSlots       = 10
+	defaultConnections = 200
+	leaveTimeout       = 2 * time.Second
+	logMode            = 0o600
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	command := &cli.Command{
+		Name:  "chicorylever-upstream",
+		Usage: "echo server that announces itself to a node; not for production",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "service", Required: true, Usage: "`NAME` of the service"},
+			&cli.StringFlag{Name: "instance", Required: true, Usage: "`NAME` of the instance"},
+			&cli.StringFlag{Name: "node", Required: true, Usage: "local_listen `ADDRESS` of the node"},
+			&cli.IntFlag{Name: "slots", Value: defaultSlots, Usage: "requests worked on at once"},
+			&cli.IntFlag{Name: "connections", Value: defaultConnections, Usage: "accepted connections"},
+			&cli.StringFlag{Name: "log", Usage: "append the path of each request to `FILE`"},
+		},
+		Action: run,
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "chicorylever-upstream: "+err.Error())
+		stop()
+		os.Exit(1) //nolint:gocritic // stop was called
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	log := io.Discard
+	if path := command.String("log"); path != "" {
+		file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode) //nolint:gosec // named by the user
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		defer func() { _ = file.Close() }()
+		log = file
+	}
+	upstream, err := emulator.New(emulator.Options{
+		Service:     command.String("service"),
+		Instance:    command.String("instance"),
+		Node:        command.String("node"),
+		Slots:       command.Int("slots"),
+		Connections: command.Int("connections"),
+		Handler:     emulator.Echo(command.String("instance"), log),
+	})
+	if err != nil {
+		return err
+	}
+	return serve(ctx, upstream)
+}
+
+// serve leaves the node before the server stops.
+func serve(ctx context.Context, upstream *emulator.Upstream) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	context.AfterFunc(ctx, func() {
+		defer stop()
+		leaving, cancel := context.WithTimeout(serving, leaveTimeout)
+		defer cancel()
+		_ = upstream.Leave(leaving)
+	})
+	return upstream.Run(serving)
+}
--- a/internal/coordination/membership/main_test.go
+++ b/internal/coordination/membership/main_test.go
@@ -3,19 +3,17 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"slices"
-	"testing"
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
+// init fixes the seed of property-based tests, so that each run gives the same
+// verdict; -rapid.seed on the command line overrides it.
+func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
 }
 
 var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/coordination/raft/main_test.go
+++ b/internal/coordination/raft/main_test.go
@@ -1,16 +1,12 @@
 package raft
 
-import (
-	"flag"
-	"os"
-	"testing"
-)
+import "flag"
 
-func TestMain(m *testing.M) {
-	flag.Parse()
+// init fixes the seed of property-based tests, so that each run gives the same
+// verdict; -rapid.seed on the command line overrides it.
+func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
 	// A run takes a few milliseconds; rare interleavings need many of them.
 	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
 }
--- a/internal/coordination/retry/main_test.go
+++ b/internal/coordination/retry/main_test.go
@@ -2,16 +2,13 @@
 
 import (
 	"flag"
-	"os"
-	"testing"
 
 	_ "pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of the properties, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
+// init fixes the seed of property-based tests, so that each run gives the same
+// verdict; -rapid.seed on the command line overrides it.
+func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -22,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorylever/chicorylever/internal/control"
+	"github.com/chicorylever/chicorylever/internal/emulator"
 	"github.com/chicorylever/chicorylever/internal/node"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/document"
@@ -33,7 +35,10 @@
 	stopTimeoutMs = 10000
 	fileMode      = 0o600
 	// leaveTimeout bounds the announcements of leaving demo upstreams at a stop.
-	leaveTimeout = 2 * time.Second
+	leaveTimeout    = 2 * time.Second
+	demoSlots       = 10
+	demoConnections = 200
+	demoWork        = 5 * time.Millisecond
 )
 
 //go:embed document.json
@@ -78,7 +83,7 @@
 }
 
 // serve runs everything; the nodes stop after the upstreams have left, control last.
-func serve(ctx context.Context, options Options, member *control.Control, nodes []*node.Node, upstreams []*demoUpstream, ready func()) error {
+func serve(ctx context.Context, options Options, member *control.Control, nodes []*node.Node, upstreams []*emulator.Upstream, ready func()) error {
 	group, groupCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	controlCtx, stopControl := context.WithCancel(groupCtx)
 	nodeCtx, stopNodes := context.WithCancel(groupCtx)
@@ -92,7 +97,7 @@
 	}
 	group.Go(func() error { defer stopControl(); return running.Wait() })
 	for _, u := range upstreams {
-		group.Go(func() error { return u.run(nodeCtx) })
+		group.Go(func() error { return u.Run(nodeCtx) })
 	}
 	ready()
 	select {
@@ -104,11 +109,11 @@
 	return group.Wait()
 }
 
-func leaveAll(upstreams []*demoUpstream, logger log.Logger) {
+func leaveAll(upstreams []*emulator.Upstream, logger log.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	for _, u := range upstreams {
-		if err := u.leave(ctx); err != nil {
+		if err := u.Leave(ctx); err != nil {
 			_ = logger.Log("msg", "demo upstream could not leave", "err", err)
 		}
 	}
@@ -145,16 +150,19 @@
 	}
 }
 
-func newNodes(options Options) ([]*node.Node, []*demoUpstream, error) {
+func newNodes(options Options) ([]*node.Node, []*emulator.Upstream, error) {
 	var nodes []*node.Node
-	var upstreams []*demoUpstream
+	var upstreams []*emulator.Upstream
 	for i, zone := range demoZones {
 		n, err := node.New(nodeSettings(options.BasePort, i, zone), options.Logger)
 		if err != nil {
 			return nil, nil, err
 		}
 		instance := demoServices[i] + "-" + strconv.Itoa(i+1)
-		u, err := newDemoUpstream(demoServices[i], instance, n.LocalAddress())
+		u, err := emulator.New(emulator.Options{
+			Service: demoServices[i], Instance: instance, Node: n.LocalAddress(),
+			Slots: demoSlots, Connections: demoConnections, Handler: greet(instance),
+		})
 		if err != nil {
 			return nil, nil, err
 		}
@@ -164,6 +172,19 @@
 	return nodes, upstreams, nil
 }
 
+// greet answers after a usual time of work.
+func greet(instance string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(demoWork):
+		case <-r.Context().Done():
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = fmt.Fprintf(w, "%s %s served by %s\n", r.Method, r.URL.Path, instance)
+	})
+}
+
 func nodeSettings(basePort, index int, zone string) *settings.Node {
 	first := basePort + 2 + index*portsPerNode
 	mesh := address(first + 2)
--- /dev/null
+++ b/internal/emulator/upstream.go
@@ -0,0 +1,126 @@
+// Package emulator holds an upstream for development and tests: an HTTP server that
+// announces itself to the node beside it and leaves when it stops.
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	// announceInterval is the time between two announcements until one is accepted.
+	announceInterval = 50 * time.Millisecond
+	requestTimeout   = 2 * time.Second
+)
+
+// ErrRefused reports that the node refused an announcement.
+var ErrRefused = errors.New("emulator: node refused")
+
+// Options describe an upstream.
+type Options struct {
+	// Service and Instance are announced to the node.
+	Service  string
+	Instance string
+	// Node is host:port of the node's loopback listener.
+	Node string
+	// Slots and Connections are announced to the node.
+	Slots       int
+	Connections int
+	// Handler answers the requests.
+	Handler http.Handler
+}
+
+// Upstream is an upstream that listens on a loopback port.
+type Upstream struct {
+	options  Options
+	startID  string
+	listener net.Listener
+	server   *http.Server
+}
+
+// New returns an upstream that listens but does not serve yet.
+func New(options Options) (*Upstream, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "emulator")
+	}
+	return &Upstream{
+		options:  options,
+		startID:  uuid.NewString(),
+		listener: listener,
+		server:   &http.Server{Handler: options.Handler, ReadHeaderTimeout: headerTimeout},
+	}, nil
+}
+
+// Run serves and announces the upstream until the node accepts it, then serves until
+// ctx ends. Leave comes before the end of ctx.
+func (u *Upstream) Run(ctx context.Context) error {
+	go func() { _ = u.server.Serve(u.listener) }()
+	defer func() { _ = u.server.Close() }()
+	if err := u.announce(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (u *Upstream) announce(ctx context.Context) error {
+	body := httpapi.Announcement{
+		Service:     u.options.Service,
+		Address:     u.listener.Addr().String(),
+		Instance:    u.options.Instance,
+		StartID:     u.startID,
+		Slots:       u.options.Slots,
+		Connections: u.options.Connections,
+	}
+	for {
+		err := u.post(ctx, "/v1/announce", body)
+		if err == nil || errors.Is(err, ErrRefused) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(announceInterval):
+		}
+	}
+}
+
+// Leave tells the node that the upstream begins to leave.
+func (u *Upstream) Leave(ctx context.Context) error {
+	return u.post(ctx, "/v1/leave", httpapi.Leave{StartID: u.startID})
+}
+
+func (u *Upstream) post(ctx context.Context, path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "emulator")
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.options.Node+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "emulator")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "emulator")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusNoContent {
+		reason, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return errors.WithMessagef(ErrRefused, "%s: %s", response.Status, reason)
+	}
+	return nil
+}
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
-	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
 // silentRelay forwards connections until it is muted; muted connections still accept
@@ -136,9 +135,7 @@
 		"/end-first":      func(*meshStream) []*wire.Envelope { return []*wire.Envelope{end(0)} },
 		"/request-inside": func(*meshStream) []*wire.Envelope { return []*wire.Envelope{head(), bodyEnd(0), end(0)} },
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := mesh.NewServer(mesh.DefaultConfig(), func(_ context.Context, raw net.Conn) {
+	control.addPeer(t, "broken", func(_ context.Context, raw net.Conn) {
 		stream := newMeshStream(raw)
 		first, err := stream.Receive()
 		if err != nil {
@@ -150,14 +147,6 @@
 		}
 		_ = stream.Flush()
 	})
-	go func() { _ = server.Serve(context.Background(), listener) }()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		server.Close()
-	})
-	control.change(func() {
-		control.listed["broken"] = &wire.Instance{Id: "broken", Service: "s", NodeAddress: listener.Addr().String(), Slots: 4, NodeId: "broken"}
-	})
 	entry.waitFor(t, 1)
 	for path := range replies {
 		request, _ := http.NewRequest("POST", entry.url(path), nil)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -242,3 +242,18 @@
 	data, err := io.ReadAll(response.Body)
 	return answer{response, string(data), err}
 }
+
+// addPeer lists an instance whose node is the handler.
+func (c *fakeControl) addPeer(t testing.TB, id string, handler mesh.Handler) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := mesh.NewServer(mesh.DefaultConfig(), handler)
+	go func() { _ = server.Serve(context.Background(), listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.Close()
+	})
+	c.change(func() {
+		c.listed[id] = &wire.Instance{Id: id, Service: "s", NodeAddress: listener.Addr().String(), Slots: 4, NodeId: id}
+	})
+}
--- a/internal/node/reuse_test.go
+++ b/internal/node/reuse_test.go
@@ -101,9 +101,7 @@
 	control := newFakeControl(t)
 	entry := control.startNode(t, "entry", "a", "")
 	var streams atomic.Int32
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := mesh.NewServer(mesh.DefaultConfig(), func(_ context.Context, raw net.Conn) {
+	control.addPeer(t, "peer", func(_ context.Context, raw net.Conn) {
 		streams.Add(1)
 		stream := newMeshStream(raw)
 		for number := 1; ; number++ {
@@ -130,14 +128,6 @@
 			_ = stream.Flush()
 		}
 	})
-	go func() { _ = server.Serve(context.Background(), listener) }()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		server.Close()
-	})
-	control.change(func() {
-		control.listed["peer"] = &wire.Instance{Id: "peer", Service: "s", NodeAddress: listener.Addr().String(), Slots: 4, NodeId: "peer"}
-	})
 	entry.waitFor(t, 1)
 	for _, step := range []struct {
 		path    string
--- a/internal/node/revision_test.go
+++ b/internal/node/revision_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,11 +24,11 @@
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
+// init fixes the seed of property-based tests, so that each run gives the same
+// verdict; -rapid.seed on the command line overrides it.
+func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
 }
 
 // fakeLog is the accepted documents; the revision is the index plus one.
--- a/internal/state/document/main_test.go
+++ b/internal/state/document/main_test.go
@@ -1,17 +1,10 @@
 package document
 
-import (
-	"flag"
-	"os"
-	"testing"
-)
+import "flag"
 
-func TestMain(m *testing.M) {
-	fixed := map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"}
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+// init fixes the seed of property-based tests, so that each run gives the same
+// verdict; -rapid.seed on the command line overrides it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 }
--- a/internal/state/slo/slo_test.go
+++ b/internal/state/slo/slo_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -22,11 +21,11 @@
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
+// init fixes the seed of property-based tests, so that each run gives the same
+// verdict; -rapid.seed on the command line overrides it.
+func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
 }
 
 var (
--- a/internal/state/wal/main_test.go
+++ b/internal/state/wal/main_test.go
@@ -1,15 +1,11 @@
 package wal
 
-import (
-	"flag"
-	"os"
-	"testing"
-)
+import "flag"
 
-func TestMain(m *testing.M) {
-	flag.Parse()
+// init fixes the seed of property-based tests, so that each run gives the same
+// verdict; -rapid.seed on the command line overrides it.
+func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
 }
--- a/test/e2e/fault_test.go
+++ b/test/e2e/fault_test.go
@@ -22,15 +22,9 @@
 	for i := range instances {
 		node := c.startNode([]string{"seq-a", "seq-b", "seq-c"}[i%3])
 		c.startUpstream("drafts", fmt.Sprintf("drafts-%d", i), node)
-		eventually(t, func() error {
-			status, _, err := call("POST", "http://"+node.EntryListen+"/svc/drafts/ready", "")
-			return check(status, err)
-		})
+		waitAnswered(t, "http://"+node.EntryListen+"/svc/drafts/ready")
 	}
-	eventually(t, func() error {
-		status, _, err := call("POST", entry+"/ready", "")
-		return check(status, err)
-	})
+	waitAnswered(t, entry+"/ready")
 	return c, entry
 }
 
@@ -77,10 +71,7 @@
 	c.signal("node-3", syscall.SIGCONT)
 	c.signal("drafts-3", syscall.SIGCONT)
 	group.Wait()
-	eventually(t, func() error {
-		status, _, err := call("POST", entry+"/after", "")
-		return check(status, err)
-	})
+	waitAnswered(t, entry+"/after")
 
 	runs := c.runs()
 	outcomes := map[string]int{}
@@ -147,10 +138,7 @@
 	time.Sleep(500 * time.Millisecond)
 	c.signal("node-1", syscall.SIGCONT)
 	group.Wait()
-	eventually(t, func() error {
-		status, _, err := call("POST", entry+"/after", "")
-		return check(status, err)
-	})
+	waitAnswered(t, entry+"/after")
 	runs := c.runs()
 	for i := range 8 {
 		assert.Equal(t, runs[fmt.Sprintf("/frozen/%d", i)], 0, "request %d ran after its deadline", i)
--- a/test/e2e/keyed_bench_test.go
+++ b/test/e2e/keyed_bench_test.go
@@ -24,10 +24,7 @@
 	for i := range 4 {
 		m.startUpstream("drafts", fmt.Sprint("drafts-", i), m.startNode("seq-a"))
 	}
-	eventually(b, func() error {
-		status, _, err := call("POST", entry, "")
-		return check(status, err)
-	})
+	waitAnswered(b, entry)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	for _, callers := range []int{1, 16} {
 		for _, keyed := range []bool{false, true} {
--- a/test/e2e/metrics_test.go
+++ b/test/e2e/metrics_test.go
@@ -21,19 +21,16 @@
 	m := newMembers(t, 1)
 	node := m.startNode("seq-a")
 	m.startUpstream("drafts", "drafts-1", node)
-	eventually(t, func() error {
-		status, _, err := call("GET", "http://"+node.EntryListen+"/svc/drafts/", "")
-		return check(status, err)
-	})
-	var served []string
+	waitAnswered(t, "http://"+node.EntryListen+"/svc/drafts/")
+	var served string
 	for _, address := range []string{node.AdminListen, m.settings[0].APIListen} {
 		status, text, err := call("GET", "http://"+address+"/metrics", "")
 		assert.NilError(t, check(status, err))
-		served = append(served, names(servedName, text)...)
+		served += text
 	}
 	page, err := os.ReadFile("../../docs/metrics.md")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, names(documentedName, string(page)), unique(served))
+	assert.DeepEqual(t, names(documentedName, string(page)), names(servedName, served))
 }
 
 func names(pattern *regexp.Regexp, text string) []string {
@@ -41,11 +38,6 @@
 	for _, match := range pattern.FindAllStringSubmatch(text, -1) {
 		found = append(found, histogramPart.ReplaceAllString(match[1], "_seconds"))
 	}
-	return unique(found)
-}
-
-func unique(list []string) []string {
-	list = slices.Clone(list)
-	slices.Sort(list)
-	return slices.Compact(list)
+	slices.Sort(found)
+	return slices.Compact(found)
 }
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -26,13 +26,7 @@
 	}
 	for _, node := range c.nodes {
 		for _, service := range []string{"drafts", "approvals"} {
-			eventually(t, func() error {
-				status, body, err := call("GET", "http://"+node.EntryListen+"/svc/"+service+"/ping", "")
-				if err == nil && status != 200 {
-					err = fmt.Errorf("%s through %s: %d %s", service, node.ID, status, body)
-				}
-				return err
-			})
+			waitAnswered(t, "http://"+node.EntryListen+"/svc/"+service+"/ping")
 		}
 	}
 	var group sync.WaitGroup
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -94,11 +94,8 @@
 }
 
 func (c *cluster) startUpstream(service, instance string, node *settings.Node) {
-	config, err := json.Marshal(upstreamConfig{Service: service, Instance: instance, Node: node.LocalListen, Log: filepath.Join(c.dir, instance+".requests")})
-	assert.NilError(c.t, err)
-	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), upstreamEnv+"="+string(config))
-	c.run(instance, command)
+	c.run(instance, exec.Command(filepath.Join(c.bin, "chicorylever-upstream"), "--service", service, "--instance", instance,
+		"--node", node.LocalListen, "--log", filepath.Join(c.dir, instance+".requests")))
 }
 
 func (c *cluster) run(name string, command *exec.Cmd) {
@@ -205,3 +202,12 @@
 	data, err := io.ReadAll(answer.Body)
 	return answer.StatusCode, answer.Header.Get(httpapi.HeaderOutcome), string(data), err
 }
+
+// waitAnswered sends a request until it is answered with status 200.
+func waitAnswered(t testing.TB, url string) {
+	t.Helper()
+	eventually(t, func() error {
+		status, _, err := call("POST", url, "")
+		return check(status, err)
+	})
+}
--- a/test/e2e/zone_test.go
+++ b/test/e2e/zone_test.go
@@ -73,10 +73,7 @@
 	zones := []string{"seq-a", "seq-b", "seq-c"}
 	for i, zone := range zones {
 		m.startUpstream("drafts", "drafts-"+zone, m.startNode(zone))
-		eventually(t, func() error {
-			status, _, err := call("POST", "http://"+m.nodes[i].EntryListen+"/svc/drafts/ready", "")
-			return check(status, err)
-		})
+		waitAnswered(t, "http://"+m.nodes[i].EntryListen+"/svc/drafts/ready")
 	}
 	p, stop := &phase{}, make(chan struct{})
 	var group sync.WaitGroup
