Warm an upstream up although a minority of its responses are errors

Cause: in cold start every error response halved the limit, so an upstream whose application answers some requests with 500 stayed at a limit of 1 for good. Change: errors count like slow requests: they halve the limit only when they outnumber the expected successes. Conclusion: an upstream that fails most requests is still held back.

--- a/internal/coordination/admission/ramp.go
+++ b/internal/coordination/admission/ramp.go
@@ -63,8 +63,9 @@
 	case ResultOverloaded:
 		r.shrink(now)
 	case ResultError:
+		// Errors of the application alone, a minority, must not keep an upstream cold.
 		if r.cold {
-			r.shrink(now)
+			return r.observeSlow(now)
 		}
 	case ResultConnectRefused:
 		return true
@@ -99,8 +100,9 @@
 	}
 }
 
-// observeSlow counts a request beyond the expected time. A cold upstream whose
-// requests are mostly slow loses half its limit; a warm one becomes cold.
+// observeSlow counts a request beyond the expected time, or a failed one while cold. A
+// cold upstream whose requests are mostly of that kind loses half its limit; a warm one
+// becomes cold.
 func (r *ramp) observeSlow(now time.Time) bool {
 	r.slow++
 	if r.cold {
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -251,3 +251,17 @@
 	status := send(t, "GET", "http://"+beside.adminListener.Addr().String()+"/v1/status", nil).body
 	assert.Assert(t, strings.Contains(status, `"state":"cold"`), status)
 }
+
+// TestErrorsWarmUp guards against a minority of errors that keeps an upstream cold.
+func TestErrorsWarmUp(t *testing.T) {
+	var requests atomic.Int32
+	_, entry, beside := pair(t, func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1)%3 == 0 {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	eventually(t, func() bool {
+		send(t, "POST", entry.url("/p"), nil)
+		return stateName(beside.Node.upstream.gate.Report().GetState()) == "warm"
+	})
+}
--- a/test/e2e/bench_test.go
+++ b/test/e2e/bench_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"fmt"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
-
-	"github.com/chicorylever/chicorylever/internal/control/api"
 )
 
 // BenchmarkEdits measures edits through the operators' API of control members that
@@ -51,15 +48,8 @@
 		assert.NilError(b, err)
 		m.killMember(leader)
 		started := time.Now()
-		survivor := (leader + 1) % len(m.settings)
-		eventually(b, func() error {
-			body := fmt.Sprintf(`{"owner": "platform", "timeout_ms": %d}`, 500+i)
-			header := map[string]string{"If-Match": fmt.Sprintf(`"%d"`, version), "Edit-Id": fmt.Sprint("failover-", i)}
-			var result api.EditBody
-			_, err := m.api(survivor, http.MethodPut, "/v1/sections/"+editedSection, body, header, &result)
-			e.version = result.Version
-			return err
-		})
+		e.version, err = e.edit(b.N+i+1, version)
+		assert.NilError(b, err)
 		assert.NilError(b, pauses.RecordValue(time.Since(started).Milliseconds()))
 		m.startMember(leader)
 		m.waitVoters(leader, 3)
--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -314,8 +314,7 @@
 	}
 }
 
-// TestStoppedNodeIsGone guards against entries that choose an instance whose node
-// has stopped, until its lease of 8 s ends.
+// TestStoppedNodeIsGone guards against an instance listed after its node has stopped.
 func TestStoppedNodeIsGone(t *testing.T) {
 	m := newMembers(t, 1)
 	m.startUpstream("drafts", "drafts-1", m.startNode("seq-a"))
