--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -78,6 +78,7 @@
 	}
 }
 
+// inForce compares the revisions that nodes have acknowledged with the asked one.
 func (f *fleet) inForce(revision uint64) api.InForce {
 	state := api.InForce{Revision: revision, Stale: f.registry.Status(time.Now()).Stale}
 	for _, lease := range f.registry.Nodes() {
--- a/internal/control/lost.go
+++ b/internal/control/lost.go
@@ -28,6 +28,7 @@
 	return &lostNodes{registry: registry, proposer: proposer, logger: logger, starts: map[string]uint64{}}
 }
 
+// run compares the nodes with those of a second ago until ctx ends.
 func (l *lostNodes) run(ctx context.Context) {
 	ticker := time.NewTicker(lostNodesInterval)
 	defer ticker.Stop()
@@ -41,6 +42,7 @@
 	}
 }
 
+// check reports nodes that are gone or have another start time, if this member leads.
 func (l *lostNodes) check(ctx context.Context) {
 	current := map[string]uint64{}
 	for _, heartbeat := range l.registry.Nodes() {
