Hand out test addresses outside the kernel's port range

The log shows that control-2 could not listen: the test had closed a port that the kernel then gave to the API of control-1 in the same test. Change: addresses of processes under test come from a counter below the range of ephemeral ports. Comments for the unexported functions of package control.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -82,6 +82,8 @@
 	return result
 }
 
+// terms returns the conditions of a claim. The timeout is the longest of the service,
+// because the claim does not carry the timeout of its request.
 func (s *claimService) terms(service string) claims.Terms {
 	doc := s.documents.View().Document
 	terms := claims.Terms{At: time.Now(), Capacity: claimCapacityBytes}
@@ -95,6 +97,8 @@
 	return terms
 }
 
+// acknowledge proposes a command that ends a claim. The node repeats it after an error,
+// which is safe because the commands are idempotent.
 func (s *claimService) acknowledge(ctx context.Context, command []byte, err error) (*wire.Envelope, error) {
 	ack := &wire.ClaimAck{}
 	if err == nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -100,6 +100,8 @@
 	return c, nil
 }
 
+// openLog opens the log in the data folder. It forms or joins the cluster in the
+// background once the mesh listener is served.
 func (c *Control) openLog() error {
 	var err error
 	c.log, err = replica.Open(replica.Options{
@@ -201,6 +203,8 @@
 	return duties
 }
 
+// stop finishes the requests of operators, hands leadership over and closes the
+// connections, in this order.
 func (c *Control) stop(operators *http.Server, streams *mesh.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), apiStopTimeout)
 	defer cancel()
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -120,6 +120,7 @@
 	return m.log.RemoveMember(ctx, id)
 }
 
+// apiHandler joins the parts of the member to the operators' API.
 func (c *Control) apiHandler() (http.Handler, error) {
 	return api.New(api.Config{
 		Proposer:   c.part(sectionDocument),
--- a/internal/control/lost.go
+++ b/internal/control/lost.go
@@ -61,6 +61,8 @@
 	}
 }
 
+// report proposes to mark the node's claims as lost. A proposal that fails is not
+// repeated, since the deadline of each claim covers it.
 func (l *lostNodes) report(ctx context.Context, nodeID string) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -34,6 +34,7 @@
 	})
 }
 
+// float64FromBool returns 1 for true and 0 for false, as Prometheus has it.
 func float64FromBool(value bool) float64 {
 	if value {
 		return 1
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -160,11 +161,20 @@
 	}
 }
 
+// lastPort is below the ports that the kernel gives to other sockets, so that an
+// address that was handed out is still free when its process starts.
+var lastPort atomic.Int32
+
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range 1000 {
+		address := fmt.Sprint("127.0.0.1:", 20000+lastPort.Add(1))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // eventually retries a check while processes start.
