--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -222,6 +222,8 @@
 	a.node.directory.observeRevision(a.instance.GetNodeAddress(), revision)
 }
 
+// refusedResult takes a refusal. Without the receiver's word that nothing was
+// dispatched, the outcome is unknown.
 func (a *attempt) refusedResult(refusal *wire.Refused) attemptResult {
 	a.learn(refusal.GetLoad(), refusal.GetRevision())
 	a.isEnded = refusal.GetReason() != wire.RefusalReason_REFUSAL_DEADLINE
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -52,6 +52,7 @@
 	return &settler{claimer: claimer, places: make(chan struct{}, maxSettling), ctx: ctx, stop: stop}
 }
 
+// reserve takes a place, or returns false when all are taken.
 func (s *settler) reserve() bool {
 	select {
 	case s.places <- struct{}{}:
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -81,6 +81,8 @@
 	return r.isEnded && ctx.Err() == nil
 }
 
+// run takes an attempt from its body through admission and claim to the upstream. It
+// holds the permit until the work at the upstream has ended.
 func (r *received) run(ctx context.Context, cancel context.CancelFunc) {
 	if !r.streamed {
 		if err := r.receiveBody(); err != nil {
@@ -118,6 +120,8 @@
 	stream.ReleaseReader()
 }
 
+// receiveBody reads a held body. It returns an error when the body is shorter or longer
+// than the head declares; nothing was dispatched then.
 func (r *received) receiveBody() error {
 	r.body = make([]byte, r.head.GetBodyLength())
 	reader := &bodyReader{stream: r.stream, limit: heldBodyBytes}
@@ -247,6 +251,8 @@
 	}))
 }
 
+// upstreamRequest returns the request to the upstream, with the remaining time and the
+// depth of the call in its headers.
 func (r *received) upstreamRequest(ctx context.Context, cancel context.CancelFunc) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, r.head.GetMethod(), "http://upstream"+r.head.GetTarget(), http.NoBody)
 	if err != nil {
