Exit with code 2 for usage errors; run all command lines in one place

Cause: the README promises exit code 2 for invalid settings or usage, but a missing or unknown flag gave 1. The start of two programs also stood twice. Change: program.Run handles signals and exit codes for the daemons, chicorylever-dev and chicorylever-upstream; an error before the action is one of usage. Before: chicorylever-node without flags exits with 1.

--- a/cmd/chicorylever-dev/main.go
+++ b/cmd/chicorylever-dev/main.go
@@ -3,10 +3,7 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -17,9 +14,7 @@
 const defaultBasePort = 7400
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	command := &cli.Command{
+	program.Run(&cli.Command{
 		Name:  "chicorylever-dev",
 		Usage: "one control member, three nodes and demo upstreams in one process on loopback",
 		Flags: []cli.Flag{
@@ -27,12 +22,7 @@
 			&cli.StringFlag{Name: "log-level", Value: "warn", Usage: "debug, info, warn or error"},
 		},
 		Action: run,
-	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "chicorylever-dev: "+err.Error())
-		stop()
-		os.Exit(1) //nolint:gocritic // stop was called
-	}
+	})
 }
 
 func run(ctx context.Context, command *cli.Command) error {
--- a/cmd/chicorylever-upstream/main.go
+++ b/cmd/chicorylever-upstream/main.go
@@ -3,17 +3,15 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/chicorylever/chicorylever/internal/emulator"
+	"github.com/chicorylever/chicorylever/internal/program"
 )
 
 const (
@@ -24,9 +22,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	command := &cli.Command{
+	program.Run(&cli.Command{
 		Name:  "chicorylever-upstream",
 		Usage: "echo server that announces itself to a node; not for production",
 		Flags: []cli.Flag{
@@ -38,12 +34,7 @@
 			&cli.StringFlag{Name: "log", Usage: "append the path of each request to `FILE`"},
 		},
 		Action: run,
-	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "chicorylever-upstream: "+err.Error())
-		stop()
-		os.Exit(1) //nolint:gocritic // stop was called
-	}
+	})
 }
 
 func run(ctx context.Context, command *cli.Command) error {
--- a/internal/coordination/membership/main_test.go
+++ b/internal/coordination/membership/main_test.go
@@ -9,8 +9,7 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
-// init fixes the seed of property-based tests, so that each run gives the same
-// verdict; -rapid.seed on the command line overrides it.
+// init fixes the seed for equal verdicts; -rapid.seed on the command line overrides it.
 func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
--- a/internal/coordination/raft/main_test.go
+++ b/internal/coordination/raft/main_test.go
@@ -2,8 +2,7 @@
 
 import "flag"
 
-// init fixes the seed of property-based tests, so that each run gives the same
-// verdict; -rapid.seed on the command line overrides it.
+// init fixes the seed for equal verdicts; -rapid.seed on the command line overrides it.
 func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -22,13 +22,9 @@
 // Daemon starts one of the daemons from its settings file and serves until ctx ends.
 type Daemon func(ctx context.Context, settingsPath string) error
 
-// Main runs a daemon's command line and ends the process. SIGTERM and SIGINT
-// start a graceful stop. The exit code is 0 after a graceful stop, 2 for
-// invalid settings or usage, 1 for other errors.
+// Main runs a daemon's command line and ends the process; see Run.
 func Main(name, usage string, daemon Daemon) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	command := &cli.Command{
+	Run(&cli.Command{
 		Name:  name,
 		Usage: usage,
 		Flags: []cli.Flag{
@@ -37,17 +33,31 @@
 		Action: func(ctx context.Context, command *cli.Command) error {
 			return daemon(ctx, command.String("settings"))
 		},
+	})
+}
+
+// Run runs a command line and ends the process. SIGTERM and SIGINT start a graceful
+// stop. The exit code is 0 after a graceful stop, 2 for invalid settings or usage, 1
+// for other errors.
+func Run(command *cli.Command) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	action, started := command.Action, false
+	command.Action = func(ctx context.Context, command *cli.Command) error {
+		started = true
+		return action(ctx, command)
 	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, name+": "+err.Error())
-		stop()
-		os.Exit(exitCode(err)) //nolint:gocritic // stop was called
+	err := command.Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, command.Name+": "+err.Error())
+		os.Exit(exitCode(err, started))
 	}
 }
 
-func exitCode(err error) int {
+// exitCode takes an error before the action for one of usage.
+func exitCode(err error, started bool) int {
 	var invalid *settings.Error
-	if errors.As(err, &invalid) {
+	if !started || errors.As(err, &invalid) {
 		return settings.ExitCode
 	}
 	return exitFailure
--- a/internal/state/slo/slo_test.go
+++ b/internal/state/slo/slo_test.go
@@ -21,8 +21,7 @@
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-// init fixes the seed of property-based tests, so that each run gives the same
-// verdict; -rapid.seed on the command line overrides it.
+// init fixes the seed for equal verdicts; -rapid.seed on the command line overrides it.
 func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
