--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,6 +95,7 @@
 	}
 	source := documentSource{machine: c.documents, proposer: c.log}
 	c.distribute = distribute.NewServer(source, c.registry, c.collectCounts, c.logger)
+	c.distribute.SetMembers(c.memberAddresses)
 	c.exchange = c.newExchange()
 	c.claims = &claimService{proposer: c.part(sectionClaims), documents: c.documents}
 	return c, nil
@@ -129,6 +130,16 @@
 	return sectionProposer{c.log, name}
 }
 
+// memberAddresses returns the mesh addresses of the members of the log.
+func (c *Control) memberAddresses() []string {
+	members := c.log.Status().Members
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
 func (c *Control) listen() error {
 	var err error
 	if c.meshListener, err = net.Listen("tcp", c.settings.MeshListen); err != nil {
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -72,32 +72,36 @@
 
 // Client keeps a node subscribed to one of the control members.
 type Client struct {
-	nodeID  string
-	members []string
-	dial    Dialer
-	sink    Sink
-	logger  log.Logger
+	nodeID string
+	// configured are the members of the settings, learned those that a member named.
+	// Only the goroutine of Run uses learned.
+	configured []string
+	learned    []string
+	dial       Dialer
+	sink       Sink
+	logger     log.Logger
 }
 
 // NewClient returns a client that is not yet running.
 func NewClient(nodeID string, members []string, dial Dialer, sink Sink, logger log.Logger) *Client {
-	return &Client{nodeID: nodeID, members: members, dial: dial, sink: sink, logger: logger}
+	return &Client{nodeID: nodeID, configured: members, dial: dial, sink: sink, logger: logger}
 }
 
 // Run keeps the subscription until ctx ends; then it tells control that the node
 // stops. It starts at a random member and waits a random time between attempts,
 // so that the loss of a member does not send all its nodes to another one at once.
 func (c *Client) Run(ctx context.Context) {
-	next := rand.IntN(len(c.members))
+	next := rand.IntN(len(c.configured))
 	backoff := reconnectMin
 	for ctx.Err() == nil {
-		address := c.members[next%len(c.members)]
+		members := c.members()
+		address := members[next%len(members)]
 		worked, err := c.session(ctx, address)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, errSessionOver):
-			next = rand.IntN(len(c.members))
+			next = rand.IntN(len(members))
 			continue
 		case worked:
 			backoff = reconnectMin
@@ -112,6 +116,18 @@
 	}
 }
 
+// members returns all known addresses. The configured ones stay, since the learned
+// ones may all have been replaced meanwhile.
+func (c *Client) members() []string {
+	members := slices.Clone(c.learned)
+	for _, address := range c.configured {
+		if !slices.Contains(members, address) {
+			members = append(members, address)
+		}
+	}
+	return members
+}
+
 func (c *Client) logEnd(address string, err error) {
 	_ = level.Warn(c.logger).Log("msg", "subscription ended", "member", address, "err", err)
 }
@@ -261,6 +277,9 @@
 			return s.sendSubscribe()
 		}
 	case message.GetHeartbeatAck() != nil:
+		if members := message.GetHeartbeatAck().GetMembers(); len(members) > 0 {
+			s.client.learned = members
+		}
 		s.client.sink.Acknowledged(message.GetHeartbeatAck().GetSequence())
 	default:
 		return errors.WithMessage(frame.ErrUnexpected, "from a control member")
--- a/internal/coordination/distribute/sections.go
+++ b/internal/coordination/distribute/sections.go
@@ -22,7 +22,7 @@
 var ErrDocument = errors.New("distribute: document cannot be split into sections")
 
 // splitKeys are the top-level fields whose entries are sections of their own.
-var splitKeys = map[string]bool{"services": true, "zones": true}
+var splitKeys = map[string]bool{"services": true, "routes": true, "zones": true}
 
 // Sections is an immutable revision of the document, split into sections, with
 // what is needed to work out the difference from earlier revisions.
--- a/internal/coordination/distribute/server.go
+++ b/internal/coordination/distribute/server.go
@@ -43,6 +43,8 @@
 	registry *membership.Registry
 	logger   log.Logger
 	counts   CountSink
+	// members returns the mesh addresses of the control members; nil tells none.
+	members func() []string
 
 	mu       sync.Mutex
 	sections *Sections
@@ -67,6 +69,17 @@
 	}
 }
 
+// SetMembers makes acknowledgements of heartbeats name the control members, so that
+// nodes reach members that their settings do not name. It is called before ServeStream.
+func (s *Server) SetMembers(members func() []string) { s.members = members }
+
+func (s *Server) memberAddresses() []string {
+	if s.members == nil {
+		return nil
+	}
+	return s.members()
+}
+
 // Run wakes the subscriptions that a change concerns until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	for {
--- a/internal/coordination/distribute/subscription.go
+++ b/internal/coordination/distribute/subscription.go
@@ -141,7 +141,7 @@
 func (s *subscription) flush() error {
 	d := s.take()
 	if d.ackDue {
-		ack := &wire.HeartbeatAck{Sequence: d.ack}
+		ack := &wire.HeartbeatAck{Sequence: d.ack, Members: s.server.memberAddresses()}
 		if err := s.conn.Send(&wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: ack}}); err != nil {
 			return err
 		}
--- a/internal/state/document/command.go
+++ b/internal/state/document/command.go
@@ -65,6 +65,8 @@
 type command struct {
 	Edit      *Edit      `json:"edit,omitempty"`
 	Bootstrap *bootstrap `json:"bootstrap,omitempty"`
+	Batch     *Batch     `json:"batch,omitempty"`
+	Zone      *zoneOrder `json:"zone,omitempty"`
 }
 
 type bootstrap struct {
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -34,6 +34,7 @@
 	Teams    map[string]Team    `json:"teams"`
 	Zones    map[string]Zone    `json:"zones"`
 	Services map[string]Service `json:"services"`
+	Routes   map[string]Route   `json:"routes,omitempty"`
 	Limits   Limits             `json:"limits"`
 }
 
@@ -67,7 +68,7 @@
 	Owner string `json:"owner"`
 	// Hosts are the Host header values that select the service.
 	Hosts []string `json:"hosts,omitempty"`
-	// TimeoutMs is the default time for a request in milliseconds.
+	// TimeoutMs is the default time in milliseconds for a request that no route matches.
 	TimeoutMs int `json:"timeout_ms"`
 	// Rules are tried in order; the first match decides. Without a match GET,
 	// HEAD and OPTIONS are repeatable.
@@ -76,6 +77,18 @@
 	Objective Objective `json:"objective"`
 	// Measuring bounds the probes of each upstream.
 	Measuring Measuring `json:"measuring"`
+	// HealthPath is the path of the upstreams' health check, empty for none.
+	HealthPath string `json:"health_path,omitempty"`
+	// MaxConnections is the number of connections that an upstream accepts, 0 when
+	// it is unknown.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// ColdStartMs is how long an upstream is cold after its start.
+	ColdStartMs int `json:"cold_start_ms,omitempty"`
+	// WarmupPerSecond is the number of requests a second that a cold upstream bears;
+	// 0 leaves it to the growing concurrency limit.
+	WarmupPerSecond float64 `json:"warmup_per_second,omitempty"`
+	// Labels are kept for operators' tools and not interpreted.
+	Labels map[string]string `json:"labels,omitempty"`
 }
 
 // RequestRule says how requests that match it may be treated.
@@ -112,6 +125,14 @@
 	HedgeShare float64 `json:"hedge_share"`
 	// ClaimHours is how long the record of a keyed request is kept.
 	ClaimHours int `json:"claim_hours"`
+	// MaxHeaderBytes bounds the head of a request, 0 selects 64 KiB.
+	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
+	// HeaderTimeoutMs bounds the time in milliseconds for the head of a request, 0
+	// selects 5 s.
+	HeaderTimeoutMs int `json:"header_timeout_ms,omitempty"`
+	// IdleTimeoutMs is the time in milliseconds after which a caller's connection
+	// without requests is closed, 0 selects 2 min.
+	IdleTimeoutMs int `json:"idle_timeout_ms,omitempty"`
 }
 
 // DefaultLimits are in force where the document leaves a limit at 0.
--- a/internal/state/document/history.go
+++ b/internal/state/document/history.go
@@ -14,6 +14,7 @@
 	actionCreate    = "create"
 	actionReplace   = "replace"
 	actionRemove    = "remove"
+	actionBatch     = "batch"
 )
 
 // Change is one entry of the history.
@@ -24,7 +25,7 @@
 	AtMs    int64  `json:"at_ms"`
 	Team    string `json:"team,omitempty"`
 	Section string `json:"section,omitempty"`
-	// Action is bootstrap, create, replace or remove.
+	// Action is bootstrap, create, replace, remove or batch. A batch names no section.
 	Action string `json:"action"`
 	// Fields are the names of the section's changed fields. Their values are left
 	// out because sections of teams hold token digests.
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -50,8 +50,14 @@
 	case cmd.Bootstrap != nil:
 		m.advance(cmd.Bootstrap.AtMs)
 		return m.applyBootstrap(*cmd.Bootstrap)
+	case cmd.Batch != nil:
+		m.advance(cmd.Batch.AtMs)
+		return m.applyBatch(*cmd.Batch)
+	case cmd.Zone != nil:
+		m.advance(cmd.Zone.AtMs)
+		return m.applyZone(*cmd.Zone)
 	}
-	return m.malformed("neither an edit nor a first document")
+	return m.malformed("no known command")
 }
 
 func (m *Machine) malformed(problem string) Result {
@@ -115,6 +121,7 @@
 	next.Revision = result.Revision
 	next.Document = doc
 	next.versions = maps.Clone(v.versions)
+	next.items = v.items
 	if edit.Remove {
 		delete(next.versions, edit.Section)
 	} else {
--- a/internal/state/document/section.go
+++ b/internal/state/document/section.go
@@ -18,6 +18,7 @@
 	kindServices = "services"
 	kindZones    = "zones"
 	kindTeams    = "teams"
+	kindRoutes   = "routes"
 	kindLimits   = "limits"
 )
 
@@ -48,17 +49,17 @@
 			return sectionPath{}, &FieldError{"section", "limits has no parts"}
 		}
 		return sectionPath{kind: kind}, nil
-	case kindServices, kindZones, kindTeams:
+	case kindServices, kindRoutes, kindZones, kindTeams:
 		if !namePattern.MatchString(name) {
 			return sectionPath{}, &FieldError{"section", nameProblem}
 		}
 		return sectionPath{kind, name}, nil
 	}
-	return sectionPath{}, &FieldError{"section", "must be limits, services/NAME, zones/NAME or teams/NAME"}
+	return sectionPath{}, &FieldError{"section", "must be limits, routes/NAME, services/NAME, zones/NAME or teams/NAME"}
 }
 
 // DecodeSection decodes the JSON form of the section at path strictly. The
-// result is a Service, Zone, Team or Limits. Errors are of type *FieldError and
+// result is a Service, Route, Zone, Team or Limits. Errors are of type *FieldError and
 // carry the whole path of the field. Rules across sections are not checked.
 func DecodeSection(path string, body []byte) (any, error) {
 	p, err := parsePath(path)
@@ -71,6 +72,8 @@
 	switch p.kind {
 	case kindServices:
 		return decodeStrict[Service](path, body)
+	case kindRoutes:
+		return decodeStrict[Route](path, body)
 	case kindZones:
 		return decodeStrict[Zone](path, body)
 	case kindTeams:
@@ -115,11 +118,13 @@
 	return &FieldError{path, err.Error()}
 }
 
-// section returns the section at p: a Service, Zone, Team or Limits.
+// section returns the section at p: a Service, Route, Zone, Team or Limits.
 func (d *Document) section(p sectionPath) (value any, ok bool) {
 	switch p.kind {
 	case kindServices:
 		value, ok = lookup(d.Services, p.name)
+	case kindRoutes:
+		value, ok = lookup(d.Routes, p.name)
 	case kindZones:
 		value, ok = lookup(d.Zones, p.name)
 	case kindTeams:
@@ -142,6 +147,8 @@
 	switch p.kind {
 	case kindServices:
 		next.Services = withEntry(d.Services, p.name, value)
+	case kindRoutes:
+		next.Routes = withEntry(d.Routes, p.name, value)
 	case kindZones:
 		next.Zones = withEntry(d.Zones, p.name, value)
 	case kindTeams:
@@ -169,6 +176,9 @@
 // paths returns the paths of all sections in order.
 func (d *Document) paths() []string {
 	paths := []string{kindLimits}
+	for _, name := range sortedKeys(d.Routes) {
+		paths = append(paths, kindRoutes+"/"+name)
+	}
 	for _, name := range sortedKeys(d.Services) {
 		paths = append(paths, kindServices+"/"+name)
 	}
@@ -187,6 +197,8 @@
 	switch s := section.(type) {
 	case Service:
 		return s.Owner
+	case Route:
+		return s.Owner
 	case Zone:
 		return s.Owner
 	}
--- a/internal/state/document/snapshot.go
+++ b/internal/state/document/snapshot.go
@@ -15,8 +15,10 @@
 	NowMs    int64             `json:"now_ms"`
 	Document *Document         `json:"document"`
 	Versions map[string]uint64 `json:"versions"`
-	History  []Change          `json:"history"`
-	Edits    []editResult      `json:"edits"`
+	// Items is missing in snapshots of versions without batches.
+	Items   map[string]itemVersion `json:"items,omitempty"`
+	History []Change               `json:"history"`
+	Edits   []editResult           `json:"edits"`
 }
 
 // Snapshot returns the whole state: document, versions, history and the results
@@ -29,6 +31,7 @@
 		NowMs:    m.nowMs,
 		Document: view.Document,
 		Versions: view.versions,
+		Items:    view.items,
 		History:  view.history,
 		Edits:    m.edits.order,
 	})
@@ -52,6 +55,7 @@
 	if s.Versions != nil {
 		view.versions = s.Versions
 	}
+	view.items = s.Items
 	view.history = s.History
 	edits := newEditResults()
 	for _, result := range s.Edits {
--- a/internal/state/document/validate.go
+++ b/internal/state/document/validate.go
@@ -25,6 +25,9 @@
 			return err
 		}
 	}
+	if err := d.validateRoutes(); err != nil {
+		return err
+	}
 	for _, name := range sortedKeys(d.Zones) {
 		if err := d.validateZone("zones/"+name, name, d.Zones[name]); err != nil {
 			return err
@@ -49,6 +52,9 @@
 	if s.TimeoutMs < 1 || s.TimeoutMs > maxTimeoutMs {
 		return &FieldError{path + "/timeout_ms", "must be between 1 and " + strconv.Itoa(maxTimeoutMs)}
 	}
+	if err := s.validateStart(path); err != nil {
+		return err
+	}
 	for i, rule := range s.Rules {
 		if err := rule.validate(path + "/rules/" + strconv.Itoa(i)); err != nil {
 			return err
@@ -66,6 +72,21 @@
 	return s.Objective.validate(path + "/objective")
 }
 
+// validateStart checks what is known of the upstreams and their start.
+func (s *Service) validateStart(path string) error {
+	switch {
+	case s.HealthPath != "" && s.HealthPath[0] != '/':
+		return &FieldError{path + "/health_path", "must begin with /"}
+	case s.MaxConnections < 0:
+		return &FieldError{path + "/max_connections", "must not be negative"}
+	case s.ColdStartMs < 0 || s.ColdStartMs > maxTimeoutMs:
+		return &FieldError{path + "/cold_start_ms", "must be between 0 and " + strconv.Itoa(maxTimeoutMs)}
+	case s.WarmupPerSecond < 0:
+		return &FieldError{path + "/warmup_per_second", "must not be negative"}
+	}
+	return nil
+}
+
 func (r RequestRule) validate(path string) error {
 	if r.TimeoutMs < 0 || r.TimeoutMs > maxTimeoutMs {
 		return &FieldError{path + "/timeout_ms", "must be between 0 and " + strconv.Itoa(maxTimeoutMs)}
@@ -145,6 +166,15 @@
 	if l.HedgeShare < 0 || l.HedgeShare > 1 {
 		return &FieldError{"limits/hedge_share", "must be between 0 and 1"}
 	}
+	if l.MaxHeaderBytes < 0 {
+		return &FieldError{"limits/max_header_bytes", "must not be negative"}
+	}
+	if l.HeaderTimeoutMs < 0 {
+		return &FieldError{"limits/header_timeout_ms", "must not be negative"}
+	}
+	if l.IdleTimeoutMs < 0 {
+		return &FieldError{"limits/idle_timeout_ms", "must not be negative"}
+	}
 	if l.ClaimHours < 0 {
 		return &FieldError{"limits/claim_hours", "must not be negative"}
 	}
--- a/internal/state/document/view.go
+++ b/internal/state/document/view.go
@@ -15,6 +15,8 @@
 	Document *Document
 
 	versions map[string]uint64
+	// items holds the versions of sections that items have set or removed.
+	items    map[string]itemVersion
 	history  []Change
 	replaced chan struct{}
 }
