--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -28,9 +28,16 @@
 // apiStopTimeout bounds the requests of operators that run at a stop.
 const apiStopTimeout = 10 * time.Second
 
+// Options adapt a member to a deployment. The zero value is the project's own interface.
+type Options struct {
+	// API returns a handler in front of the operators' API, which is next.
+	API func(operations *api.Operations, next http.Handler, logger log.Logger) http.Handler
+}
+
 // Control is one control member.
 type Control struct {
 	settings *settings.Control
+	options  Options
 	logger   log.Logger
 	client   *mesh.Client
 	mesh     mesh.Config
@@ -53,7 +60,7 @@
 }
 
 // New opens the listeners and the state of a member.
-func New(s *settings.Control, logger log.Logger) (*Control, error) {
+func New(s *settings.Control, logger log.Logger, options Options) (*Control, error) {
 	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	if err != nil {
 		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
@@ -72,6 +79,7 @@
 	config.PeerRefused = permissions.report
 	c := &Control{
 		settings:  s,
+		options:   options,
 		logger:    logger,
 		client:    mesh.NewClient(config),
 		mesh:      config,
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -122,7 +122,7 @@
 
 // apiHandler joins the parts of the member to the operators' API.
 func (c *Control) apiHandler() (http.Handler, error) {
-	return api.New(api.Config{
+	handler, err := api.New(api.Config{
 		Proposer:   c.part(sectionDocument),
 		Documents:  c.documents,
 		Fleet:      (*fleet)(c),
@@ -131,4 +131,9 @@
 		Metrics:    c.metricsHandler(),
 		Logger:     c.logger,
 	})
+	if err != nil || c.options.API == nil {
+		return handler, err
+	}
+	operations := api.NewOperations(c.part(sectionDocument), c.documents, time.Now)
+	return c.options.API(operations, handler, c.logger), nil
 }
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -44,6 +44,16 @@
 	g.change(func(now time.Time) []Event { return g.machine.SetZoneOut(now, out) })
 }
 
+// SetWarmup states what the upstream bears while it is cold; see Machine.SetWarmup.
+func (g *Gate) SetWarmup(perSecond float64, until time.Time) {
+	g.change(func(now time.Time) []Event { return g.machine.SetWarmup(now, perSecond, until) })
+}
+
+// Suspect makes the upstream count as cold for a while; see Machine.Suspect.
+func (g *Gate) Suspect(duration time.Duration) {
+	g.change(func(now time.Time) []Event { return g.machine.Suspect(now, duration) })
+}
+
 // Stop refuses all new work for good; running work finishes.
 func (g *Gate) Stop() {
 	g.change(g.machine.Stop)
@@ -53,6 +63,7 @@
 func (g *Gate) Report() *wire.LoadReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.machine.at = g.now()
 	return g.machine.Report()
 }
 
--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -88,6 +88,9 @@
 	queue    []waiter
 	events   []Event
 	ramp     ramp
+	warmup   warmup
+	// at is the time of the last transition.
+	at time.Time
 	// chilled is set from the begin of a cold start until the queue was reassessed.
 	chilled bool
 }
@@ -165,7 +168,8 @@
 	}
 	m.next++
 	ticket := m.next
-	if len(m.running) < m.ramp.limit && len(m.queue) == 0 {
+	m.at = now
+	if len(m.queue) == 0 && m.mayStart(now) {
 		m.running[ticket] = m.epoch
 		return ticket, Admitted, notRefused
 	}
@@ -185,11 +189,19 @@
 		return m.events
 	}
 	delete(m.running, ticket)
+	m.observe(now, epoch, outcome)
+	m.settle(now)
+	return m.events
+}
+
+func (m *Machine) observe(now time.Time, epoch uint64, outcome Outcome) {
+	if m.warmup.isStated() {
+		m.ramp.measure(outcome)
+		return
+	}
 	if epoch == m.epoch && m.ramp.observe(now, outcome, m.slots, m.config.StepInterval) {
 		m.chill(now)
 	}
-	m.settle(now)
-	return m.events
 }
 
 // Abandon removes a waiting request. It returns false when the request is not
@@ -221,12 +233,12 @@
 	return time.Time{}, false
 }
 
-// Report returns the current load.
+// Report returns the load as of the last transition.
 func (m *Machine) Report() *wire.LoadReport {
 	return &wire.LoadReport{
 		InFlight:      uint32(len(m.running)),
 		Queued:        uint32(len(m.queue)),
-		Limit:         uint32(max(0, m.ramp.limit)),
+		Limit:         uint32(max(0, m.limit())),
 		State:         m.state(),
 		ServiceTimeUs: uint64(m.ramp.recent / float64(time.Microsecond.Seconds())),
 	}
@@ -236,13 +248,20 @@
 	switch {
 	case m.leaving || m.stopping || m.slots == 0:
 		return wire.InstanceState_INSTANCE_LEAVING
-	case m.ramp.cold || m.zoneOut:
+	case m.isCold() || m.zoneOut:
 		return wire.InstanceState_INSTANCE_COLD
 	default:
 		return wire.InstanceState_INSTANCE_WARM
 	}
 }
 
+func (m *Machine) isCold() bool {
+	if m.warmup.isStated() {
+		return m.warmup.isCold(m.at)
+	}
+	return m.ramp.cold
+}
+
 func (m *Machine) closed() wire.RefusalReason {
 	switch {
 	case m.stopping:
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -17,6 +17,9 @@
 // enqueue decides whether waiting is worthwhile for a request that finds no free
 // permit, and until when.
 func (m *Machine) enqueue(now time.Time, ticket Ticket, req Request) (waiter, wire.RefusalReason) {
+	if m.warmup.isCold(now) {
+		return waiter{}, m.fullReason()
+	}
 	patience := m.patience(req.Attempt)
 	wait := m.expectedWait(len(m.queue))
 	if wait > patience || len(m.queue) >= queuePerSlot*m.slots {
@@ -47,13 +50,13 @@
 
 // expectedWait is the time until a request with ahead others before it is admitted.
 func (m *Machine) expectedWait(ahead int) time.Duration {
-	excess := max(0, len(m.running)-m.ramp.limit)
-	turns := float64(ahead+1+excess) / float64(max(1, m.ramp.limit))
+	excess := max(0, len(m.running)-m.limit())
+	turns := float64(ahead+1+excess) / float64(max(1, m.limit()))
 	return time.Duration(turns * float64(m.ramp.serviceTime()))
 }
 
 func (m *Machine) fullReason() wire.RefusalReason {
-	if m.ramp.cold {
+	if m.isCold() {
 		return wire.RefusalReason_REFUSAL_COLD
 	}
 	return wire.RefusalReason_REFUSAL_QUEUE_FULL
@@ -62,8 +65,9 @@
 // settle refuses waiting requests that expired or may not run, then admits as many
 // as the limit allows.
 func (m *Machine) settle(now time.Time) {
+	m.at = now
 	m.refuseWaiting(now)
-	for len(m.queue) > 0 && len(m.running) < m.ramp.limit {
+	for len(m.queue) > 0 && m.mayStart(now) {
 		w := m.dequeue()
 		m.running[w.ticket] = m.epoch
 		m.events = append(m.events, Event{Ticket: w.ticket, Admitted: true})
--- a/internal/coordination/admission/ramp.go
+++ b/internal/coordination/admission/ramp.go
@@ -87,6 +87,15 @@
 	return false
 }
 
+// measure takes the service time of a success and leaves the limit alone.
+func (r *ramp) measure(outcome Outcome) {
+	if outcome.Result != ResultSuccess {
+		return
+	}
+	r.recent = blend(r.recent, outcome.ServiceTime.Seconds(), recentGain)
+	r.learn(outcome.ServiceTime.Seconds())
+}
+
 func (r *ramp) learn(seconds float64) {
 	r.learned++
 	switch {
--- a/internal/coordination/routing/split.go
+++ b/internal/coordination/routing/split.go
@@ -2,6 +2,10 @@
 
 import "math/rand/v2"
 
+// maxCredits bounds the routes with credits, those that are gone included. Beyond it
+// all routes start anew.
+const maxCredits = 8192
+
 // Splitter chooses the services of a route's requests by their weights. It is not safe
 // for concurrent use.
 //
@@ -32,6 +36,9 @@
 	}
 	c := s.credits[route.Name]
 	if c == nil || !sameSplit(c.route, route) {
+		if len(s.credits) >= maxCredits {
+			clear(s.credits)
+		}
 		c = s.start(route)
 		s.credits[route.Name] = c
 	}
@@ -65,18 +72,3 @@
 	}
 	return true
 }
-
-// Prune forgets routes that the table no longer has.
-func (s *Splitter) Prune(t *Table) {
-	kept := map[string]bool{}
-	for _, routes := range t.hosts {
-		for _, route := range routes {
-			kept[route.Name] = true
-		}
-	}
-	for name := range s.credits {
-		if !kept[name] {
-			delete(s.credits, name)
-		}
-	}
-}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	member, err := control.New(controlSettings(options.BasePort, dir, documentPath), options.Logger)
+	member, err := control.New(controlSettings(options.BasePort, dir, documentPath), options.Logger, control.Options{})
 	if err != nil {
 		return err
 	}
@@ -154,7 +154,7 @@
 	var nodes []*node.Node
 	var upstreams []*emulator.Upstream
 	for i, zone := range demoZones {
-		n, err := node.New(nodeSettings(options.BasePort, i, zone), options.Logger)
+		n, err := node.New(nodeSettings(options.BasePort, i, zone), options.Logger, node.Options{})
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -39,12 +39,17 @@
 	Denied uint64  `json:"denied"`
 }
 
-// adminRoutes serves metrics and status.
+// adminRoutes serves metrics, readiness and status.
 func (n *Node) adminRoutes() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
 	}).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
 	router.HandleFunc("/v1/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.status())
@@ -52,6 +57,11 @@
 	return router
 }
 
+// isReady reports whether callers should send their requests here.
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && n.directory.view().revision > 0
+}
+
 func (n *Node) status() status {
 	current := n.directory.view()
 	report := n.upstream.gate.Report()
--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -13,7 +13,6 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
-	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
@@ -23,8 +22,8 @@
 
 // answer passes the response back. An incomplete response gets no ResponseEnd.
 func (r *received) answer(ctx context.Context, response *egress.Response) admission.Outcome {
-	r.node.upstream.setHeaderLoad(response.Header.Get(httpapi.HeaderLoad))
-	recorder := newRecorder(r.claim, response)
+	r.node.upstream.setHeaderLoad(response.Header.Get(r.node.dialect.Load))
+	recorder := newRecorder(r.claim, response, r.node.upstreamHeaders)
 	sent, err := r.sendResponse(response, recorder)
 	outcome := admission.Outcome{ServiceTime: time.Since(r.dispatchedAt)}
 	if err != nil {
@@ -57,7 +56,7 @@
 func (r *received) sendResponse(response *egress.Response, recorder *recorder) (sent uint64, err error) {
 	head := &wire.ResponseHead{
 		Status:  uint32(response.StatusCode), //nolint:gosec // three digits
-		Headers: encodeHeaders(response.Header, reserved),
+		Headers: encodeHeaders(response.Header, r.node.upstreamHeaders),
 	}
 	if err := r.stream.Send(responseHead(head)); err != nil {
 		return 0, err
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/settings"
@@ -31,7 +32,7 @@
 
 var (
 	errNoService  = errors.New("no such service")
-	errTimeout    = errors.New(httpapi.HeaderTimeout + " must be a number of milliseconds")
+	errNoRoute    = errors.New("no route matches")
 	errKey        = errors.New(httpapi.HeaderIdempotencyKey + " must have 1 to 255 bytes of UTF-8 and occur once")
 	errTarget     = errors.New("target and host must be UTF-8")
 	errDepth      = errors.New("chain of calls is too deep")
@@ -40,8 +41,12 @@
 
 // call is one request of a caller at its entry node.
 type call struct {
-	id       uuid.UUID
-	service  string
+	id uuid.UUID
+	// name is the identity in logs: the caller's own, or id.
+	name    string
+	service string
+	// route is nil for a request that selects its service itself.
+	route    *routing.Route
 	target   string
 	request  *http.Request
 	view     *view
@@ -74,46 +79,78 @@
 }
 
 // newCall reads everything of the request but its body.
-func newCall(current *view, r *http.Request, now time.Time) (*call, error) {
-	service, target, ok := route(current, r)
-	if !ok {
-		return nil, errNoService
-	}
-	if !utf8.ValidString(target) || !utf8.ValidString(r.Host) {
+func (n *Node) newCall(current *view, r *http.Request, now time.Time) (*call, error) {
+	if !utf8.ValidString(r.RequestURI) || !utf8.ValidString(r.Host) {
 		return nil, errTarget
 	}
-	config := current.doc.Services[service]
-	path, _, _ := strings.Cut(target, "?")
 	c := &call{
-		id:      requestID(r),
-		service: service,
-		target:  target,
 		request: r,
 		view:    current,
 		limits:  limitsOf(current.doc),
-		rule:    config.Rule(r.Method, path),
-		depth:   requestDepth(r) + 1,
 		started: now,
 		length:  r.ContentLength,
 	}
+	if err := n.selectService(c); err != nil {
+		return nil, err
+	}
+	c.depth = requestDepth(r, n.dialect.Depth) + 1
 	if c.depth > httpapi.MaxDepth {
 		return nil, errDepth
 	}
 	if c.length > c.limits.MaxBodyBytes {
 		return nil, errBodyLength
 	}
-	if keys := r.Header.Values(httpapi.HeaderIdempotencyKey); len(keys) > 0 {
+	if keys := r.Header.Values(httpapi.HeaderIdempotencyKey); len(keys) > 0 && c.route == nil {
 		c.key = keys[0]
 		if len(keys) > 1 || c.key == "" || len(c.key) > maxKeyBytes || !utf8.ValidString(c.key) {
 			return nil, errKey
 		}
 	}
-	timeout, err := requestTimeout(r, c.rule.Timeout())
+	timeout, err := n.requestTimeout(r, c.rule.Timeout())
+	if c.route != nil {
+		timeout = min(timeout, c.rule.Timeout())
+	}
 	c.deadline = now.Add(timeout)
-	c.headers = append(encodeHeaders(r.Header, nil), &wire.Header{Name: proto.String(httpapi.HeaderRequestID), Values: []string{c.id.String()}})
+	n.identify(c)
 	return c, err
 }
 
+// selectService sets the target, the service and the rule of a call. A route goes before
+// the services' own hosts and paths.
+func (n *Node) selectService(c *call) error {
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	if c.route = c.view.routes.Match(c.request.Host, path); c.route != nil {
+		c.target = c.request.RequestURI
+		c.service = n.splits.choose(c.route)
+		c.rule = document.RequestRule{Repeatable: c.route.Repeatable(), TimeoutMs: c.route.TimeoutMs}
+		return nil
+	}
+	service, target, ok := route(c.view, c.request)
+	if !ok {
+		if c.view.routes.IsEmpty() {
+			return errNoService
+		}
+		return errNoRoute
+	}
+	c.service, c.target = service, target
+	config := c.view.doc.Services[service]
+	path, _, _ = strings.Cut(target, "?")
+	c.rule = config.Rule(c.request.Method, path)
+	return nil
+}
+
+// identify sets the identity of a call and the headers that are passed on.
+func (n *Node) identify(c *call) {
+	c.id, c.name = requestID(c.request, n.dialect.RequestID)
+	c.headers = encodeHeaders(c.request.Header, n.ownHeaders)
+	if !n.dialect.OpaqueRequestID {
+		c.headers = append(c.headers, &wire.Header{Name: proto.String(n.dialect.RequestID), Values: []string{c.id.String()}})
+	}
+	if n.dialect.CallerService != "" && n.settings.Service != "" {
+		c.headers = append(c.headers, &wire.Header{Name: proto.String(n.dialect.CallerService), Values: []string{n.settings.Service}})
+	}
+}
+
 func limitsOf(doc *document.Document) document.Limits {
 	limits, defaults := doc.Limits, document.DefaultLimits()
 	if limits.MaxBodyBytes == 0 {
@@ -185,7 +222,32 @@
 // may not: its second attempt would find the key taken.
 func (c *call) isRepeatable() bool { return c.rule.Repeatable && c.key == "" }
 
-func (c *call) isHedgeable() bool { return c.isRepeatable() && !c.streamed }
+func (c *call) isHedgeable() bool {
+	return c.isRepeatable() && !c.streamed && (c.route == nil || c.route.MaxAttempts > 1)
+}
+
+// objective returns when a response stops being good; zero without a route's objective.
+func (c *call) objective() time.Time {
+	if c.route == nil || c.route.ObjectiveMs == 0 {
+		return time.Time{}
+	}
+	return c.started.Add(c.route.Objective())
+}
+
+func (c *call) objectiveLeft() time.Duration {
+	objective := c.objective()
+	if objective.IsZero() {
+		return 0
+	}
+	return max(0, time.Until(objective))
+}
+
+func (c *call) priority() int {
+	if c.route == nil {
+		return 0
+	}
+	return c.route.Priority
+}
 
 // head returns the first message of an attempt.
 func (c *call) head(instance *wire.Instance, entry *settings.Node, number int) *wire.RequestHead {
@@ -205,7 +267,9 @@
 		Revision:       c.view.revision,
 		EntryZone:      entry.Zone,
 		SenderAddress:  entry.MeshAddress,
-		AttemptNumber:  uint32(number), //nolint:gosec // small
+		AttemptNumber:  uint32(number),                           //nolint:gosec // small
+		Priority:       uint32(c.priority()),                     //nolint:gosec // checked by the document
+		ObjectiveUs:    uint64(c.objectiveLeft().Microseconds()), //nolint:gosec // not negative
 	}
 }
 
@@ -228,27 +292,36 @@
 	return service, target, ok
 }
 
-func requestID(r *http.Request) uuid.UUID {
-	if id, err := uuid.Parse(r.Header.Get(httpapi.HeaderRequestID)); err == nil {
-		return id
+// requestID returns the identity that the caller gave, or a new one, and its text.
+func requestID(r *http.Request, header string) (uuid.UUID, string) {
+	text := r.Header.Get(header)
+	if id, err := uuid.Parse(text); err == nil {
+		return id, text
 	}
-	return uuid.New()
+	id := uuid.New()
+	if text == "" {
+		text = id.String()
+	}
+	return id, text
 }
 
-func requestTimeout(r *http.Request, fallback time.Duration) (time.Duration, error) {
-	value := r.Header.Get(httpapi.HeaderTimeout)
+func (n *Node) requestTimeout(r *http.Request, fallback time.Duration) (time.Duration, error) {
+	value := r.Header.Get(n.dialect.Timeout)
 	if value == "" {
 		return fallback, nil
 	}
 	ms, err := strconv.ParseUint(value, 10, 31)
 	if err != nil {
-		return 0, errTimeout
+		return 0, errors.New(n.dialect.Timeout + " must be a number of milliseconds")
 	}
 	return min(time.Duration(ms)*time.Millisecond, maxTimeout), nil //nolint:gosec // 31 bits
 }
 
-func requestDepth(r *http.Request) uint32 {
-	depth, err := strconv.ParseUint(r.Header.Get(httpapi.HeaderDepth), 10, 8)
+func requestDepth(r *http.Request, header string) uint32 {
+	if header == "" {
+		return 0
+	}
+	depth, err := strconv.ParseUint(r.Header.Get(header), 10, 8)
 	if err != nil {
 		return 0
 	}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -6,20 +6,32 @@
 	"sync/atomic"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
+	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
+// maxEarlyServices bounds the services that a node subscribes to before it is asked
+// for them.
+const maxEarlyServices = 32
+
 // view is an immutable state of configuration and registry.
 type view struct {
 	revision uint64
 	doc      *document.Document
 	hosts    map[string]string
+	routes   *routing.Table
 	services map[string][]*wire.Instance
 	// stale marks a list of instances that control could not bring up to date.
 	stale bool
 }
 
+// setDocument puts a document and its indexes into a view that is not yet in force.
+func (v *view) setDocument(revision uint64, doc *document.Document) {
+	v.revision, v.doc = revision, doc
+	v.hosts, v.routes = hostIndex(doc), routing.NewTable(doc.Routes)
+}
+
 // directory holds what control has distributed to this node.
 type directory struct {
 	current atomic.Pointer[view]
@@ -80,7 +92,7 @@
 	if err != nil {
 		return d.sections
 	}
-	next.revision, next.doc, next.hosts = state.GetRevision(), doc, hostIndex(doc)
+	next.setDocument(state.GetRevision(), doc)
 	return sections
 }
 
@@ -111,13 +123,16 @@
 	if err != nil {
 		return d.sections, false
 	}
-	next.revision, next.doc, next.hosts = diff.GetRevision(), doc, hostIndex(doc)
+	next.setDocument(diff.GetRevision(), doc)
 	return sections, true
 }
 
 // store puts a view in force. The caller holds the lock.
 func (d *directory) store(sections *distribute.Sections, next *view) {
 	raised := next.revision > d.current.Load().revision
+	if raised {
+		d.wantRoutesLocked(next.doc)
+	}
 	d.sections = sections
 	d.current.Store(next)
 	if raised {
@@ -138,6 +153,23 @@
 	return d.updated
 }
 
+// wantRoutesLocked subscribes to the services of a document's routes when they are few,
+// so that the first request of a route need not wait for its instances.
+func (d *directory) wantRoutesLocked(doc *document.Document) {
+	named := map[string]bool{}
+	for _, route := range doc.Routes {
+		for _, backend := range route.Backends {
+			named[backend.Service] = true
+		}
+	}
+	if len(named) > maxEarlyServices {
+		return
+	}
+	for service := range named {
+		d.wanted[service] = true
+	}
+}
+
 // notify tells control at once that heartbeat or subscription have news.
 func (d *directory) notify() {
 	select {
--- a/internal/node/egress/conn.go
+++ b/internal/node/egress/conn.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,6 +32,8 @@
 	// headLeft bounds the bytes read while a response head is awaited; -1 is no bound.
 	headLeft  int
 	idleSince time.Time
+	// maxIdle is how long the connection may be idle and still be used.
+	maxIdle time.Duration
 	// dispatch runs before the first byte of a request.
 	dispatch   func() error
 	dispatched atomic.Bool
@@ -36,7 +41,7 @@
 }
 
 func newConn(netConn net.Conn) *conn {
-	c := &conn{net: netConn, headLeft: -1}
+	c := &conn{net: netConn, headLeft: -1, maxIdle: defaultMaxIdle}
 	if sc, ok := netConn.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
@@ -98,6 +103,19 @@
 	return err == nil && quiet
 }
 
+// observeKeepAlive takes the idle timeout in seconds that the upstream states.
+func (c *conn) observeKeepAlive(header http.Header) {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil && seconds > 0 {
+			c.maxIdle = min(longestMaxIdle, time.Duration(seconds)*time.Second-keepAliveMargin)
+		}
+	}
+}
+
 // reset prepares the connection for its next request.
 func (c *conn) reset() {
 	c.dispatch = nil
--- a/internal/node/egress/exchange.go
+++ b/internal/node/egress/exchange.go
@@ -11,6 +11,9 @@
 // maxInformational bounds the 1xx responses before a final one.
 const maxInformational = 16
 
+// maxStrayBytes bounds a response to another request that is read past.
+const maxStrayBytes = 1 << 20
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	pool    *Pool
@@ -90,14 +93,46 @@
 			return nil, errors.New("upstream switches protocols")
 		case response.StatusCode < http.StatusOK:
 			continue
-		case response.ContentLength < 0 && len(response.TransferEncoding) == 0 && x.request.Method != http.MethodHead:
+		case isUnframed(response, x.request) && !x.pool.config.AllowsUnframed:
 			return nil, errors.New("response without a length can't be checked to be whole")
+		case x.isStray(response):
+			if err := x.drop(response); err != nil {
+				return nil, err
+			}
+			continue
 		}
+		x.conn.observeKeepAlive(response.Header)
 		return response, nil
 	}
 	return nil, errors.New("too many informational responses")
 }
 
+func isUnframed(response *http.Response, request *http.Request) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead
+}
+
+func (x *exchange) isStray(response *http.Response) bool {
+	isStray := x.pool.config.IsStray
+	return isStray != nil && isStray(x.request.Header, response.Header)
+}
+
+// drop reads past a stray response.
+func (x *exchange) drop(response *http.Response) error {
+	if response.Close || isUnframed(response, x.request) {
+		return errors.New("stray response ends the connection")
+	}
+	x.conn.headLeft = -1
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
+	if err != nil {
+		return err
+	}
+	if n == maxStrayBytes {
+		return errors.New("stray response is too long")
+	}
+	x.conn.headLeft = maxHeadBytes
+	return nil
+}
+
 // end returns the connection to the pool or closes it. It waits for the sender.
 func (x *exchange) end(reusable bool) {
 	x.once.Do(func() {
--- a/internal/node/egress/pool.go
+++ b/internal/node/egress/pool.go
@@ -14,9 +14,13 @@
 
 const (
 	dialTimeout = time.Second
-	// maxIdle is below the idle timeouts common among HTTP servers (5 s and
+	// defaultMaxIdle is below the idle timeouts common among HTTP servers (5 s and
 	// more), so that a request rarely meets a connection that is just closing.
-	maxIdle = 2500 * time.Millisecond
+	defaultMaxIdle = 2500 * time.Millisecond
+	// keepAliveMargin is left of the idle timeout that an upstream states.
+	keepAliveMargin = 1500 * time.Millisecond
+	// longestMaxIdle bounds how long a connection is kept, whatever the upstream states.
+	longestMaxIdle = time.Minute
 	// defaultConnections bounds connections when the upstream announced no number.
 	defaultConnections = 256
 )
@@ -32,11 +36,24 @@
 	ErrIncomplete = errors.New("egress: incomplete response")
 )
 
+// Config describes an upstream.
+type Config struct {
+	// Address is host:port.
+	Address string
+	// Limit is the largest number of open connections; 0 selects a default.
+	Limit int
+	// IsStray reports whether a response belongs to another request; nil means that
+	// none does. A stray response is dropped and the next one awaited.
+	IsStray func(request, response http.Header) bool
+	// AllowsUnframed accepts a response without a length that ends with its connection.
+	// It counts as whole unless the connection is reset.
+	AllowsUnframed bool
+}
+
 // Pool keeps the connections to one start of an upstream.
 type Pool struct {
-	address string
-	limit   int
-	dialer  net.Dialer
+	config Config
+	dialer net.Dialer
 
 	mu     sync.Mutex
 	open   int
@@ -44,13 +61,12 @@
 	closed bool
 }
 
-// NewPool returns a pool without connections. At most limit connections are open
-// at once; 0 selects a default.
-func NewPool(address string, limit int) *Pool {
-	if limit == 0 {
-		limit = defaultConnections
+// NewPool returns a pool without connections.
+func NewPool(config Config) *Pool {
+	if config.Limit == 0 {
+		config.Limit = defaultConnections
 	}
-	return &Pool{address: address, limit: limit, dialer: net.Dialer{Timeout: dialTimeout}}
+	return &Pool{config: config, dialer: net.Dialer{Timeout: dialTimeout}}
 }
 
 // Do sends the request and returns the head of its response. The callback
@@ -97,7 +113,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Since(c.idleSince) < maxIdle && c.isQuiet() {
+		if time.Since(c.idleSince) < c.maxIdle && c.isQuiet() {
 			return c, nil
 		}
 		p.discard(c)
@@ -113,7 +129,7 @@
 		p.idle = p.idle[:last]
 		return c, nil
 	}
-	if p.open >= p.limit {
+	if p.open >= p.config.Limit {
 		return nil, errors.WithMessage(ErrNotSent, "all connections are in use")
 	}
 	p.open++
@@ -121,7 +137,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	netConn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	netConn, err := p.dialer.DialContext(ctx, "tcp", p.config.Address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -150,15 +166,16 @@
 }
 
 func (p *Pool) expiredLocked(now time.Time) []*conn {
-	count := 0
-	for count < len(p.idle) && now.Sub(p.idle[count].idleSince) >= maxIdle {
-		count++
-	}
-	if count == 0 {
-		return nil
+	var expired []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.idleSince) >= c.maxIdle {
+			expired = append(expired, c)
+		} else {
+			kept = append(kept, c)
+		}
 	}
-	expired := append([]*conn(nil), p.idle[:count]...)
-	p.idle = append(p.idle[:0], p.idle[count:]...)
+	p.idle = kept
 	return expired
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,7 +21,7 @@
 
 // handleCall serves a caller's request.
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
-	c, err := newCall(n.directory.view(), r, time.Now())
+	c, err := n.newCall(n.directory.view(), r, time.Now())
 	if err != nil {
 		rejectCall(w, err)
 		return
@@ -49,6 +49,9 @@
 func rejectCall(w http.ResponseWriter, err error) {
 	body := httpapi.ErrorBody{Error: err.Error(), Outcome: httpapi.OutcomeNotRun}
 	switch {
+	case errors.Is(err, errNoRoute):
+		body.Reason = httpapi.ReasonNoRoute
+		writeError(w, http.StatusNotFound, body)
 	case errors.Is(err, errNoService):
 		refuse(w, wire.RefusalReason_REFUSAL_NO_UPSTREAM, err.Error())
 	case errors.Is(err, errDepth):
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
@@ -25,15 +24,6 @@
 	"Upgrade":             true,
 }
 
-// reserved response headers state what the system itself knows. An upstream that
-// copied them from a response to a call of its own must not speak for this hop.
-var reserved = map[string]bool{
-	httpapi.HeaderOutcome:  true,
-	httpapi.HeaderReason:   true,
-	httpapi.HeaderRecorded: true,
-	httpapi.HeaderLoad:     true,
-}
-
 func encodeHeaders(header http.Header, dropped map[string]bool) []*wire.Header {
 	named := connectionNames(header)
 	encoded := make([]*wire.Header, 0, len(header))
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -220,13 +220,13 @@
 	recorded *wire.RecordedResponse
 }
 
-func newRecorder(claim *heldClaim, response *egress.Response) *recorder {
+func newRecorder(claim *heldClaim, response *egress.Response, dropped map[string]bool) *recorder {
 	if claim == nil {
 		return &recorder{}
 	}
 	return &recorder{recorded: &wire.RecordedResponse{
 		Status:    uint32(response.StatusCode), //nolint:gosec // three digits
-		Headers:   encodeHeaders(response.Header, reserved),
+		Headers:   encodeHeaders(response.Header, dropped),
 		Truncated: response.Request.Method != http.MethodHead && response.ContentLength > recordedBytes,
 	}}
 }
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -7,16 +7,24 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 )
 
-const maxLocalBodyBytes = 64 << 10
+const (
+	maxLocalBodyBytes = 64 << 10
+	// maxColdMs bounds the cold start that an upstream may announce.
+	maxColdMs = 60 * 60 * 1000
+)
 
 // localRoutes serves the upstream beside this node: announcements, and its calls
 // to other services.
 func (n *Node) localRoutes() http.Handler {
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	if n.options.LocalRoutes != nil {
+		n.options.LocalRoutes(n, router)
+	}
 	router.HandleFunc("/v1/announce", n.handleAnnounce).Methods(http.MethodPost)
 	router.HandleFunc("/v1/leave", n.handleLeave).Methods(http.MethodPost)
 	router.HandleFunc("/v1/load", n.handleLoad).Methods(http.MethodPost)
@@ -29,16 +37,47 @@
 	if !decodeLocal(w, r, a) {
 		return
 	}
-	if problem := checkAnnouncement(a); problem != "" {
-		writeError(w, http.StatusUnprocessableEntity, httpapi.ErrorBody{Error: problem})
+	if err := n.Announce(a); err != nil {
+		writeError(w, http.StatusUnprocessableEntity, httpapi.ErrorBody{Error: err.Error()})
 		return
 	}
-	n.upstream.announce(a)
-	n.directory.notify()
-	_ = level.Info(n.logger).Log("msg", "upstream announced", "service", a.Service, "instance", a.Instance, "start_id", a.StartID)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// Announce takes an announcement of the upstream beside the node. A late one has no
+// effect. It returns an error for one that is not valid. Once it returns for a leaving
+// upstream, no further request is sent to it.
+func (n *Node) Announce(a *httpapi.Announcement) error {
+	if problem := checkAnnouncement(a); problem != "" {
+		return errors.New(problem)
+	}
+	former := n.upstream.announced()
+	n.upstream.setWarmup(a.Service, n.directory.view().doc.Services[a.Service].WarmupPerSecond)
+	if !n.upstream.announce(a) {
+		_ = level.Info(n.logger).Log("msg", "late announcement ignored", "instance", a.Instance, "start_id", a.StartID, "sequence", a.Sequence)
+		return nil
+	}
+	n.upstream.setWarmup(a.Service, n.directory.view().doc.Services[a.Service].WarmupPerSecond)
+	if former == nil || former.StartID != a.StartID || former.Leaving != a.Leaving {
+		n.directory.notify()
+		_ = level.Info(n.logger).Log("msg", "upstream announced", "service", a.Service, "instance", a.Instance,
+			"start_id", a.StartID, "sequence", a.Sequence, "cold_ms", a.ColdMs, "leaving", a.Leaving)
+	}
+	return nil
+}
+
+// Leave takes the departure of an instance. It returns false for another instance than
+// the announced one.
+func (n *Node) Leave(instance string) bool {
+	a := n.upstream.announced()
+	if a == nil || a.Instance != instance || !n.upstream.leave(a.StartID) {
+		return false
+	}
+	n.directory.notify()
+	_ = level.Info(n.logger).Log("msg", "upstream is leaving", "instance", instance, "start_id", a.StartID)
+	return true
+}
+
 func checkAnnouncement(a *httpapi.Announcement) string {
 	_, _, err := net.SplitHostPort(a.Address)
 	switch {
@@ -50,6 +89,8 @@
 		return "slots must be between 1 and 65536"
 	case a.Connections < 0 || a.Connections > 1<<20:
 		return "connections must be between 0 and 1048576"
+	case a.StartedMs < 0 || a.ColdMs < 0 || a.ColdMs > maxColdMs:
+		return "started_ms must not be negative and cold_ms be at most an hour"
 	}
 	return ""
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,12 +12,15 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/obs"
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/settings"
+	"github.com/chicorylever/chicorylever/internal/transport/callerhttp"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -35,17 +38,33 @@
 	refusalLogInterval = 10 * time.Second
 )
 
+// Options adapt a node to a deployment. The zero value is the project's own interface.
+type Options struct {
+	// Dialect names the headers towards callers and upstreams; nil selects the
+	// project's own.
+	Dialect *httpapi.Dialect
+	// LocalRoutes adds routes to the listener for the upstream, before the project's own.
+	LocalRoutes func(n *Node, router *mux.Router)
+}
+
 // Node is one node.
 type Node struct {
-	settings  *settings.Node
-	logger    log.Logger
-	start     uint64
-	directory *directory
-	upstream  *upstream
-	peers     *peers
-	metrics   *nodeMetrics
-	settler   *settler
-	freeze    freezeGuard
+	settings *settings.Node
+	options  Options
+	dialect  *httpapi.Dialect
+	// ownHeaders and upstreamHeaders are those of the dialect that are not passed on.
+	ownHeaders      map[string]bool
+	upstreamHeaders map[string]bool
+	logger          log.Logger
+	start           uint64
+	directory       *directory
+	upstream        *upstream
+	peers           *peers
+	metrics         *nodeMetrics
+	settler         *settler
+	freeze          freezeGuard
+	splits          splits
+	stopping        atomic.Bool
 	// lastAttempt is the time of the last attempt of an entry in Unix nanoseconds.
 	lastAttempt atomic.Int64
 	client      *mesh.Client
@@ -60,23 +79,31 @@
 }
 
 // New opens the listeners of a node.
-func New(s *settings.Node, logger log.Logger) (*Node, error) {
+func New(s *settings.Node, logger log.Logger, options Options) (*Node, error) {
 	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	if err != nil {
 		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
 	}
+	if options.Dialect == nil {
+		options.Dialect = httpapi.DefaultDialect()
+	}
 	refusals := obs.Limit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval)
 	config.PeerRefused = func(err *mesh.PermissionError) {
 		_ = refusals.Log("msg", "control member refused", "peer", err.Peer.Name, "err", err)
 	}
 	n := &Node{
-		settings:  s,
-		logger:    log.With(logger, "node", s.ID),
-		start:     uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
-		directory: newDirectory(),
-		upstream:  newUpstream(),
-		metrics:   newNodeMetrics(),
-		client:    mesh.NewClient(config),
+		settings:        s,
+		options:         options,
+		dialect:         options.Dialect,
+		ownHeaders:      options.Dialect.OwnHeaders(),
+		upstreamHeaders: options.Dialect.UpstreamHeaders(),
+		splits:          newSplits(),
+		logger:          log.With(logger, "node", s.ID),
+		start:           uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
+		directory:       newDirectory(),
+		upstream:        newUpstream(options.Dialect),
+		metrics:         newNodeMetrics(),
+		client:          mesh.NewClient(config),
 	}
 	n.directory.fetch = n.fetchRevision
 	n.peers = newPeers(s.Zone, func(instance string) {
@@ -127,7 +154,7 @@
 
 // Run serves until ctx ends, then finishes accepted requests and stops.
 func (n *Node) Run(ctx context.Context) error {
-	entry := httpServer(http.HandlerFunc(n.handleCall))
+	entry := callerhttp.NewServer(http.HandlerFunc(n.handleCall), n.callerLimits, n.reportPanic)
 	local := httpServer(n.localRoutes())
 	admin := httpServer(n.adminRoutes())
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -169,11 +196,15 @@
 // stop refuses new work for the upstream, finishes accepted requests of callers and of
 // other entries, and closes everything. Entries learn of the stop from refusals and
 // from control, which leave tells over connections that are still open.
-func (n *Node) stop(leave func(), entry, local, admin *http.Server) error {
+func (n *Node) stop(leave func(), entry *callerhttp.Server, local, admin *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.StopTimeoutMs)*time.Millisecond)
 	defer cancel()
+	n.stopping.Store(true)
 	n.upstream.gate.Stop()
 	n.directory.notify()
+	entry.Drain()
+	sleep(ctx, time.Duration(n.settings.StopDelayMs)*time.Millisecond)
+	_ = n.entryListener.Close()
 	first := errors.Wrap(entry.Shutdown(ctx), "node: finish callers' requests")
 	leave()
 	n.linger(ctx)
@@ -207,8 +238,22 @@
 }
 
 func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, callerhttp.ErrClosed) {
 		return nil
 	}
 	return err
 }
+
+// callerLimits returns what the configuration in force allows callers to send.
+func (n *Node) callerLimits() callerhttp.Limits {
+	limits := n.directory.view().doc.Limits
+	return callerhttp.Limits{
+		MaxHeaderBytes: limits.MaxHeaderBytes,
+		HeaderTimeout:  time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
+		IdleTimeout:    time.Duration(limits.IdleTimeoutMs) * time.Millisecond,
+	}
+}
+
+func (n *Node) reportPanic(reason any) {
+	_ = level.Error(n.logger).Log("msg", "request handler failed", "reason", reason)
+}
--- a/internal/node/patch.go
+++ b/internal/node/patch.go
@@ -16,6 +16,10 @@
 func patchSections(old *document.Document, sections []*wire.Section) (*document.Document, error) {
 	doc := *old
 	doc.Services, doc.Zones = maps.Clone(old.Services), maps.Clone(old.Zones)
+	doc.Routes = maps.Clone(old.Routes)
+	if doc.Routes == nil {
+		doc.Routes = map[string]document.Route{}
+	}
 	if doc.Services == nil {
 		doc.Services = map[string]document.Service{}
 	}
@@ -35,6 +39,8 @@
 	switch kind {
 	case "services":
 		return patchEntry(doc.Services, name, section.GetJson())
+	case "routes":
+		return patchEntry(doc.Routes, name, section.GetJson())
 	case "zones":
 		return patchEntry(doc.Zones, name, section.GetJson())
 	case "limits":
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -12,7 +12,6 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
-	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
@@ -32,6 +31,7 @@
 var (
 	errDeadlinePassed = errors.New("deadline passed before dispatch")
 	errCallerGone     = errors.New("caller gone before dispatch")
+	errUnproven       = errors.New("response was not made by the upstream")
 )
 
 // received is an attempt at the node beside the upstream.
@@ -54,6 +54,8 @@
 	// isEnded is set when the last message was sent to an entry that had sent nothing
 	// out of turn. Only then may watch.next be read.
 	isEnded bool
+	// declined is set when the upstream has promised that it did not run the attempt.
+	declined bool
 }
 
 // newReceived returns an attempt of this or another entry whose head has arrived.
@@ -196,9 +198,32 @@
 		}
 		response.Close()
 	}()
+	if r.node.dialect.IsNotRun(response.StatusCode, response.Header) {
+		return r.decline(response)
+	}
+	if response.StatusCode < http.StatusMultipleChoices && !r.node.dialect.IsProven(response.Header) {
+		return r.fail(ctx, errUnproven)
+	}
 	return r.answer(ctx, response)
 }
 
+// decline refuses an attempt that the upstream has answered with the promise that it
+// did not run it.
+func (r *received) decline(response *egress.Response) admission.Outcome {
+	r.settleClaim(nil)
+	r.node.upstream.setHeaderLoad(response.Header.Get(r.node.dialect.Load))
+	outcome := admission.Outcome{Result: admission.ResultOverloaded}
+	reason := wire.RefusalReason_REFUSAL_QUEUE_FULL
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		outcome.Result = admission.ResultCancelled
+		reason = wire.RefusalReason_REFUSAL_WRONG_INSTANCE
+	}
+	r.permit.Release(outcome)
+	r.declined = true
+	r.refuse(reason, "declined by the upstream")
+	return outcome
+}
+
 // fail ends an attempt that got no response head.
 func (r *received) fail(ctx context.Context, err error) admission.Outcome {
 	r.settleClaim(nil)
@@ -244,7 +269,8 @@
 	r.node.metrics.refused(reason)
 	r.sendLast(refused(&wire.Refused{
 		Reason:   reason,
-		NotRun:   !r.isDispatched(),
+		NotRun:   !r.isDispatched() || r.declined,
+		Declined: r.declined,
 		Load:     r.node.upstream.report(),
 		Revision: r.node.directory.view().revision,
 		Detail:   detail,
@@ -275,11 +301,22 @@
 	if request.Header.Get("User-Agent") == "" {
 		request.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	request.Header.Set(httpapi.HeaderDepth, strconv.Itoa(int(r.head.GetDepth())))
-	request.Header.Set(httpapi.HeaderTimeout, strconv.FormatInt(max(0, time.Until(r.deadline).Milliseconds()), 10))
+	r.setOwnHeaders(request.Header)
 	return request, nil
 }
 
+// setOwnHeaders tells the upstream what the system knows of the request.
+func (r *received) setOwnHeaders(header http.Header) {
+	dialect := r.node.dialect
+	if dialect.Depth != "" {
+		header.Set(dialect.Depth, strconv.Itoa(int(r.head.GetDepth())))
+	}
+	header.Set(dialect.Timeout, strconv.FormatInt(max(0, time.Until(r.deadline).Milliseconds()), 10))
+	if dialect.Instance != "" {
+		header.Set(dialect.Instance, r.head.GetInstance())
+	}
+}
+
 // heldBody is a body in memory.
 type heldBody struct{ rest []byte }
 
--- /dev/null
+++ b/internal/node/splits.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/routing"
+)
+
+// splits chooses the services of this entry's requests. It is safe for concurrent use.
+type splits struct {
+	mu       *sync.Mutex
+	splitter *routing.Splitter
+}
+
+func newSplits() splits {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // no secret
+	return splits{mu: &sync.Mutex{}, splitter: routing.NewSplitter(random)}
+}
+
+func (s splits) choose(route *routing.Route) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.splitter.Choose(route)
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"strconv"
+	"net/http"
 	"sync"
 	"time"
 
@@ -16,6 +16,7 @@
 
 // upstream is the one that this node stands beside.
 type upstream struct {
+	dialect *httpapi.Dialect
 	gate    *admission.Gate
 	measure *admission.MeasureBudget
 
@@ -25,28 +26,45 @@
 	version      uint64
 	listed       wire.InstanceState // state in the last registry entry
 	zoneOut      bool
+	warmup       float64 // requests a second that a cold upstream bears
+	slowdown     uint32
 	ownLoad      int
 	ownLoadAt    time.Time
 }
 
-func newUpstream() *upstream {
+func newUpstream(dialect *httpapi.Dialect) *upstream {
 	return &upstream{
+		dialect: dialect,
 		gate:    admission.NewGate(admission.Config{}, time.Now),
 		measure: admission.NewMeasureBudget(time.Now(), 0),
 	}
 }
 
-// announce takes an announcement. A new start ID begins a cold start with new
-// connections.
-func (u *upstream) announce(a *httpapi.Announcement) {
+// isLate reports whether an announcement was overtaken by the one in force.
+func isLate(a, inForce *httpapi.Announcement) bool {
+	if inForce == nil {
+		return false
+	}
+	if a.StartedMs != 0 && a.StartedMs < inForce.StartedMs {
+		return true
+	}
+	return a.StartID == inForce.StartID && a.Sequence != 0 && a.Sequence <= inForce.Sequence
+}
+
+// announce takes an announcement and returns false when it is late. A new start ID
+// begins a cold start with new connections.
+func (u *upstream) announce(a *httpapi.Announcement) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	old := u.announcement
+	if isLate(a, old) {
+		return false
+	}
 	if old == nil || old.StartID != a.StartID || old.Address != a.Address {
 		if u.pool != nil {
 			u.pool.Close()
 		}
-		u.pool = egress.NewPool(a.Address, a.Connections)
+		u.pool = u.newPool(a)
 	}
 	if old == nil || old.StartID != a.StartID {
 		u.ownLoad = 0
@@ -56,8 +74,38 @@
 		slots = min(slots, a.Connections)
 	}
 	u.gate.Start(a.StartID, slots)
+	u.gate.SetWarmup(u.warmup, time.Now().Add(time.Duration(a.ColdMs)*time.Millisecond))
+	if a.Leaving {
+		u.gate.SetLeaving(true)
+	}
+	if old == nil || old.StartID != a.StartID || old.Address != a.Address || old.Slots != a.Slots {
+		u.version++
+	}
 	u.announcement = a
-	u.version++
+	return true
+}
+
+// setWarmup takes what the configuration says of a cold upstream of the service.
+func (u *upstream) setWarmup(service string, perSecond float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	a := u.announcement
+	if a == nil || a.Service != service || u.warmup == perSecond {
+		return
+	}
+	u.warmup = perSecond
+	u.gate.SetWarmup(perSecond, time.Now().Add(time.Duration(a.ColdMs)*time.Millisecond))
+}
+
+func (u *upstream) newPool(a *httpapi.Announcement) *egress.Pool {
+	return egress.NewPool(egress.Config{
+		Address: a.Address,
+		Limit:   a.Connections,
+		IsStray: func(request, response http.Header) bool {
+			return u.dialect.IsStray(response, request.Get(u.dialect.RequestID))
+		},
+		AllowsUnframed: u.dialect.Proof != "",
+	})
 }
 
 // announced returns the announcement in force, or nil. It is never changed.
@@ -92,13 +140,17 @@
 
 // setHeaderLoad takes the load that a response carried, when it carried one.
 func (u *upstream) setHeaderLoad(value string) {
-	inFlight, err := strconv.Atoi(value)
-	if err != nil || inFlight < 0 {
+	if value == "" || u.dialect.ParseLoad == nil {
+		return
+	}
+	load, ok := u.dialect.ParseLoad(value)
+	if !ok {
 		return
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.ownLoad, u.ownLoadAt = inFlight, time.Now()
+	u.ownLoad, u.ownLoadAt = load.InFlight+load.Queued, time.Now()
+	u.slowdown = uint32(min(max(0, load.SlowdownPercent), maxReportedLoad)) //nolint:gosec // bounded
 }
 
 func (u *upstream) isStart(startID string) bool {
@@ -123,6 +175,9 @@
 	report := u.gate.Report()
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if time.Since(u.ownLoadAt) < ownLoadAge {
+		report.SlowdownPercent = u.slowdown
+	}
 	if own := u.ownLoad; own > int(report.GetInFlight()) && time.Since(u.ownLoadAt) < ownLoadAge {
 		report.InFlight = uint32(min(own, maxReportedLoad)) //nolint:gosec // bounded
 	}
--- /dev/null
+++ b/internal/program/daemons.go
@@ -0,0 +1,64 @@
+package program
+
+import (
+	"context"
+	"os"
+	"runtime/debug"
+
+	"github.com/chicorylever/chicorylever/internal/control"
+	"github.com/chicorylever/chicorylever/internal/node"
+	"github.com/chicorylever/chicorylever/internal/settings"
+)
+
+const (
+	// gcPercent and memoryLimitBytes trade memory for fewer collections, which are
+	// visible in the latency of calls. A node may use 128 MB.
+	gcPercent        = 400
+	memoryLimitBytes = 96 << 20
+)
+
+// Node returns the daemon of a node.
+func Node(options node.Options) Daemon {
+	return func(ctx context.Context, path string) error {
+		tuneMemory()
+		s, err := settings.LoadNode(path)
+		if err != nil {
+			return err
+		}
+		logger, err := Logger(s.LogLevel)
+		if err != nil {
+			return err
+		}
+		n, err := node.New(s, logger, options)
+		if err != nil {
+			return err
+		}
+		return n.Run(ctx)
+	}
+}
+
+func tuneMemory() {
+	if os.Getenv("GOGC") == "" && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(memoryLimitBytes)
+	}
+}
+
+// Control returns the daemon of a control member.
+func Control(options control.Options) Daemon {
+	return func(ctx context.Context, path string) error {
+		s, err := settings.LoadControl(path)
+		if err != nil {
+			return err
+		}
+		logger, err := Logger(s.LogLevel)
+		if err != nil {
+			return err
+		}
+		c, err := control.New(s, logger, options)
+		if err != nil {
+			return err
+		}
+		return c.Run(ctx)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -23,12 +23,13 @@
 type Daemon func(ctx context.Context, settingsPath string) error
 
 // Main runs a daemon's command line and ends the process; see Run.
-func Main(name, usage string, daemon Daemon) {
+// The settings file is also taken from the first of the environment variables that is set.
+func Main(name, usage string, daemon Daemon, variables ...string) {
 	Run(&cli.Command{
 		Name:  name,
 		Usage: usage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "JSON settings `FILE`"},
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "JSON settings `FILE`", Sources: cli.EnvVars(variables...)},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			return daemon(ctx, command.String("settings"))
@@ -63,7 +64,7 @@
 	return exitFailure
 }
 
-// Logger writes JSON lines to standard error.
+// Logger writes JSON lines to standard output.
 func Logger(levelName string) (log.Logger, error) {
-	return obs.NewLogger(os.Stderr, levelName)
+	return obs.NewLogger(os.Stdout, levelName)
 }
--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -37,6 +37,10 @@
 
 	// ReasonDepth is the reason of a request whose chain of calls exceeds MaxDepth.
 	ReasonDepth = "depth"
+	// ReasonNoRoute is the reason of a request that no route matches.
+	ReasonNoRoute = "no-route"
+	// ReasonNotReady is the reason of a request that a node without configuration got.
+	ReasonNotReady = "not-ready"
 
 	// MaxDepth is the deepest chain of calls between services that is served.
 	MaxDepth = 16
@@ -56,6 +60,17 @@
 	Slots int `json:"slots"`
 	// Connections is the number of connections that the upstream accepts.
 	Connections int `json:"connections"`
+	// StartedMs is the time of the start in milliseconds since 1970, 0 when it is not
+	// known. Announcements of an earlier start are late and have no effect.
+	StartedMs int64 `json:"started_ms,omitempty"`
+	// Sequence grows with each announcement of a start, 0 when it is not known. One
+	// that does not exceed the last one is late and has no effect.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// ColdMs is how much longer the upstream stays cold, in milliseconds.
+	ColdMs int64 `json:"cold_ms,omitempty"`
+	// Leaving is set when the upstream takes no new work. It stays so until its next
+	// start.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Load is the body of POST /v1/load: the upstream's own view of its load.
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 
 	"github.com/go-kit/log/level"
 )
@@ -31,6 +32,29 @@
 	return nil
 }
 
+func checkNotNegative(field string, value int) *Error {
+	if value < 0 {
+		return &Error{Field: field, Problem: "must not be negative"}
+	}
+	return nil
+}
+
+// withPort replaces the ports of addresses; port 0 leaves them as they are. Malformed
+// addresses are left for the check.
+func withPort(addresses []string, port int) []string {
+	if port == 0 {
+		return addresses
+	}
+	replaced := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			address = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+		replaced = append(replaced, address)
+	}
+	return replaced
+}
+
 // checkTLS accepts either all files or none.
 func checkTLS(cert, key, ca string) *Error {
 	fields := []struct{ name, value string }{{"tls_cert", cert}, {"tls_key", key}, {"tls_ca", ca}}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -21,6 +21,8 @@
 	// BootstrapDocument is the file with the first document, read only by the
 	// first leader of a new cluster.
 	BootstrapDocument string `json:"bootstrap_document,omitempty"`
+	// MemberPort replaces the ports in Bootstrap and Join when it is not 0.
+	MemberPort int `json:"member_port,omitempty"`
 	// Join lists mesh addresses of running members for a member that joins.
 	Join []string `json:"join,omitempty"`
 	// TLSCert, TLSKey and TLSCA name PEM files. When they are set, the processes of
@@ -48,6 +50,8 @@
 	if s.MeshAddress == "" {
 		s.MeshAddress = s.MeshListen
 	}
+	s.Bootstrap = withPort(s.Bootstrap, s.MemberPort)
+	s.Join = withPort(s.Join, s.MemberPort)
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -61,6 +65,7 @@
 		checkAddress("mesh_listen", s.MeshListen),
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("api_listen", s.APIListen),
+		checkNotNegative("member_port", s.MemberPort),
 		s.checkMembers(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		s.checkAPITLS(),
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -9,16 +9,25 @@
 	// EntryListen takes callers' requests over HTTP.
 	EntryListen string `json:"entry_listen"`
 	// LocalListen takes the upstream's calls to other services and its
-	// announcements. It must be a loopback address.
+	// announcements. It must be a loopback address unless LocalOpen is set.
 	LocalListen string `json:"local_listen"`
+	// LocalOpen allows LocalListen to be another address, which only processes of the
+	// VM may reach.
+	LocalOpen bool `json:"local_open,omitempty"`
+	// Service is the service of the upstream on this VM. It is passed on with requests
+	// that begin here, where the upstreams ask for it.
+	Service string `json:"service,omitempty"`
 	// MeshListen takes streams from other nodes.
 	MeshListen string `json:"mesh_listen"`
 	// MeshAddress is what other nodes dial; default is MeshListen.
 	MeshAddress string `json:"mesh_address,omitempty"`
 	// AdminListen serves /metrics and /v1/status.
 	AdminListen string `json:"admin_listen"`
-	// Control lists the mesh addresses of the control members.
+	// Control lists the mesh addresses of some control members. The node learns the
+	// others from them.
 	Control []string `json:"control"`
+	// ControlPort replaces the ports in Control when it is not 0.
+	ControlPort int `json:"control_port,omitempty"`
 	// TLSCert, TLSKey and TLSCA name PEM files. When they are set, the processes of
 	// the system speak mutual TLS; the certificate's common name or DNS name is ID.
 	// Without them any process that reaches the mesh port is trusted.
@@ -27,6 +36,10 @@
 	TLSCA   string `json:"tls_ca,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
+	// StopDelayMs is the time in milliseconds for which a stopping node still takes
+	// callers' requests while it reports that it is not ready, so that callers turn to
+	// other nodes before it closes; default 0.
+	StopDelayMs int `json:"stop_delay_ms,omitempty"`
 	// StopTimeoutMs bounds a graceful stop; default 30000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
 }
@@ -44,6 +57,7 @@
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
+	s.Control = withPort(s.Control, s.ControlPort)
 	if s.StopTimeoutMs == 0 {
 		s.StopTimeoutMs = 30000
 	}
@@ -55,7 +69,9 @@
 		checkName("zone", s.Zone),
 		checkAddress("entry_listen", s.EntryListen),
 		checkAddress("local_listen", s.LocalListen),
-		checkLoopback("local_listen", s.LocalListen),
+		s.checkLocal(),
+		checkNotNegative("control_port", s.ControlPort),
+		checkNotNegative("stop_delay_ms", s.StopDelayMs),
 		checkAddress("mesh_listen", s.MeshListen),
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("admin_listen", s.AdminListen),
@@ -65,3 +81,10 @@
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
 	)
 }
+
+func (s *Node) checkLocal() *Error {
+	if s.LocalOpen {
+		return nil
+	}
+	return checkLoopback("local_listen", s.LocalListen)
+}
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -133,6 +133,8 @@
 	// IdleTimeoutMs is the time in milliseconds after which a caller's connection
 	// without requests is closed, 0 selects 2 min.
 	IdleTimeoutMs int `json:"idle_timeout_ms,omitempty"`
+	// Labels are kept for operators' tools and not interpreted.
+	Labels map[string]string `json:"labels,omitempty"`
 }
 
 // DefaultLimits are in force where the document leaves a limit at 0.
--- a/internal/state/document/route.go
+++ b/internal/state/document/route.go
@@ -49,6 +49,8 @@
 	Backends []Backend `json:"backends"`
 	// MaxAttempts is the number of instances that one request may be sent to.
 	MaxAttempts int `json:"max_attempts"`
+	// Labels are kept for operators' tools and not interpreted.
+	Labels map[string]string `json:"labels,omitempty"`
 }
 
 // Backend is a service and its share of a route's requests.
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -5,8 +5,8 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"os"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -15,6 +15,7 @@
 var (
 	errHeadTooLarge = errors.New("head is too large")
 	errFraming      = errors.New("body has no certain length")
+	errChunk        = errors.New("chunk is malformed")
 	errField        = errors.New("header line is malformed")
 	errTarget       = errors.New("target is not in origin form")
 )
@@ -124,7 +125,7 @@
 func bodySource(request *http.Request, reader *bufio.Reader) io.Reader {
 	switch {
 	case len(request.TransferEncoding) > 0:
-		return &chunkedSource{chunks: httputil.NewChunkedReader(reader), reader: reader}
+		return &chunkedSource{reader: reader}
 	case request.ContentLength > 0:
 		return &lengthSource{reader: reader, left: request.ContentLength}
 	default:
@@ -144,51 +145,101 @@
 	}
 	n, err := s.reader.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
+	return n, unexpected(err)
 }
 
-// chunkedSource reads a chunked body and drops its trailers.
+// maxChunkLineBytes bounds the line before a chunk, extensions included.
+const maxChunkLineBytes = 1 << 10
+
+// chunkedSource reads a chunked body and drops its extensions and trailers.
 type chunkedSource struct {
-	chunks io.Reader
 	reader *bufio.Reader
-	ended  bool
+	// left is the rest of the chunk that is being read.
+	left  int64
+	inner bool // set once the first chunk has begun
+	ended bool
 }
 
 func (s *chunkedSource) Read(p []byte) (int, error) {
 	if s.ended {
 		return 0, io.EOF
 	}
-	n, err := s.chunks.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
+	if s.left == 0 {
+		if err := s.nextChunk(); err != nil {
+			return 0, err
+		}
 	}
-	if _, err := readTrailers(s.reader); err != nil {
-		return n, err
+	n, err := s.reader.Read(p[:min(int64(len(p)), s.left)])
+	s.left -= int64(n)
+	return n, unexpected(err)
+}
+
+// nextChunk reads the end of a chunk and the size of the next one. It returns io.EOF
+// after the last one.
+func (s *chunkedSource) nextChunk() error {
+	if s.inner {
+		end, err := s.line()
+		if err != nil {
+			return err
+		}
+		if len(end) != 0 {
+			return errChunk
+		}
+	}
+	s.inner = true
+	line, err := s.line()
+	if err != nil {
+		return err
+	}
+	text, _, _ := bytes.Cut(line, []byte(";"))
+	size, err := strconv.ParseUint(string(bytes.TrimRight(text, " \t")), 16, 62)
+	if err != nil {
+		return errChunk
+	}
+	s.left = int64(size) //nolint:gosec // 62 bits
+	if size > 0 {
+		return nil
+	}
+	if err := readTrailers(s.reader); err != nil {
+		return err
 	}
 	s.ended = true
-	return n, io.EOF
+	return io.EOF
+}
+
+// line returns a line without its end.
+func (s *chunkedSource) line() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if err != nil {
+		return nil, unexpected(err)
+	}
+	if len(line) > maxChunkLineBytes || !bytes.HasSuffix(line, []byte("\r\n")) {
+		return nil, errChunk
+	}
+	return line[:len(line)-2], nil
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // readTrailers reads up to the empty line after the last chunk.
-func readTrailers(reader *bufio.Reader) (int, error) {
+func readTrailers(reader *bufio.Reader) error {
 	total := 0
 	for {
 		line, err := reader.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
 		if err != nil {
-			return total, err
+			return unexpected(err)
 		}
 		total += len(line)
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return total, nil
+			return nil
 		}
 		if total > DefaultMaxHeaderBytes {
-			return total, errHeadTooLarge
+			return errHeadTooLarge
 		}
 	}
 }
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// DefaultMaxHeaderBytes, DefaultHeaderTimeout and DefaultIdleTimeout stand in for
-	// limits that are 0.
+	// DefaultMaxHeaderBytes stands in for a limit of 0.
 	DefaultMaxHeaderBytes = 64 << 10
-	DefaultHeaderTimeout  = 5 * time.Second
-	DefaultIdleTimeout    = 2 * time.Minute
+	// DefaultHeaderTimeout stands in for a limit of 0.
+	DefaultHeaderTimeout = 5 * time.Second
+	// DefaultIdleTimeout stands in for a limit of 0.
+	DefaultIdleTimeout = 2 * time.Minute
 
 	// maxPipelined bounds the requests of one connection that are worked on at once.
 	// Further ones stay unread.
