Remember departures in control, leave members without a quorum, reload settings

Changes: SIGHUP and changes of the settings file reload what needs no restart. Control keeps the starts of upstreams that have departed; a restarted node waits for control's word (2 s at most) before it uses an upstream whose start it has not seen. A member without contact with a quorum tells its nodes, which move to another one within 0.2 s unless all are isolated.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -25,9 +26,6 @@
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
-// apiStopTimeout bounds the requests of operators that run at a stop.
-const apiStopTimeout = 10 * time.Second
-
 // Options adapt a member to a deployment. The zero value is the project's own interface.
 type Options struct {
 	// API returns a handler in front of the operators' API, which is next.
@@ -38,12 +36,14 @@
 type Control struct {
 	settings *settings.Control
 	options  Options
-	logger   log.Logger
-	client   *mesh.Client
-	mesh     mesh.Config
-	guard    *guard
-	apiTLS   *tls.Config
-	log      *replica.Replica
+	// live holds the settings that Reload may change.
+	live   atomic.Pointer[settings.Control]
+	logger log.Logger
+	client *mesh.Client
+	mesh   mesh.Config
+	guard  *guard
+	apiTLS *tls.Config
+	log    *replica.Replica
 
 	documents *document.Machine
 	records   *claims.Machine
@@ -91,6 +91,7 @@
 		collector: slo.NewCollector(),
 		registry:  membership.NewRegistry(),
 	}
+	c.live.Store(s)
 	if err := checkFirstDocument(s.BootstrapDocument); err != nil {
 		return nil, err
 	}
@@ -196,6 +197,14 @@
 	return err
 }
 
+// Reload takes the stop timeout and the members to join. Other settings need a restart;
+// the result names those that differ.
+func (c *Control) Reload(s *settings.Control) []string {
+	c.live.Store(s)
+	c.log.SetJoin(s.Join)
+	return c.settings.FixedDifferences(s)
+}
+
 // watchLog returns an error when the log has failed. A member whose disk fails
 // stops, since it can no longer keep its promises.
 func (c *Control) watchLog(ctx context.Context) error {
@@ -211,6 +220,7 @@
 func (c *Control) duties() []func(ctx context.Context) {
 	duties := []func(ctx context.Context){
 		c.keepRegistry,
+		c.watchQuorum,
 		c.distribute.Run,
 		c.exchange.Run,
 		func(ctx context.Context) { c.collector.Run(ctx, c.part(sectionBurn), c.logger) },
@@ -225,7 +235,7 @@
 // stop finishes the requests of operators, hands leadership over and closes the
 // connections, in this order.
 func (c *Control) stop(operators *http.Server, streams *mesh.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), apiStopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.live.Load().StopTimeoutMs)*time.Millisecond)
 	defer cancel()
 	err := operators.Shutdown(ctx)
 	// Leadership is handed over while the streams to the other members are open.
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -11,6 +11,9 @@
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
+// quorumInterval is the time between two looks at the contact with a quorum.
+const quorumInterval = 100 * time.Millisecond
+
 // newExchange returns the exchange of leases with the other members.
 func (c *Control) newExchange() *membership.Exchange {
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
@@ -31,6 +34,21 @@
 	return others
 }
 
+// watchQuorum tells the nodes of this member whether it has contact with a quorum.
+func (c *Control) watchQuorum(ctx context.Context) {
+	ticker := time.NewTicker(quorumInterval)
+	defer ticker.Stop()
+	for {
+		contact := c.log.Status().QuorumContact
+		c.distribute.SetIsolated(!contact)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // keepRegistry expires leases until ctx ends and logs when the list becomes
 // stale and when that ends.
 func (c *Control) keepRegistry(ctx context.Context) {
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -23,6 +24,12 @@
 	// ended. All nodes of a lost member reconnect within it; it leaves most of
 	// the lease for the attempts themselves.
 	spreadAfterLoss = 2 * time.Second
+	// isolatedPause is how long a member that has no contact with a quorum is avoided.
+	// After it the member is asked again, since all others may be out of reach.
+	isolatedPause = 5 * time.Second
+	// moveDelay is the range of the random wait before a node moves from such a member
+	// to another one.
+	moveDelay = 200 * time.Millisecond
 	// sessionMin and sessionMax bound the random length of a session. Nodes move
 	// to another member at its end, so that a member that returns gets its share
 	// of nodes within about 20 minutes without a rush.
@@ -44,6 +51,7 @@
 	errSessionOver = errors.New("distribute: session is over")
 	errStreamEnded = errors.New("distribute: stream ended")
 	errSilent      = errors.New("distribute: member acknowledges no heartbeat")
+	errIsolated    = errors.New("distribute: member has no contact with a quorum")
 	errNoState     = errors.New("distribute: member gave no state")
 )
 
@@ -75,26 +83,35 @@
 	nodeID string
 	// configured are the members of the settings, learned those that a member named.
 	// Only the goroutine of Run uses learned.
-	configured []string
+	configured atomic.Pointer[[]string]
 	learned    []string
-	dial       Dialer
-	sink       Sink
-	logger     log.Logger
+	// isolated holds until when members are avoided.
+	isolated map[string]time.Time
+	dial     Dialer
+	sink     Sink
+	logger   log.Logger
 }
 
 // NewClient returns a client that is not yet running.
 func NewClient(nodeID string, members []string, dial Dialer, sink Sink, logger log.Logger) *Client {
-	return &Client{nodeID: nodeID, configured: members, dial: dial, sink: sink, logger: logger}
+	c := &Client{isolated: map[string]time.Time{}, nodeID: nodeID, dial: dial, sink: sink, logger: logger}
+	c.SetMembers(members)
+	return c
 }
 
+// SetMembers replaces the members of the settings; there must be at least one. Any
+// goroutine may call it.
+func (c *Client) SetMembers(members []string) { c.configured.Store(&members) }
+
 // Run keeps the subscription until ctx ends; then it tells control that the node
 // stops. It starts at a random member and waits a random time between attempts,
 // so that the loss of a member does not send all its nodes to another one at once.
 func (c *Client) Run(ctx context.Context) {
-	next := rand.IntN(len(c.configured))
+	next := rand.IntN(len(c.members()))
 	backoff := reconnectMin
 	for ctx.Err() == nil {
 		members := c.members()
+		next = c.skipIsolated(members, next)
 		address := members[next%len(members)]
 		worked, err := c.session(ctx, address)
 		switch {
@@ -103,6 +120,9 @@
 		case errors.Is(err, errSessionOver):
 			next = rand.IntN(len(members))
 			continue
+		case errors.Is(err, errIsolated):
+			c.logEnd(address, err)
+			sleep(ctx, rand.N(moveDelay))
 		case worked:
 			backoff = reconnectMin
 			c.logEnd(address, err)
@@ -116,11 +136,34 @@
 	}
 }
 
+// skipIsolated returns the index from which the next member is taken that is not
+// avoided, or the given one when all are.
+func (c *Client) skipIsolated(members []string, next int) int {
+	now := time.Now()
+	for i := range members {
+		if !now.Before(c.isolated[members[(next+i)%len(members)]]) {
+			return next + i
+		}
+	}
+	return next
+}
+
+// avoid returns errIsolated when another member may be better. It does not while this
+// one is being avoided already: no other could be reached then.
+func (s *session) avoid() error {
+	c, now := s.client, time.Now()
+	if now.Before(c.isolated[s.address]) {
+		return nil
+	}
+	c.isolated[s.address] = now.Add(isolatedPause)
+	return errIsolated
+}
+
 // members returns all known addresses. The configured ones stay, since the learned
 // ones may all have been replaced meanwhile.
 func (c *Client) members() []string {
 	members := slices.Clone(c.learned)
-	for _, address := range c.configured {
+	for _, address := range *c.configured.Load() {
 		if !slices.Contains(members, address) {
 			members = append(members, address)
 		}
@@ -144,6 +187,7 @@
 // session is one stream to a member.
 type session struct {
 	client   *Client
+	address  string
 	conn     *frame.Conn
 	incoming chan *wire.Envelope
 	ended    chan struct{}
@@ -165,6 +209,7 @@
 	defer func() { _ = stream.Close() }()
 	s := &session{
 		client:   c,
+		address:  address,
 		conn:     frame.NewConn(stream),
 		incoming: make(chan *wire.Envelope, streamBuffer),
 		ended:    make(chan struct{}),
@@ -281,6 +326,9 @@
 			s.client.learned = members
 		}
 		s.client.sink.Acknowledged(message.GetHeartbeatAck().GetSequence())
+		if message.GetHeartbeatAck().GetIsolated() {
+			return s.avoid()
+		}
 	default:
 		return errors.WithMessage(frame.ErrUnexpected, "from a control member")
 	}
--- a/internal/coordination/distribute/client_test.go
+++ b/internal/coordination/distribute/client_test.go
@@ -73,10 +73,12 @@
 
 // testClients runs clients against members that answer every message.
 type testClients struct {
-	mu    sync.Mutex
-	down  map[string]bool
-	open  map[net.Conn]string
-	dials map[int][]time.Time
+	mu   sync.Mutex
+	down map[string]bool
+	// isolated members say so in their acknowledgements.
+	isolated map[string]bool
+	open     map[net.Conn]string
+	dials    map[int][]time.Time
 }
 
 func (c *testClients) dial(node int, address string) (net.Conn, error) {
@@ -104,7 +106,10 @@
 		}
 		reply := &wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{}}}
 		if heartbeat := message.GetHeartbeat(); heartbeat != nil {
-			ack := &wire.HeartbeatAck{Sequence: heartbeat.GetSequence()}
+			c.mu.Lock()
+			isolated := c.isolated[c.open[far]]
+			c.mu.Unlock()
+			ack := &wire.HeartbeatAck{Sequence: heartbeat.GetSequence(), Isolated: isolated}
 			reply = &wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: ack}}
 		}
 		_ = conn.SendNow(reply)
@@ -183,3 +188,31 @@
 		running.Wait()
 	})
 }
+
+// TestNodesLeaveIsolatedMember guards against nodes that stay for ever with a member
+// that a partition keeps from the quorum, and so with an old configuration, and against
+// nodes without a member when all of them are isolated.
+func TestNodesLeaveIsolatedMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := []string{"a", "b", "c"}
+		c := &testClients{
+			down: map[string]bool{}, isolated: map[string]bool{"a": true, "b": true}, open: map[net.Conn]string{}, dials: map[int][]time.Time{},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for node := range 20 {
+			dial := func(_ context.Context, address string) (net.Conn, error) { return c.dial(node, address) }
+			client := NewClient("node", members, dial, &fakeSink{}, log.NewNopLogger())
+			running.Go(func() { client.Run(ctx) })
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, c.connected("c"), 20)
+		c.mu.Lock()
+		c.isolated["c"] = true
+		c.mu.Unlock()
+		time.Sleep(isolatedPause + 3*time.Second)
+		assert.Assert(t, c.connected("a")+c.connected("b")+c.connected("c") >= 18)
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/coordination/distribute/server.go
+++ b/internal/coordination/distribute/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -45,6 +46,8 @@
 	counts   CountSink
 	// members returns the mesh addresses of the control members; nil tells none.
 	members func() []string
+	// isolated is set while the member has no contact with a quorum.
+	isolated atomic.Bool
 
 	mu       sync.Mutex
 	sections *Sections
@@ -73,6 +76,19 @@
 // nodes reach members that their settings do not name. It is called before ServeStream.
 func (s *Server) SetMembers(members func() []string) { s.members = members }
 
+// SetIsolated records whether this member has no contact with a quorum, and tells its
+// nodes, which then look for another member.
+func (s *Server) SetIsolated(isolated bool) {
+	if s.isolated.Swap(isolated) == isolated {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sub := range s.subs {
+		sub.repeatAck()
+	}
+}
+
 func (s *Server) memberAddresses() []string {
 	if s.members == nil {
 		return nil
--- a/internal/coordination/distribute/subscription.go
+++ b/internal/coordination/distribute/subscription.go
@@ -80,6 +80,14 @@
 	s.signal()
 }
 
+// repeatAck sends the last acknowledgement again, with what has changed about the member.
+func (s *subscription) repeatAck() {
+	s.mu.Lock()
+	s.ackDue = true
+	s.mu.Unlock()
+	s.signal()
+}
+
 func (s *subscription) acknowledged() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,18 +148,19 @@
 
 func (s *subscription) flush() error {
 	d := s.take()
-	if d.ackDue {
-		ack := &wire.HeartbeatAck{Sequence: d.ack, Members: s.server.memberAddresses()}
-		if err := s.conn.Send(&wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: ack}}); err != nil {
-			return err
-		}
-	}
 	if err := s.sendDocument(d); err != nil {
 		return err
 	}
 	if err := s.sendRegistry(d); err != nil {
 		return err
 	}
+	if d.ackDue {
+		// What the heartbeat changed goes before its acknowledgement.
+		ack := &wire.HeartbeatAck{Sequence: d.ack, Members: s.server.memberAddresses(), Isolated: s.server.isolated.Load()}
+		if err := s.conn.Send(&wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: ack}}); err != nil {
+			return err
+		}
+	}
 	return s.conn.Flush()
 }
 
--- a/internal/coordination/membership/merge.go
+++ b/internal/coordination/membership/merge.go
@@ -98,9 +98,11 @@
 	present := map[string]bool{}
 	for _, next := range update.GetLeases() {
 		present[next.GetNodeId()] = true
+		next.Instance = r.departed.observe(now, next.GetInstance())
 		r.adopt(member, next)
 	}
 	for _, gone := range update.GetRemovedLeases() {
+		r.departed.observe(now, gone.GetInstance())
 		r.mergeRemoval(now, member, gone)
 	}
 	for _, id := range update.GetRemoved() {
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -31,13 +31,14 @@
 	leases map[string]*lease
 	claims claimIndex
 	// shown holds for each service the instances that subscribers see, by ID.
-	shown   map[string]map[string]*wire.Instance
-	removed map[string]tombstone
-	log     history[change]
-	own     ownLog
-	changed chan struct{}
-	guard   guard
-	peers   map[string]uint64
+	shown    map[string]map[string]*wire.Instance
+	removed  map[string]tombstone
+	departed departures
+	log      history[change]
+	own      ownLog
+	changed  chan struct{}
+	guard    guard
+	peers    map[string]uint64
 }
 
 // lease is a node's registration.
@@ -61,14 +62,15 @@
 // Tick decides, so that a node which connects at once drops no instance.
 func NewRegistry() *Registry {
 	return &Registry{
-		leases:  map[string]*lease{},
-		claims:  claimIndex{},
-		shown:   map[string]map[string]*wire.Instance{},
-		removed: map[string]tombstone{},
-		own:     newOwnLog(),
-		changed: make(chan struct{}),
-		guard:   guard{stale: true, reason: ReasonStarting},
-		peers:   map[string]uint64{},
+		leases:   map[string]*lease{},
+		claims:   claimIndex{},
+		shown:    map[string]map[string]*wire.Instance{},
+		removed:  map[string]tombstone{},
+		departed: departures{},
+		own:      newOwnLog(),
+		changed:  make(chan struct{}),
+		guard:    guard{stale: true, reason: ReasonStarting},
+		peers:    map[string]uint64{},
 	}
 }
 
@@ -83,7 +85,7 @@
 		Sequence:  heartbeat.GetSequence(),
 		Zone:      heartbeat.GetZone(),
 		Revision:  heartbeat.GetRevision(),
-		Instance:  heartbeat.GetInstance(),
+		Instance:  r.departed.observe(now, heartbeat.GetInstance()),
 	}
 	old := r.leases[next.GetNodeId()]
 	if r.outranked(old, next) {
@@ -267,6 +269,6 @@
 		return a == b
 	}
 	return a.GetId() == b.GetId() && a.GetStartId() == b.GetStartId() && a.GetVersion() == b.GetVersion() &&
-		a.GetState() == b.GetState() && a.GetNodeAddress() == b.GetNodeAddress() && a.GetService() == b.GetService() &&
+		a.GetState() == b.GetState() && a.GetDeparting() == b.GetDeparting() && a.GetNodeAddress() == b.GetNodeAddress() && a.GetService() == b.GetService() &&
 		a.GetNodeId() == b.GetNodeId() && a.GetNodeStart() == b.GetNodeStart()
 }
--- a/internal/coordination/replica/form.go
+++ b/internal/coordination/replica/form.go
@@ -44,6 +44,10 @@
 	return len(b) > 0 && b[0] == r.options.Address && r.clusterID() == 0
 }
 
+// SetJoin replaces the members that this one asks to be added, while it belongs to no
+// cluster.
+func (r *Replica) SetJoin(addresses []string) { r.joins.Store(&addresses) }
+
 // create makes the first configuration; false when that is not, or not yet, safe.
 func (r *Replica) create() bool {
 	configuration := raft.Configuration{Members: []raft.Member{{ID: r.id, Address: r.options.Address}}}
@@ -92,7 +96,7 @@
 
 // join asks members to add this one; the answer may name the leader.
 func (r *Replica) join() {
-	for _, address := range r.others(append(slices.Clone(r.options.Bootstrap), r.options.Join...)) {
+	for _, address := range r.others(append(slices.Clone(r.options.Bootstrap), *r.joins.Load()...)) {
 		answer, err := r.exchange(address, payloadJoin)
 		if err != nil || answer.address == "" || answer.address == address {
 			continue
--- a/internal/coordination/replica/open.go
+++ b/internal/coordination/replica/open.go
@@ -26,9 +26,11 @@
 //   - outbox of a peer: full means the message is dropped.
 type Replica struct {
 	options Options
-	logger  log.Logger
-	store   *wal.Log
-	id      uint64
+	// joins are the members of Options.Join or SetJoin.
+	joins  atomic.Pointer[[]string]
+	logger log.Logger
+	store  *wal.Log
+	id     uint64
 
 	identityMu sync.Mutex
 	identity   wal.Identity
@@ -142,6 +144,7 @@
 		created:   make(chan raft.State, 1),
 		done:      make(chan struct{}),
 	}
+	r.SetJoin(options.Join)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -146,8 +146,8 @@
 	if !n.dialect.OpaqueRequestID {
 		c.headers = append(c.headers, &wire.Header{Name: proto.String(n.dialect.RequestID), Values: []string{c.id.String()}})
 	}
-	if n.dialect.CallerService != "" && n.settings.Service != "" {
-		c.headers = append(c.headers, &wire.Header{Name: proto.String(n.dialect.CallerService), Values: []string{n.settings.Service}})
+	if service := n.live.Load().Service; n.dialect.CallerService != "" && service != "" {
+		c.headers = append(c.headers, &wire.Header{Name: proto.String(n.dialect.CallerService), Values: []string{service}})
 	}
 }
 
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -105,6 +105,7 @@
 		hosts: map[string]string{"host": "drafts"},
 	}
 	n := &Node{settings: &settings.Node{}, dialect: httpapi.DefaultDialect(), splits: newSplits()}
+	n.live.Store(n.settings)
 	f.Fuzz(func(t *testing.T, timeout, depth, key, host, id, value string) {
 		r := httptest.NewRequest(http.MethodPost, "/svc/drafts/x?y", nil)
 		r.Host = host
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
@@ -16,6 +17,9 @@
 	maxLocalBodyBytes = 64 << 10
 	// maxColdMs bounds the cold start that an upstream may announce.
 	maxColdMs = 60 * 60 * 1000
+	// confirmWait bounds the wait for control's word on an upstream whose start this node
+	// has not seen; without control the upstream is used.
+	confirmWait = 2 * time.Second
 )
 
 // localRoutes serves the upstream beside this node: announcements, and its calls
@@ -58,6 +62,10 @@
 		return nil
 	}
 	n.upstream.setWarmup(a.Service, n.directory.view().doc.Services[a.Service].WarmupPerSecond)
+	if former == nil || former.StartID != a.StartID {
+		n.announcedAt.Store(n.directory.sequence.Load() + 1)
+		time.AfterFunc(confirmWait, n.upstream.confirm)
+	}
 	if former == nil || former.StartID != a.StartID || former.Leaving != a.Leaving {
 		n.directory.notify()
 		_ = level.Info(n.logger).Log("msg", "upstream announced", "service", a.Service, "instance", a.Instance,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,8 +50,11 @@
 // Node is one node.
 type Node struct {
 	settings *settings.Node
-	options  Options
-	dialect  *httpapi.Dialect
+	// live holds the settings that Reload may change.
+	live         atomic.Pointer[settings.Node]
+	subscription *distribute.Client
+	options      Options
+	dialect      *httpapi.Dialect
 	// ownHeaders and upstreamHeaders are those of the dialect that are not passed on.
 	ownHeaders      map[string]bool
 	upstreamHeaders map[string]bool
@@ -65,6 +68,8 @@
 	freeze          freezeGuard
 	splits          splits
 	stopping        atomic.Bool
+	// announcedAt is the first sequence of heartbeats that tell of the announced start.
+	announcedAt atomic.Uint64
 	// lastAttempt is the time of the last attempt of an entry in Unix nanoseconds.
 	lastAttempt atomic.Int64
 	client      *mesh.Client
@@ -105,6 +110,8 @@
 		metrics:         newNodeMetrics(),
 		client:          mesh.NewClient(config),
 	}
+	n.live.Store(s)
+	n.subscription = distribute.NewClient(s.ID, s.Control, n.dialControl, (*controlSink)(n), n.logger)
 	n.directory.fetch = n.fetchRevision
 	n.peers = newPeers(s.Zone, func(instance string) {
 		n.metrics.ejections.Inc()
@@ -187,23 +194,32 @@
 }
 
 func (n *Node) runControl(ctx context.Context) {
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return n.client.Open(ctx, address, mesh.Control)
-	}
-	distribute.NewClient(n.settings.ID, n.settings.Control, dial, (*controlSink)(n), n.logger).Run(ctx)
+	n.subscription.Run(ctx)
+}
+
+func (n *Node) dialControl(ctx context.Context, address string) (net.Conn, error) {
+	return n.client.Open(ctx, address, mesh.Control)
+}
+
+// Reload takes the settings of control members, service and stop times. Other settings
+// need a restart; the result names those that differ.
+func (n *Node) Reload(s *settings.Node) []string {
+	n.subscription.SetMembers(s.Control)
+	n.live.Store(s)
+	return n.settings.FixedDifferences(s)
 }
 
 // stop refuses new work for the upstream, finishes accepted requests of callers and of
 // other entries, and closes everything. Entries learn of the stop from refusals and
 // from control, which leave tells over connections that are still open.
 func (n *Node) stop(leave func(), entry *callerhttp.Server, local, admin *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.StopTimeoutMs)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.live.Load().StopTimeoutMs)*time.Millisecond)
 	defer cancel()
 	n.stopping.Store(true)
 	n.upstream.gate.Stop()
 	n.directory.notify()
 	entry.Drain()
-	sleep(ctx, time.Duration(n.settings.StopDelayMs)*time.Millisecond)
+	sleep(ctx, time.Duration(n.live.Load().StopDelayMs)*time.Millisecond)
 	_ = n.entryListener.Close()
 	first := errors.Wrap(entry.Shutdown(ctx), "node: finish callers' requests")
 	leave()
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -1,15 +1,40 @@
 package node
 
-import "github.com/chicorylever/chicorylever/internal/protocol/wire"
+import (
+	"github.com/go-kit/log/level"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
 
 // controlSink connects a node to its subscription at control.
 type controlSink Node
 
 // Apply takes a state from control.
-func (s *controlSink) Apply(state *wire.StateFull) { s.directory.apply(state) }
+func (s *controlSink) Apply(state *wire.StateFull) {
+	s.directory.apply(state)
+	s.learnDeparture(state.GetInstances())
+}
 
 // ApplyDiff takes a difference from control.
-func (s *controlSink) ApplyDiff(diff *wire.StateDiff) bool { return s.directory.applyDiff(diff) }
+func (s *controlSink) ApplyDiff(diff *wire.StateDiff) bool {
+	followed := s.directory.applyDiff(diff)
+	s.learnDeparture(diff.GetChanged())
+	return followed
+}
+
+// learnDeparture takes no more work for the upstream beside the node when control knows
+// that it leaves. A node that was restarted has forgotten it.
+func (s *controlSink) learnDeparture(instances []*wire.Instance) {
+	a := s.upstream.announced()
+	if a == nil {
+		return
+	}
+	for _, instance := range instances {
+		if instance.GetDeparting() && instance.GetId() == a.Instance && s.upstream.leave(instance.GetStartId()) {
+			_ = level.Debug(s.logger).Log("msg", "control knows that the upstream leaves", "instance", a.Instance)
+		}
+	}
+}
 
 // Revision returns the revision in force.
 func (s *controlSink) Revision() uint64 { return s.directory.view().revision }
@@ -27,8 +52,13 @@
 	}
 }
 
-// Acknowledged is called when control has taken a heartbeat.
-func (s *controlSink) Acknowledged(uint64) {}
+// Acknowledged is called when control has taken a heartbeat. What control knows of the
+// upstream of that heartbeat has arrived before.
+func (s *controlSink) Acknowledged(sequence uint64) {
+	if sequence >= s.announcedAt.Load() {
+		s.upstream.confirm()
+	}
+}
 
 // Services returns the services that the node has been asked for.
 func (s *controlSink) Services() []string { return s.directory.wantedServices() }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -26,10 +26,15 @@
 	version      uint64
 	listed       wire.InstanceState // state in the last registry entry
 	zoneOut      bool
-	warmup       float64 // requests a second that a cold upstream bears
-	slowdown     uint32
-	ownLoad      int
-	ownLoadAt    time.Time
+	// departing is set once the upstream has said that it leaves.
+	departing bool
+	// unconfirmed is set while control has not yet told whether an upstream whose start
+	// this node has not seen is departing.
+	unconfirmed bool
+	warmup      float64 // requests a second that a cold upstream bears
+	slowdown    uint32
+	ownLoad     int
+	ownLoadAt   time.Time
 }
 
 func newUpstream(dialect *httpapi.Dialect) *upstream {
@@ -75,8 +80,12 @@
 	}
 	u.gate.Start(a.StartID, slots)
 	u.gate.SetWarmup(u.warmup, time.Now().Add(time.Duration(a.ColdMs)*time.Millisecond))
+	if old == nil || old.StartID != a.StartID {
+		u.departing = false
+		u.unconfirmed = a.Sequence > 1
+	}
 	if a.Leaving {
-		u.gate.SetLeaving(true)
+		u.depart()
 	}
 	if old == nil || old.StartID != a.StartID || old.Address != a.Address || old.Slots != a.Slots {
 		u.version++
@@ -122,11 +131,26 @@
 	if !u.isStart(startID) {
 		return false
 	}
-	u.gate.SetLeaving(true)
-	u.version++
+	u.depart()
 	return true
 }
 
+// depart takes no new work for the start that is announced.
+func (u *upstream) depart() {
+	u.gate.SetLeaving(true)
+	if !u.departing {
+		u.version++
+	}
+	u.departing = true
+}
+
+// confirm ends the wait for what control knows of an upstream's departure.
+func (u *upstream) confirm() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.unconfirmed = false
+}
+
 // setLoad takes the upstream's own report of its load.
 func (u *upstream) setLoad(startID string, inFlight int) bool {
 	u.mu.Lock()
@@ -195,6 +219,8 @@
 	switch {
 	case u.announcement == nil:
 		return nil, wire.RefusalReason_REFUSAL_NO_UPSTREAM
+	case u.unconfirmed:
+		return nil, wire.RefusalReason_REFUSAL_NO_UPSTREAM
 	case u.announcement.Instance != instance || u.announcement.Service != service:
 		return nil, wire.RefusalReason_REFUSAL_WRONG_INSTANCE
 	}
@@ -226,5 +252,6 @@
 		NodeId:      nodeID,
 		NodeStart:   nodeStart,
 		Version:     u.version,
+		Departing:   u.departing,
 	}
 }
--- a/internal/program/daemons.go
+++ b/internal/program/daemons.go
@@ -33,6 +33,15 @@
 		if err != nil {
 			return err
 		}
+		watchCtx, stop := context.WithCancel(ctx)
+		defer stop()
+		go watchSettings(watchCtx, path, logger, func() ([]string, error) {
+			next, err := settings.LoadNode(path)
+			if err != nil {
+				return nil, err
+			}
+			return n.Reload(next), nil
+		})
 		return n.Run(ctx)
 	}
 }
@@ -59,6 +68,15 @@
 		if err != nil {
 			return err
 		}
+		watchCtx, stop := context.WithCancel(ctx)
+		defer stop()
+		go watchSettings(watchCtx, path, logger, func() ([]string, error) {
+			next, err := settings.LoadControl(path)
+			if err != nil {
+				return nil, err
+			}
+			return c.Reload(next), nil
+		})
 		return c.Run(ctx)
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -41,6 +41,8 @@
 // stop. The exit code is 0 after a graceful stop, 2 for invalid settings or usage, 1
 // for other errors.
 func Run(command *cli.Command) {
+	// A hangup before the settings are watched must not end the program.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	action, started := command.Action, false
 	command.Action = func(ctx context.Context, command *cli.Command) error {
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -36,6 +36,8 @@
 	// API is served over TLS.
 	APITLSCert string `json:"api_tls_cert,omitempty"`
 	APITLSKey  string `json:"api_tls_key,omitempty"`
+	// StopTimeoutMs bounds a graceful stop; default 10000.
+	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -50,6 +52,9 @@
 	if s.MeshAddress == "" {
 		s.MeshAddress = s.MeshListen
 	}
+	if s.StopTimeoutMs == 0 {
+		s.StopTimeoutMs = 10000
+	}
 	s.Bootstrap = withPort(s.Bootstrap, s.MemberPort)
 	s.Join = withPort(s.Join, s.MemberPort)
 	if s.LogLevel == "" {
@@ -66,6 +71,7 @@
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("api_listen", s.APIListen),
 		checkNotNegative("member_port", s.MemberPort),
+		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
 		s.checkMembers(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		s.checkAPITLS(),
@@ -89,3 +95,14 @@
 	}
 	return checkAddresses("join", s.Join)
 }
+
+// FixedDifferences names the settings that differ from next and need a restart.
+func (s *Control) FixedDifferences(next *Control) []string {
+	fixed := func(c *Control) Control {
+		copied := *c
+		copied.Bootstrap, copied.Join, copied.BootstrapDocument, copied.MemberPort = nil, nil, "", 0
+		copied.StopTimeoutMs = 0
+		return copied
+	}
+	return differences(fixed(s), fixed(next))
+}
--- /dev/null
+++ b/internal/settings/difference.go
@@ -0,0 +1,21 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+)
+
+// differences returns the JSON names of the fields in which two settings of one type
+// differ.
+func differences(a, b any) []string {
+	var names []string
+	left, right := reflect.ValueOf(a), reflect.ValueOf(b)
+	for i := range left.NumField() {
+		if reflect.DeepEqual(left.Field(i).Interface(), right.Field(i).Interface()) {
+			continue
+		}
+		name, _, _ := strings.Cut(left.Type().Field(i).Tag.Get("json"), ",")
+		names = append(names, name)
+	}
+	return names
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -88,3 +88,14 @@
 	}
 	return checkLoopback("local_listen", s.LocalListen)
 }
+
+// FixedDifferences names the settings that differ from next and need a restart.
+func (s *Node) FixedDifferences(next *Node) []string {
+	fixed := func(n *Node) Node {
+		copied := *n
+		copied.Control, copied.ControlPort = nil, 0
+		copied.Service, copied.StopDelayMs, copied.StopTimeoutMs = "", 0, 0
+		return copied
+	}
+	return differences(fixed(s), fixed(next))
+}
