Ask the nodes beside upstreams for quotes before each attempt

Upstreams on shared VMs work up to four times slower for about 300 ms at a time; an entry hears of one upstream less than once a second, so that it sent a third of its work to upstreams that were slow at that moment.

Change: for each attempt the entry asks up to four nodes by datagram how their upstream is now (load, slowdown, mean work) and takes the shortest expected time. A node looks at its upstream's health path when its last report is older than 40 ms, within the measurement budget. A refused connection closes the upstream for 300 ms and makes it count as cold until it announces itself. Half-closing works through the accept limit, which lost early responses to long uploads.

--- /dev/null
+++ b/internal/coordination/balance/quote.go
@@ -0,0 +1,118 @@
+package balance
+
+import "time"
+
+const (
+	// slowdownPersistence is how long a slowdown of a VM lasts on average. Work that
+	// takes longer goes on at the usual speed after it.
+	slowdownPersistence = 200 * time.Millisecond
+	// unknownSlowdown is assumed of an upstream that does not tell its speed.
+	unknownSlowdown = 1.5
+	// coldFactor is how much longer work takes at a cold upstream.
+	coldFactor = 2.0
+	// crowdingCost times the work is the price of the last free slot. It spreads work
+	// over upstreams that could all start it at once.
+	crowdingCost = 0.2
+)
+
+// Quote is what the node beside an upstream says of it at this moment.
+type Quote struct {
+	// Open is set when the upstream takes new work.
+	Open bool
+	// Running, Queued and Limit count the requests that are admitted and waiting, and
+	// those that may run at once.
+	Running, Queued, Limit int
+	// Slowdown is how long work takes now compared to the usual, 0 when unknown.
+	Slowdown float64
+	// Work is the mean time of a request at the usual speed, 0 when unknown.
+	Work time.Duration
+	Cold bool
+	// Path is the time to and from the upstream.
+	Path time.Duration
+}
+
+// Expected estimates the time until the response to a request that is sent now. The
+// work is that of the service where the upstream's own is unknown.
+func (q *Quote) Expected(work time.Duration) time.Duration {
+	if q.Work > 0 {
+		work = q.Work
+	}
+	if q.Cold {
+		work = time.Duration(coldFactor * float64(work))
+	}
+	total := q.Path + q.stretched(work)
+	if q.Limit <= 0 {
+		return total
+	}
+	if ahead := q.Running + q.Queued - q.Limit; ahead >= 0 {
+		return total + q.stretched(work)*time.Duration(ahead+1)/time.Duration(q.Limit)
+	}
+	return total + time.Duration(crowdingCost*float64(work)*float64(q.Running)/float64(q.Limit))
+}
+
+// IsIdeal reports whether no other upstream can be expected to be much faster.
+func (q *Quote) IsIdeal() bool {
+	return q.Open && !q.Cold && q.Slowdown > 0 && q.Slowdown <= 1 && 2*(q.Running+q.Queued) < q.Limit
+}
+
+// stretched returns the time that work takes under the slowdown, which ends before
+// long work does.
+func (q *Quote) stretched(work time.Duration) time.Duration {
+	slowdown := q.Slowdown
+	if slowdown == 0 {
+		slowdown = unknownSlowdown
+	}
+	slow := time.Duration(slowdown * float64(work))
+	if slow <= slowdownPersistence || slowdown <= 1 {
+		return slow
+	}
+	done := time.Duration(float64(slowdownPersistence) / slowdown)
+	return slowdownPersistence + work - done
+}
+
+// Best returns the index of the open quote with the shortest expected time, or -1. A
+// nil quote is one that did not arrive.
+func Best(quotes []*Quote, work time.Duration) int {
+	best, shortest := -1, time.Duration(0)
+	for i, quote := range quotes {
+		if quote == nil || !quote.Open {
+			continue
+		}
+		if expected := quote.Expected(work); best < 0 || expected < shortest {
+			best, shortest = i, expected
+		}
+	}
+	return best
+}
+
+// Sample returns the indexes of up to count candidates that are worth asking for a
+// quote, the first one from the entry's zone. A single index is to be used without
+// asking. The chosen candidate is passed to Chosen.
+func (p *Policy) Sample(now time.Time, service string, candidates []Candidate, tried map[string]bool, count int) []int {
+	state := p.service(service)
+	state.size = len(candidates)
+	p.collect(candidates, tried)
+	if chosen := p.chooseCold(now, state, candidates); chosen >= 0 {
+		return []int{chosen}
+	}
+	var sample []int
+	for _, from := range []*pool{&p.eligible, &p.cold} {
+		for len(from.indexes) > 0 && len(sample) < count {
+			i := from.draw(p.random, len(sample) == 0)
+			t := p.track(state, candidates[i].ID)
+			if t.closed(now) || candidates[i].State == StateEjected || !t.accepts(now, p.random) {
+				continue
+			}
+			sample = append(sample, i)
+		}
+	}
+	return sample
+}
+
+// Chosen records that a request is sent to a candidate of a sample. It is followed by
+// one Observe.
+func (p *Policy) Chosen(c *Candidate) {
+	if t, known := p.tracks[c.ID]; known {
+		t.sent(c)
+	}
+}
--- /dev/null
+++ b/internal/coordination/balance/quote_test.go
@@ -0,0 +1,152 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+)
+
+// The load of noisy neighbours: upstreams on shared VMs whose speed changes several
+// times a second, with work that takes about as long as a slowdown lasts.
+const (
+	noisyStep      = time.Millisecond
+	noisyLength    = 60 * time.Second
+	noisyUpstreams = 5
+	noisyLimit     = 4
+	noisyShare     = 0.35
+	noisySlowdown  = 4.0
+	noisyChange    = 300 * time.Millisecond
+	noisyWork      = 160 * time.Millisecond
+	noisyAim       = 500 * time.Millisecond
+	noisyPerSecond = 40.0
+)
+
+type noisyRequest struct {
+	arrived time.Duration
+	left    float64 // work in seconds at the usual speed
+}
+
+type noisyUpstream struct {
+	slowdown float64
+	running  []noisyRequest
+	queue    []noisyRequest
+}
+
+func (u *noisyUpstream) step(random *rand.Rand, now time.Duration, finished func(noisyRequest)) {
+	if random.Float64() < noisyStep.Seconds()/noisyChange.Seconds() {
+		u.slowdown = 1
+		if random.Float64() < noisyShare {
+			u.slowdown = noisySlowdown
+		}
+	}
+	kept := u.running[:0]
+	for _, r := range u.running {
+		r.left -= noisyStep.Seconds() / u.slowdown
+		if r.left > 0 {
+			kept = append(kept, r)
+		} else {
+			r.arrived = now - r.arrived
+			finished(r)
+		}
+	}
+	u.running = kept
+	for len(u.queue) > 0 && len(u.running) < noisyLimit {
+		u.running = append(u.running, u.queue[0])
+		u.queue = u.queue[1:]
+	}
+}
+
+// lateShare runs the load and returns the share of requests that miss the aim.
+func lateShare(seed uint64, choose func(random *rand.Rand, upstreams []*noisyUpstream) int) float64 {
+	random := rand.New(rand.NewPCG(seed, 7))
+	upstreams := make([]*noisyUpstream, noisyUpstreams)
+	for i := range upstreams {
+		upstreams[i] = &noisyUpstream{slowdown: 1}
+	}
+	late, all := 0, 0
+	for now := time.Duration(0); now < noisyLength; now += noisyStep {
+		for _, u := range upstreams {
+			u.step(random, now, func(r noisyRequest) {
+				all++
+				if r.arrived > noisyAim {
+					late++
+				}
+			})
+		}
+		if random.Float64() < noisyPerSecond*noisyStep.Seconds() {
+			r := noisyRequest{arrived: now, left: noisyWork.Seconds() * (0.5 + random.Float64())}
+			u := upstreams[choose(random, upstreams)]
+			u.queue = append(u.queue, r)
+		}
+	}
+	return float64(late) / float64(all)
+}
+
+func quoteOf(u *noisyUpstream) *balance.Quote {
+	return &balance.Quote{
+		Open: true, Running: len(u.running), Queued: len(u.queue), Limit: noisyLimit, Work: noisyWork, Slowdown: u.slowdown,
+	}
+}
+
+// TestNoisyNeighbours guards against sending work to upstreams that are slow at this
+// moment. Quotes must miss the aim at most half as often as the less loaded of two
+// random upstreams, which is what an entry chooses that knows the load but not the speed.
+func TestNoisyNeighbours(t *testing.T) {
+	ofTwo := func(random *rand.Rand, upstreams []*noisyUpstream) int {
+		i, k := random.IntN(len(upstreams)), random.IntN(len(upstreams))
+		if len(upstreams[i].running)+len(upstreams[i].queue) <= len(upstreams[k].running)+len(upstreams[k].queue) {
+			return i
+		}
+		return k
+	}
+	quoted := func(_ *rand.Rand, upstreams []*noisyUpstream) int {
+		quotes := make([]*balance.Quote, len(upstreams))
+		for i, u := range upstreams {
+			quotes[i] = quoteOf(u)
+		}
+		return balance.Best(quotes, noisyWork)
+	}
+	for seed := range uint64(3) {
+		byLoad, byQuote := lateShare(seed, ofTwo), lateShare(seed, quoted)
+		t.Logf("seed %d: late by load %.3f, by quote %.3f", seed, byLoad, byQuote)
+		assert.Assert(t, byQuote < byLoad/2, "late by load %.3f, by quote %.3f", byLoad, byQuote)
+	}
+}
+
+// TestExpectedGrows guards against an estimate that prefers the slower, fuller, colder
+// or farther of two upstreams.
+func TestExpectedGrows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 16).Draw(t, "limit")
+		q := balance.Quote{
+			Open: true, Limit: limit, Running: rapid.IntRange(0, limit).Draw(t, "running"),
+			Slowdown: float64(rapid.IntRange(100, 800).Draw(t, "slowdown")) / 100,
+			Work:     time.Duration(rapid.IntRange(1, 2000).Draw(t, "work")) * time.Millisecond,
+		}
+		expected := q.Expected(time.Second)
+		worse := []balance.Quote{q, q, q, q}
+		worse[0].Slowdown *= 1.5
+		worse[1].Queued++
+		worse[2].Cold = true
+		worse[3].Path += time.Millisecond
+		for i := range worse {
+			assert.Assert(t, worse[i].Expected(time.Second) >= expected, "%d", i)
+		}
+	})
+}
+
+// TestBestQuote guards against choosing an upstream that takes no work or did not answer.
+func TestBestQuote(t *testing.T) {
+	closed := &balance.Quote{}
+	slow := &balance.Quote{Open: true, Limit: 4, Slowdown: 4}
+	fast := &balance.Quote{Open: true, Limit: 4, Slowdown: 1}
+	assert.Equal(t, balance.Best([]*balance.Quote{nil, closed, slow, fast}, time.Second), 3)
+	assert.Equal(t, balance.Best([]*balance.Quote{nil, closed}, time.Second), -1)
+	assert.Equal(t, balance.Best(nil, time.Second), -1)
+	assert.Assert(t, fast.IsIdeal() && !slow.IsIdeal() && !closed.IsIdeal())
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -128,7 +128,15 @@
 
 // syncMeasuring applies the measurement budget of the upstream's service.
 func (n *Node) syncMeasuring() {
-	if a := n.upstream.announced(); a != nil {
-		n.upstream.measure.SetRate(time.Now(), n.directory.view().doc.Services[a.Service].Measuring.PerSecond)
+	a := n.upstream.announced()
+	if a == nil {
+		return
 	}
+	service := n.directory.view().doc.Services[a.Service]
+	rate := service.Measuring.PerSecond
+	if rate == 0 && service.HealthPath != "" {
+		rate = defaultMeasuring
+	}
+	n.upstream.measure.SetRate(time.Now(), rate)
+	n.upstream.setWarmup(a.Service, service.WarmupPerSecond)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -87,12 +87,12 @@
 	var fallback attemptResult
 	failure := attemptResult{reason: wire.RefusalReason_REFUSAL_NO_UPSTREAM}
 	for number := 1; ; number++ {
-		instance, _, ok := n.peers.pick(c.view, c.service, tried)
+		instance, _, ok := n.place(ctx, c.view, c.service, tried)
 		if !ok && failure.isBroken() {
 			// All instances were tried. The last one, whose connection went silent or
 			// broke, may answer on a new one; only repeatable requests get here.
 			tried = nil
-			instance, _, ok = n.peers.pick(c.view, c.service, tried)
+			instance, _, ok = n.place(ctx, c.view, c.service, tried)
 		}
 		if !ok {
 			break
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -99,7 +99,7 @@
 		// The upstream works; this request is slow by itself and would be elsewhere.
 		return attemptResult{}
 	}
-	instance, candidate, ok := n.peers.pick(c.view, c.service, map[string]bool{h.primary.GetId(): true})
+	instance, candidate, ok := n.place(h.secondary, c.view, c.service, map[string]bool{h.primary.GetId(): true})
 	if !ok {
 		return attemptResult{}
 	}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -92,6 +92,15 @@
 	once     sync.Once
 }
 
+// CloseWrite closes the sending side, so that a response is not lost to a reset.
+func (c *limitedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 // Close frees the connection's place.
 func (c *limitedConn) Close() error {
 	c.once.Do(func() { <-c.listener.places })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/transport/callerhttp"
+	"github.com/chicorylever/chicorylever/internal/transport/datagram"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -73,7 +74,10 @@
 	// lastAttempt is the time of the last attempt of an entry in Unix nanoseconds.
 	lastAttempt atomic.Int64
 	client      *mesh.Client
-	server      *mesh.Server
+	// quotes asks and answers for the state of upstreams; nil with TLS, since datagrams
+	// are not authenticated.
+	quotes *datagram.Peer
+	server *mesh.Server
 	// local counts attempts that skip the mesh hop.
 	local sync.WaitGroup
 
@@ -120,7 +124,24 @@
 	n.settler = newSettler(newMeshClaimer(n.client, s.Control))
 	n.server = mesh.NewServer(config, n.serveStream)
 	n.registerGauges()
-	return n, n.listen()
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	if config.TLS == nil {
+		n.listenQuotes()
+	}
+	return n, nil
+}
+
+// listenQuotes opens the socket for quotes. Without it the node chooses by what
+// responses tell.
+func (n *Node) listenQuotes() {
+	quotes, err := datagram.Listen(n.meshListener.Addr().String())
+	if err != nil {
+		_ = level.Warn(n.logger).Log("msg", "no quotes are exchanged", "err", err)
+		return
+	}
+	n.quotes = quotes
 }
 
 func (n *Node) listen() error {
@@ -180,6 +201,9 @@
 		n.runControl(controlCtx)
 		return nil
 	})
+	if n.quotes != nil {
+		group.Go(func() error { n.quotes.Serve(n.answerQuote); return nil })
+	}
 	group.Go(func() error { n.watchState(lateCtx); return nil })
 	group.Go(func() error { n.freeze.run(lateCtx); return nil })
 	group.Go(func() error {
@@ -234,6 +258,9 @@
 	}
 	n.settler.close(ctx)
 	n.closeListeners()
+	if n.quotes != nil {
+		n.quotes.Close()
+	}
 	n.server.Close()
 	n.client.Close()
 	n.local.Wait()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -98,6 +98,35 @@
 	return candidate
 }
 
+// sample returns candidates that are worth asking for a quote; see balance.Policy.Sample.
+func (p *peers) sample(v *view, service string, tried map[string]bool) []asked {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	instances := v.services[service]
+	p.candidates = p.candidates[:0]
+	for _, instance := range instances {
+		p.candidates = append(p.candidates, p.candidateLocked(now, v.doc, instance))
+	}
+	indexes := p.picker.Sample(now, service, p.candidates, tried, quoteCount)
+	sample := make([]asked, 0, len(indexes))
+	for _, i := range indexes {
+		sample = append(sample, asked{instance: instances[i], candidate: p.candidates[i]})
+	}
+	return sample
+}
+
+// commit counts an attempt in flight to a candidate of a sample. It is followed by one
+// done.
+func (p *peers) commit(chosen *asked) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.picker.Chosen(&chosen.candidate)
+	if state, known := p.states[chosen.candidate.ID]; known {
+		state.inFlight++
+	}
+}
+
 // done ends an attempt. The load is nil when the attempt brought none.
 func (p *peers) done(instance *wire.Instance, outcome balance.Outcome, load *wire.LoadReport) {
 	p.mu.Lock()
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -49,6 +49,8 @@
 
 	state        atomic.Int32
 	dispatchedAt time.Time
+	// slowdown of the upstream at dispatch in percent, 0 when unknown.
+	slowdown uint32
 	// watch reads the stream of an attempt that came over the mesh with a held body.
 	watch *attemptWatch
 	// isEnded is set when the last message was sent to an entry that had sent nothing
@@ -167,6 +169,7 @@
 		return errCallerGone
 	}
 	r.dispatchedAt = now
+	r.slowdown = r.node.upstream.slowdownNow()
 	r.state.Store(int32(stateDispatched))
 	return nil
 }
@@ -227,6 +230,9 @@
 // fail ends an attempt that got no response head.
 func (r *received) fail(ctx context.Context, err error) admission.Outcome {
 	r.settleClaim(nil)
+	if errors.Is(err, egress.ErrUnreachable) && ctx.Err() == nil {
+		r.node.upstream.unreachable(r.pool)
+	}
 	outcome := admission.Outcome{Result: r.failureResult(ctx, err)}
 	if r.isDispatched() {
 		outcome.ServiceTime = time.Since(r.dispatchedAt)
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -35,6 +35,13 @@
 	slowdown    uint32
 	ownLoad     int
 	ownLoadAt   time.Time
+	// work is the mean time of a request in seconds at the usual speed.
+	work float64
+	// unreachableAt is the time of the last refused connection.
+	unreachableAt time.Time
+	// probing is set during a look at the upstream; waiting is called after it.
+	probing bool
+	waiting []func()
 }
 
 func newUpstream(dialect *httpapi.Dialect) *upstream {
@@ -72,7 +79,7 @@
 		u.pool = u.newPool(a)
 	}
 	if old == nil || old.StartID != a.StartID {
-		u.ownLoad = 0
+		u.ownLoad, u.ownLoadAt, u.work, u.unreachableAt = 0, time.Time{}, 0, time.Time{}
 	}
 	slots := a.Slots
 	if a.Connections > 0 {
@@ -202,6 +209,7 @@
 	if time.Since(u.ownLoadAt) < ownLoadAge {
 		report.SlowdownPercent = u.slowdown
 	}
+	report.WorkUs = uint64(u.work * float64(time.Second/time.Microsecond))
 	if own := u.ownLoad; own > int(report.GetInFlight()) && time.Since(u.ownLoadAt) < ownLoadAge {
 		report.InFlight = uint32(min(own, maxReportedLoad)) //nolint:gosec // bounded
 	}
--- a/internal/transport/callerhttp/conn.go
+++ b/internal/transport/callerhttp/conn.go
@@ -209,8 +209,10 @@
 		return
 	}
 	if c.closing {
+		// This wakes the reader. It goes first, because the end of the connection sets a
+		// deadline of its own.
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 		close(c.answered)
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0)) // wakes the reader
 		return
 	}
 	if c.inRequest {
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -286,3 +286,17 @@
 	_, err := reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// TestEarlyAnswerToLongBody guards against a reset that loses the response to a caller
+// that is still sending its body.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	_, address := start(t, Limits{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	for range 20 {
+		response, err := http.Post("http://"+address+"/", "text/plain", strings.NewReader(strings.Repeat("x", 9<<20)))
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge)
+	}
+}
