Divide one retry budget between the nodes, calls first; collect garbage at half of the live heap

Now each node keeps its part of ratio and slack, by the number of nodes that control tells. Requests of priority 0, which running requests wait for, may use most of it; other callers return by themselves. Refusals by nodes reach no upstream and cost nothing; at most four nodes are asked.

--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -67,6 +67,8 @@
 	Revision() uint64
 	// Heartbeat returns the node's next heartbeat.
 	Heartbeat() *wire.Heartbeat
+	// Fleet reports the number of nodes that control knows of.
+	Fleet(nodes int)
 	// Acknowledged reports that control has taken the heartbeat.
 	Acknowledged(sequence uint64)
 	// Services returns the services whose upstreams the node needs.
@@ -325,6 +327,7 @@
 		if members := message.GetHeartbeatAck().GetMembers(); len(members) > 0 {
 			s.client.learned = members
 		}
+		s.client.sink.Fleet(int(message.GetHeartbeatAck().GetNodes()))
 		s.client.sink.Acknowledged(message.GetHeartbeatAck().GetSequence())
 		if message.GetHeartbeatAck().GetIsolated() {
 			return s.avoid()
--- a/internal/coordination/distribute/client_test.go
+++ b/internal/coordination/distribute/client_test.go
@@ -25,6 +25,7 @@
 func (s *fakeSink) Apply(*wire.StateFull)          {}
 func (s *fakeSink) ApplyDiff(*wire.StateDiff) bool { return true }
 func (s *fakeSink) Revision() uint64               { return 3 }
+func (s *fakeSink) Fleet(int)                      {}
 func (s *fakeSink) Acknowledged(uint64)            {}
 func (s *fakeSink) Services() []string             { return []string{"drafts"} }
 func (s *fakeSink) Changed() <-chan struct{}       { return s.changed }
--- a/internal/coordination/distribute/scale_test.go
+++ b/internal/coordination/distribute/scale_test.go
@@ -93,6 +93,7 @@
 }
 
 func (n *scaleNode) Revision() uint64         { return n.sections.Revision() }
+func (n *scaleNode) Fleet(int)                {}
 func (n *scaleNode) Acknowledged(uint64)      {}
 func (n *scaleNode) Services() []string       { return n.services }
 func (n *scaleNode) Changed() <-chan struct{} { return n.changed }
--- a/internal/coordination/distribute/subscription.go
+++ b/internal/coordination/distribute/subscription.go
@@ -156,7 +156,12 @@
 	}
 	if d.ackDue {
 		// What the heartbeat changed goes before its acknowledgement.
-		ack := &wire.HeartbeatAck{Sequence: d.ack, Members: s.server.memberAddresses(), Isolated: s.server.isolated.Load()}
+		ack := &wire.HeartbeatAck{
+			Sequence: d.ack,
+			Members:  s.server.memberAddresses(),
+			Isolated: s.server.isolated.Load(),
+			Nodes:    uint32(s.server.registry.Size()), //nolint:gosec // far below 32 bits
+		}
 		if err := s.conn.Send(&wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: ack}}); err != nil {
 			return err
 		}
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -248,6 +248,13 @@
 	return nodes
 }
 
+// Size returns the number of nodes with a lease.
+func (r *Registry) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.leases)
+}
+
 func copyLease(l *wire.Lease) *wire.Lease {
 	return &wire.Lease{
 		NodeId: l.GetNodeId(), NodeStart: l.GetNodeStart(), Sequence: l.GetSequence(),
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 )
 
 // Defaults of Config.
@@ -16,6 +17,8 @@
 	defaultHedgeShare    = 0.02
 	defaultMaxAttempts   = 3
 	defaultMinHedgeDelay = 2 * time.Millisecond
+	// maxRefusals bounds the nodes that may refuse one request.
+	maxRefusals = 4
 )
 
 // Config holds the parameters of a Policy. Zero values take the defaults.
@@ -28,6 +31,11 @@
 	HedgeShare float64
 	// MaxAttempts of one request at this hop, the first included.
 	MaxAttempts int
+	// Total bounds the retries and hedges of all nodes together. When it is set, Share,
+	// Floor and HedgeShare are not used.
+	Total budget.Total
+	// Nodes is the number of nodes that divide Total.
+	Nodes int
 }
 
 func (c Config) withDefaults() Config {
@@ -57,8 +65,18 @@
 	Resendable bool
 	// Retried is set when a hop below already retried (Chicory-Retried).
 	Retried bool
-	// Attempts made so far at this hop, hedges included.
+	// Attempts made so far at this hop, hedges included. With Refused, those that nodes
+	// refused do not count.
 	Attempts int
+	// MaxAttempts replaces that of the policy when it is not 0.
+	MaxAttempts int
+	// Priority of the request's route; 0 is the highest rank.
+	Priority int
+	// Refused is set when no upstream has heard of the attempt. Another one then costs
+	// no upstream anything.
+	Refused bool
+	// Refusals counts such attempts.
+	Refusals int
 	// Remaining time until the deadline.
 	Remaining time.Duration
 }
@@ -101,17 +119,30 @@
 	config  Config
 	retries Budget
 	hedges  Budget
+	// total replaces both budgets when it is not nil.
+	total   *budget.Part
 	latency quantile
 }
 
 // New returns a policy for one service.
 func New(now time.Time, config Config) *Policy {
 	config = config.withDefaults()
-	return &Policy{
+	p := &Policy{
 		config:  config,
 		retries: NewBudget(now, config.Share, config.Floor),
 		hedges:  NewBudget(now, config.HedgeShare, 0),
 	}
+	if config.Total.IsSet() {
+		p.total = budget.NewPart(now, config.Total, config.Nodes)
+	}
+	return p
+}
+
+// SetNodes takes a new number of nodes that divide the total.
+func (p *Policy) SetNodes(nodes int) {
+	if p.total != nil {
+		p.total.SetNodes(nodes)
+	}
 }
 
 // SetShares changes the budgets after a new configuration.
@@ -123,7 +154,11 @@
 }
 
 // FirstAttempt earns budget; it is called once for each request.
-func (p *Policy) FirstAttempt(now time.Time) {
+func (p *Policy) FirstAttempt(now time.Time, priority int) {
+	if p.total != nil {
+		p.total.Earn(now, budget.RankOf(priority))
+		return
+	}
 	p.retries.Earn(now)
 	p.hedges.Earn(now)
 }
@@ -138,16 +173,37 @@
 		return VerdictNotResendable
 	case f.Retried:
 		return VerdictRetriedBelow
-	case f.Attempts >= p.config.MaxAttempts:
+	case f.Attempts >= p.maxAttempts(f) || f.Refusals >= maxRefusals:
 		return VerdictAttempts
 	case f.Remaining <= p.latency.median():
 		return VerdictDeadline
-	case !p.retries.Take(now):
+	case !f.Refused && !p.takeRetry(now, f.Priority):
 		return VerdictBudget
 	}
 	return VerdictRetry
 }
 
+func (p *Policy) maxAttempts(f Failure) int {
+	if f.MaxAttempts > 0 {
+		return f.MaxAttempts
+	}
+	return p.config.MaxAttempts
+}
+
+func (p *Policy) takeRetry(now time.Time, priority int) bool {
+	if p.total != nil {
+		return p.total.Take(now, budget.RankOf(priority))
+	}
+	return p.retries.Take(now)
+}
+
+func (p *Policy) takeHedge(now time.Time, priority int) bool {
+	if p.total != nil {
+		return p.total.Take(now, budget.RankOf(priority))
+	}
+	return p.hedges.Take(now)
+}
+
 // ObserveLatency records the latency of a complete response.
 func (p *Policy) ObserveLatency(latency time.Duration) {
 	p.latency.observe(latency)
@@ -162,12 +218,12 @@
 
 // Hedge returns whether an attempt that has been waiting may be duplicated toward
 // the candidate. True takes it from the hedging budget.
-func (p *Policy) Hedge(now time.Time, repeatable bool, waited time.Duration, candidate *balance.Candidate) bool {
+func (p *Policy) Hedge(now time.Time, repeatable bool, priority int, waited time.Duration, candidate *balance.Candidate) bool {
 	delay, known := p.HedgeDelay()
 	if !repeatable || !known || waited < delay || !hedgeable(candidate) {
 		return false
 	}
-	return p.hedges.Take(now)
+	return p.takeHedge(now, priority)
 }
 
 func hedgeable(c *balance.Candidate) bool {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -31,6 +31,8 @@
 	outcome   outcome
 	reason    wire.RefusalReason
 	uploadErr error
+	// declined is set when the upstream itself has answered that it did not run it.
+	declined bool
 	// streamClosed is set when the peer has closed a reused stream without taking the
 	// attempt from it.
 	streamClosed bool
@@ -227,7 +229,7 @@
 func (a *attempt) refusedResult(refusal *wire.Refused) attemptResult {
 	a.learn(refusal.GetLoad(), refusal.GetRevision())
 	a.isEnded = refusal.GetReason() != wire.RefusalReason_REFUSAL_DEADLINE
-	result := attemptResult{outcome: outcomeUnknown, reason: refusal.GetReason()}
+	result := attemptResult{outcome: outcomeUnknown, reason: refusal.GetReason(), declined: refusal.GetDeclined()}
 	if refusal.GetNotRun() {
 		result.outcome = outcomeNotRun
 	}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
@@ -68,6 +69,11 @@
 	// uploading is set once rest may have been read; the body can't be sent again.
 	uploading bool
 	retries   int
+	// sent counts the attempts that reached an upstream, refusals those that a node
+	// refused.
+	sent, refusals int
+	// hedged is set once a second attempt has been sent beside the first.
+	hedged atomic.Bool
 	// stopsRetries is set when callers above must not retry either.
 	stopsRetries bool
 	// status of the response that was passed on.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -80,7 +80,7 @@
 
 // serveCall tries instances until one answers or no other may be tried.
 func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callResult {
-	hedgeAfter := n.peers.firstAttempt(c.service, c.limits)
+	hedgeAfter := n.peers.firstAttempt(c.service, c.priority(), c.limits)
 	var tried map[string]bool
 	// fallback is an error response of an upstream that is passed on when no other
 	// instance gives a better one.
@@ -183,15 +183,36 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	verdict := n.peers.decideRetry(c.service, c.limits, retry.Failure{
+	verdict := n.peers.decideRetry(c.service, c.limits, c.failure(result, number))
+	c.stopsRetries = verdict != retry.VerdictRetry && verdict.StopsRetriesAbove(number)
+	return verdict == retry.VerdictRetry
+}
+
+// failure describes an attempt for the decision on another one. The attempts of a route
+// are those that reached an upstream.
+func (c *call) failure(result attemptResult, number int) retry.Failure {
+	failure := retry.Failure{
 		NotRun:     result.outcome == outcomeNotRun,
 		Repeatable: c.isRepeatable(),
 		Resendable: !c.uploading,
 		Attempts:   number,
 		Remaining:  time.Until(c.deadline),
-	})
-	c.stopsRetries = verdict != retry.VerdictRetry && verdict.StopsRetriesAbove(number)
-	return verdict == retry.VerdictRetry
+		Priority:   c.priority(),
+	}
+	if c.route == nil {
+		return failure
+	}
+	if failure.NotRun && !result.declined {
+		failure.Refused = true
+		c.refusals++
+	} else {
+		c.sent++
+	}
+	failure.Attempts, failure.MaxAttempts, failure.Refusals = c.sent, c.route.MaxAttempts, c.refusals
+	if c.hedged.Load() {
+		failure.Attempts++
+	}
+	return failure
 }
 
 // writeFailure answers a call that got no response.
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -103,10 +103,11 @@
 	if !ok {
 		return attemptResult{}
 	}
-	if !n.peers.mayHedge(c.service, c.limits, time.Since(c.started), &candidate) {
+	if !n.peers.mayHedge(c.service, c.priority(), c.limits, time.Since(c.started), &candidate) {
 		n.peers.done(instance, balance.Outcome{Result: balance.ResultCancelled}, nil)
 		return attemptResult{}
 	}
 	n.metrics.hedges.Inc()
+	c.hedged.Store(true)
 	return n.attempt(h.secondary, c, instance, 1)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -117,7 +118,8 @@
 	n.live.Store(s)
 	n.subscription = distribute.NewClient(s.ID, s.Control, n.dialControl, (*controlSink)(n), n.logger)
 	n.directory.fetch = n.fetchRevision
-	n.peers = newPeers(s.Zone, func(instance string) {
+	total := budget.Total{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: time.Duration(s.RetryWindowS * float64(time.Second))}
+	n.peers = newPeers(s.Zone, total, func(instance string) {
 		n.metrics.ejections.Inc()
 		_ = level.Warn(n.logger).Log("msg", "instance ejected", "instance", instance)
 	})
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,11 +6,15 @@
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
+// assumedNodes divide the retry budget while control has told no number.
+const assumedNodes = 100
+
 // reportTrust is the age up to which the state in a load report counts more than
 // the state in the registry.
 const reportTrust = 5 * time.Second
@@ -18,9 +22,12 @@
 // peers is what this entry knows about the instances it sends to. Its methods are
 // safe for concurrent use.
 type peers struct {
-	mu         sync.Mutex
-	picker     *balance.Policy
-	retries    map[string]*retry.Policy
+	mu      sync.Mutex
+	picker  *balance.Policy
+	retries map[string]*retry.Policy
+	// total bounds the retries of all nodes, which are nodes.
+	total      budget.Total
+	nodes      int
 	states     map[string]*peerState
 	candidates []balance.Candidate // reused by pick
 	// onEject is told of each ejection of an instance.
@@ -35,11 +42,13 @@
 	ejected  bool
 }
 
-func newPeers(zone string, onEject func(instance string)) *peers {
+func newPeers(zone string, total budget.Total, onEject func(instance string)) *peers {
 	return &peers{
 		onEject: onEject,
 		picker:  balance.New(balance.Config{Zone: zone}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // no secret
 		retries: map[string]*retry.Policy{},
+		total:   total,
+		nodes:   assumedNodes,
 		states:  map[string]*peerState{},
 	}
 }
@@ -166,10 +175,23 @@
 	}
 }
 
+// setNodes takes the number of nodes that control knows of.
+func (p *peers) setNodes(nodes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if nodes <= 0 || nodes == p.nodes {
+		return
+	}
+	p.nodes = nodes
+	for _, policy := range p.retries {
+		policy.SetNodes(nodes)
+	}
+}
+
 func (p *peers) retryLocked(service string, limits document.Limits) *retry.Policy {
 	policy, ok := p.retries[service]
 	if !ok {
-		policy = retry.New(time.Now(), retry.Config{})
+		policy = retry.New(time.Now(), retry.Config{Total: p.total, Nodes: p.nodes})
 		p.retries[service] = policy
 	}
 	policy.SetShares(limits.RetryShare, limits.HedgeShare)
@@ -178,11 +200,11 @@
 
 // firstAttempt earns budget for retries and hedges. It returns the time after which
 // the attempt may be hedged, 0 when hedging is not possible yet.
-func (p *peers) firstAttempt(service string, limits document.Limits) time.Duration {
+func (p *peers) firstAttempt(service string, priority int, limits document.Limits) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	policy := p.retryLocked(service, limits)
-	policy.FirstAttempt(time.Now())
+	policy.FirstAttempt(time.Now(), priority)
 	delay, _ := policy.HedgeDelay()
 	return delay
 }
@@ -200,10 +222,10 @@
 	return p.picker.HeardSince(instance, since)
 }
 
-func (p *peers) mayHedge(service string, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
+func (p *peers) mayHedge(service string, priority int, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.retryLocked(service, limits).Hedge(time.Now(), true, waited, candidate)
+	return p.retryLocked(service, limits).Hedge(time.Now(), true, priority, waited, candidate)
 }
 
 func (p *peers) observeLatency(service string, latency time.Duration) {
--- a/internal/node/revision_test.go
+++ b/internal/node/revision_test.go
@@ -187,6 +187,7 @@
 }
 
 func (n *directoryNode) Revision() uint64         { return n.directory().view().revision }
+func (n *directoryNode) Fleet(int)                {}
 func (n *directoryNode) Acknowledged(uint64)      {}
 func (n *directoryNode) Services() []string       { return n.directory().wantedServices() }
 func (n *directoryNode) Changed() <-chan struct{} { return n.directory().changed }
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// Fleet takes the number of nodes, which divide the retry budget.
+func (s *controlSink) Fleet(nodes int) { s.peers.setNodes(nodes) }
+
 // Acknowledged is called when control has taken a heartbeat. What control knows of the
 // upstream of that heartbeat has arrived before.
 func (s *controlSink) Acknowledged(sequence uint64) {
--- a/internal/program/daemons.go
+++ b/internal/program/daemons.go
@@ -13,7 +13,7 @@
 const (
 	// gcPercent and memoryLimitBytes trade memory for fewer collections, which are
 	// visible in the latency of calls. A node may use 128 MB.
-	gcPercent        = 400
+	gcPercent        = 50
 	memoryLimitBytes = 96 << 20
 )
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -36,6 +36,13 @@
 	TLSCA   string `json:"tls_ca,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
+	// RetryRatio, RetrySlack and RetryWindowS bound the repeated requests of a service
+	// over all nodes: in any window of RetryWindowS seconds at most RetryRatio times
+	// its requests plus RetrySlack. Each node keeps its part. Without a window the
+	// shares of the document hold at each node.
+	RetryRatio   float64 `json:"retry_ratio,omitempty"`
+	RetrySlack   float64 `json:"retry_slack,omitempty"`
+	RetryWindowS float64 `json:"retry_window_s,omitempty"`
 	// StopDelayMs is the time in milliseconds for which a stopping node still takes
 	// callers' requests while it reports that it is not ready, so that callers turn to
 	// other nodes before it closes; default 0.
@@ -72,6 +79,7 @@
 		s.checkLocal(),
 		checkNotNegative("control_port", s.ControlPort),
 		checkNotNegative("stop_delay_ms", s.StopDelayMs),
+		s.checkRetries(),
 		checkAddress("mesh_listen", s.MeshListen),
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("admin_listen", s.AdminListen),
@@ -82,6 +90,13 @@
 	)
 }
 
+func (s *Node) checkRetries() *Error {
+	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindowS < 0 {
+		return &Error{Field: "retry_ratio", Problem: "retry_ratio, retry_slack and retry_window_s must not be negative"}
+	}
+	return nil
+}
+
 func (s *Node) checkLocal() *Error {
 	if s.LocalOpen {
 		return nil
