Log decisions by request ID without blocking; tell refused callers when to return

Cause: a user's complaint could not be followed by its request ID, and callers that were refused got no Retry-After. A blocked standard output would have held up requests.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -70,8 +70,6 @@
 	Attempts int
 	// MaxAttempts replaces that of the policy when it is not 0.
 	MaxAttempts int
-	// Priority of the request's route; 0 is the highest rank.
-	Priority int
 	// Refused is set when no upstream has heard of the attempt. Another one then costs
 	// no upstream anything.
 	Refused bool
@@ -154,9 +152,9 @@
 }
 
 // FirstAttempt earns budget; it is called once for each request.
-func (p *Policy) FirstAttempt(now time.Time, priority int) {
+func (p *Policy) FirstAttempt(now time.Time) {
 	if p.total != nil {
-		p.total.Earn(now, budget.RankOf(priority))
+		p.total.Earn(now)
 		return
 	}
 	p.retries.Earn(now)
@@ -177,7 +175,7 @@
 		return VerdictAttempts
 	case f.Remaining <= p.latency.median():
 		return VerdictDeadline
-	case !f.Refused && !p.takeRetry(now, f.Priority):
+	case !f.Refused && !p.takeRetry(now):
 		return VerdictBudget
 	}
 	return VerdictRetry
@@ -190,16 +188,16 @@
 	return p.config.MaxAttempts
 }
 
-func (p *Policy) takeRetry(now time.Time, priority int) bool {
+func (p *Policy) takeRetry(now time.Time) bool {
 	if p.total != nil {
-		return p.total.Take(now, budget.RankOf(priority))
+		return p.total.Take(now)
 	}
 	return p.retries.Take(now)
 }
 
-func (p *Policy) takeHedge(now time.Time, priority int) bool {
+func (p *Policy) takeHedge(now time.Time) bool {
 	if p.total != nil {
-		return p.total.Take(now, budget.RankOf(priority))
+		return p.total.Take(now)
 	}
 	return p.hedges.Take(now)
 }
@@ -218,12 +216,12 @@
 
 // Hedge returns whether an attempt that has been waiting may be duplicated toward
 // the candidate. True takes it from the hedging budget.
-func (p *Policy) Hedge(now time.Time, repeatable bool, priority int, waited time.Duration, candidate *balance.Candidate) bool {
+func (p *Policy) Hedge(now time.Time, repeatable bool, waited time.Duration, candidate *balance.Candidate) bool {
 	delay, known := p.HedgeDelay()
 	if !repeatable || !known || waited < delay || !hedgeable(candidate) {
 		return false
 	}
-	return p.takeHedge(now, priority)
+	return p.takeHedge(now)
 }
 
 func hedgeable(c *balance.Candidate) bool {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -33,6 +33,8 @@
 	uploadErr error
 	// declined is set when the upstream itself has answered that it did not run it.
 	declined bool
+	// wait is how long the node expects requests to wait for its upstream.
+	wait time.Duration
 	// streamClosed is set when the peer has closed a reused stream without taking the
 	// attempt from it.
 	streamClosed bool
@@ -230,12 +232,19 @@
 	a.learn(refusal.GetLoad(), refusal.GetRevision())
 	a.isEnded = refusal.GetReason() != wire.RefusalReason_REFUSAL_DEADLINE
 	result := attemptResult{outcome: outcomeUnknown, reason: refusal.GetReason(), declined: refusal.GetDeclined()}
+	result.wait = expectedWait(refusal.GetLoad())
 	if refusal.GetNotRun() {
 		result.outcome = outcomeNotRun
 	}
 	return result
 }
 
+// expectedWait estimates the wait for a permit from a report of load.
+func expectedWait(load *wire.LoadReport) time.Duration {
+	work := time.Duration(load.GetWorkUs()) * time.Microsecond //nolint:gosec // a hint
+	return work * time.Duration(load.GetQueued()+1) / time.Duration(max(1, load.GetLimit()))
+}
+
 func (a *attempt) send(number int) error {
 	c := a.call
 	head := c.head(a.instance, a.node.settings, number)
--- /dev/null
+++ b/internal/node/decisions.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// The lines below tell what became of a request. Each has the identity that the caller
+// gave it in "request"; docs/OPERATIONS.md shows how to follow one.
+
+// logPlaced tells which instance was chosen for an attempt and what its node said.
+func (n *Node) logPlaced(c *call, number int, chosen *wire.Instance, sample []asked) {
+	quoted := 0
+	keyvals := []any{
+		"msg", "attempt placed", "request", c.name, "attempt", number, "service", c.service,
+		"instance", chosen.GetId(), "zone", chosen.GetZone(), "revision", c.view.revision,
+	}
+	for i := range sample {
+		if sample[i].quote == nil {
+			continue
+		}
+		quoted++
+		if sample[i].instance == chosen {
+			q := sample[i].quote
+			keyvals = append(keyvals, "running", q.Running, "queued", q.Queued, "limit", q.Limit, "slowdown", q.Slowdown, "cold", q.Cold)
+		}
+	}
+	keyvals = append(keyvals, "asked", len(sample), "quoted", quoted)
+	_ = level.Debug(n.logger).Log(keyvals...)
+}
+
+// logFailedAttempt tells why an attempt gave no response that was passed on, and whether
+// another one follows.
+func (n *Node) logFailedAttempt(c *call, number int, instance *wire.Instance, result *attemptResult, retries bool) {
+	_ = level.Info(n.logger).Log("msg", "attempt failed", "request", c.name, "attempt", number, "service", c.service,
+		"instance", instance.GetId(), "outcome", result.outcome.String(), "reason", httpapi.ReasonName(result.reason),
+		"declined", result.declined, "status", result.head.GetStatus(), "retried", retries, "sent", c.sent, "refusals", c.refusals,
+		"left_ms", time.Until(c.deadline).Milliseconds())
+}
+
+// logEnded tells how a call ended. Calls that were answered well are logged at debug
+// level.
+func (n *Node) logEnded(c *call, result callResult) {
+	elapsed := time.Since(c.started)
+	objective := c.objective()
+	late := !objective.IsZero() && time.Now().After(objective)
+	logger := level.Info(n.logger)
+	if result == callAnswered && c.status < 500 && !late {
+		logger = level.Debug(n.logger)
+	}
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	_ = logger.Log("msg", "request ended", "request", c.name, "route", name, "service", c.service, "result", callResultNames[result],
+		"status", c.status, "late", late, "elapsed_ms", elapsed.Milliseconds(), "sent", c.sent, "refusals", c.refusals,
+		"revision", c.view.revision)
+}
+
+// logRefused tells why the node beside an upstream refused an attempt.
+func (r *received) logRefused(reason wire.RefusalReason, load *wire.LoadReport) {
+	_ = level.Info(r.node.logger).Log("msg", "attempt refused", "request", r.requestName(), "instance", r.head.GetInstance(),
+		"reason", httpapi.ReasonName(reason), "not_run", !r.isDispatched() || r.declined, "declined", r.declined,
+		"running", load.GetInFlight(), "queued", load.GetQueued(), "limit", load.GetLimit(), "state", stateName(load.GetState()),
+		"left_ms", time.Until(r.deadline).Milliseconds(), "revision", r.node.directory.view().revision)
+}
+
+// requestName returns the identity that the caller gave.
+func (r *received) requestName() string {
+	for _, header := range r.head.GetHeaders() {
+		if header.GetName() == r.node.dialect.RequestID && len(header.GetValues()) > 0 {
+			return header.GetValues()[0]
+		}
+	}
+	return ""
+}
+
+func (o outcome) String() string {
+	switch o {
+	case outcomeNotRun:
+		return httpapi.OutcomeNotRun
+	case outcomeAnswered:
+		return "answered"
+	default:
+		return httpapi.OutcomeUnknown
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -28,7 +29,10 @@
 	}
 	n.metrics.begin(c.service)
 	result := callFailed
-	defer func() { n.metrics.end(c, result) }()
+	defer func() {
+		n.metrics.end(c, result)
+		n.logEnded(c, result)
+	}()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer func() {
@@ -80,19 +84,19 @@
 
 // serveCall tries instances until one answers or no other may be tried.
 func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callResult {
-	hedgeAfter := n.peers.firstAttempt(c.service, c.priority(), c.limits)
+	hedgeAfter := n.peers.firstAttempt(c.service, c.limits)
 	var tried map[string]bool
 	// fallback is an error response of an upstream that is passed on when no other
 	// instance gives a better one.
 	var fallback attemptResult
 	failure := attemptResult{reason: wire.RefusalReason_REFUSAL_NO_UPSTREAM}
 	for number := 1; ; number++ {
-		instance, _, ok := n.place(ctx, c.view, c.service, tried)
+		instance, _, ok := n.place(ctx, c, number, tried)
 		if !ok && failure.isBroken() {
 			// All instances were tried. The last one, whose connection went silent or
 			// broke, may answer on a new one; only repeatable requests get here.
 			tried = nil
-			instance, _, ok = n.place(ctx, c.view, c.service, tried)
+			instance, _, ok = n.place(ctx, c, number, tried)
 		}
 		if !ok {
 			break
@@ -109,7 +113,9 @@
 			}
 		}
 		failure = failure.followedBy(result)
-		if !n.mayRetry(ctx, c, result, number) {
+		retries := n.mayRetry(ctx, c, result, number)
+		n.logFailedAttempt(c, number, instance, &result, retries)
+		if !retries {
 			break
 		}
 		if result.outcome == outcomeAnswered {
@@ -143,7 +149,7 @@
 	if fallback.outcome == outcomeAnswered {
 		failure = fallback
 	}
-	return writeFailure(ctx, w, c, failure)
+	return n.writeFailure(ctx, w, c, failure)
 }
 
 // isRetriedStatus reports whether the response says that the upstream could not do
@@ -197,7 +203,6 @@
 		Resendable: !c.uploading,
 		Attempts:   number,
 		Remaining:  time.Until(c.deadline),
-		Priority:   c.priority(),
 	}
 	if c.route == nil {
 		return failure
@@ -216,7 +221,7 @@
 }
 
 // writeFailure answers a call that got no response.
-func writeFailure(ctx context.Context, w http.ResponseWriter, c *call, failure attemptResult) callResult {
+func (n *Node) writeFailure(ctx context.Context, w http.ResponseWriter, c *call, failure attemptResult) callResult {
 	setRetried(w, c)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return callCancelled
@@ -238,6 +243,7 @@
 	}
 	if failure.outcome == outcomeNotRun {
 		body.Error = "no upstream took the request"
+		n.setRetryAfter(w, failure.wait)
 		writeError(w, http.StatusServiceUnavailable, body)
 		return callNotRun
 	}
@@ -246,6 +252,16 @@
 	return callUnknown
 }
 
+// setRetryAfter tells the caller when a place is likely to be free.
+func (n *Node) setRetryAfter(w http.ResponseWriter, wait time.Duration) {
+	after := n.peers.returnAfter(wait).Seconds()
+	text := strconv.Itoa(int(math.Ceil(after)))
+	if n.dialect.FractionalRetryAfter {
+		text = strconv.FormatFloat(after, 'f', 3, 64)
+	}
+	w.Header().Set("Retry-After", text)
+}
+
 // setRetried tells callers above that this hop has retried, or would have but for its
 // budget, so that they do not multiply the attempts.
 func setRetried(w http.ResponseWriter, c *call) {
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -99,11 +99,11 @@
 		// The upstream works; this request is slow by itself and would be elsewhere.
 		return attemptResult{}
 	}
-	instance, candidate, ok := n.place(h.secondary, c.view, c.service, map[string]bool{h.primary.GetId(): true})
+	instance, candidate, ok := n.place(h.secondary, c, 1, map[string]bool{h.primary.GetId(): true})
 	if !ok {
 		return attemptResult{}
 	}
-	if !n.peers.mayHedge(c.service, c.priority(), c.limits, time.Since(c.started), &candidate) {
+	if !n.peers.mayHedge(c.service, c.limits, time.Since(c.started), &candidate) {
 		n.peers.done(instance, balance.Outcome{Result: balance.ResultCancelled}, nil)
 		return attemptResult{}
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
 	"github.com/chicorylever/chicorylever/internal/coordination/budget"
+	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/document"
@@ -24,6 +25,7 @@
 type peers struct {
 	mu      sync.Mutex
 	picker  *balance.Policy
+	random  *rand.Rand
 	retries map[string]*retry.Policy
 	// total bounds the retries of all nodes, which are nodes.
 	total      budget.Total
@@ -43,9 +45,11 @@
 }
 
 func newPeers(zone string, total budget.Total, onEject func(instance string)) *peers {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // no secret
 	return &peers{
 		onEject: onEject,
-		picker:  balance.New(balance.Config{Zone: zone}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // no secret
+		random:  random,
+		picker:  balance.New(balance.Config{Zone: zone}, random),
 		retries: map[string]*retry.Policy{},
 		total:   total,
 		nodes:   assumedNodes,
@@ -200,11 +204,11 @@
 
 // firstAttempt earns budget for retries and hedges. It returns the time after which
 // the attempt may be hedged, 0 when hedging is not possible yet.
-func (p *peers) firstAttempt(service string, priority int, limits document.Limits) time.Duration {
+func (p *peers) firstAttempt(service string, limits document.Limits) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	policy := p.retryLocked(service, limits)
-	policy.FirstAttempt(time.Now(), priority)
+	policy.FirstAttempt(time.Now())
 	delay, _ := policy.HedgeDelay()
 	return delay
 }
@@ -222,10 +226,17 @@
 	return p.picker.HeardSince(instance, since)
 }
 
-func (p *peers) mayHedge(service string, priority int, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
+func (p *peers) mayHedge(service string, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.retryLocked(service, limits).Hedge(time.Now(), true, priority, waited, candidate)
+	return p.retryLocked(service, limits).Hedge(time.Now(), true, waited, candidate)
+}
+
+// returnAfter returns when a refused caller should come back.
+func (p *peers) returnAfter(wait time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return overload.ReturnAfter(p.random, wait)
 }
 
 func (p *peers) observeLatency(service string, latency time.Duration) {
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -32,14 +32,25 @@
 // place chooses the instance for an attempt by asking the nodes beside some upstreams,
 // and counts an attempt in flight to it. Load changes within milliseconds, so that what
 // earlier responses told is of little use. Without answers it falls back on that.
-func (n *Node) place(ctx context.Context, v *view, service string, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
+func (n *Node) place(ctx context.Context, c *call, number int, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
+	instance, candidate, sample, ok := n.choose(ctx, c.view, c.service, tried)
+	if ok {
+		n.logPlaced(c, number, instance, sample)
+	}
+	return instance, candidate, ok
+}
+
+func (n *Node) choose(
+	ctx context.Context, v *view, service string, tried map[string]bool,
+) (*wire.Instance, balance.Candidate, []asked, bool) {
 	if n.quotes == nil {
-		return n.peers.pick(v, service, tried)
+		instance, candidate, ok := n.peers.pick(v, service, tried)
+		return instance, candidate, nil, ok
 	}
 	sample := n.peers.sample(v, service, tried)
 	if len(sample) == 1 {
 		n.peers.commit(&sample[0])
-		return sample[0].instance, sample[0].candidate, true
+		return sample[0].instance, sample[0].candidate, sample, true
 	}
 	n.collectQuotes(ctx, sample)
 	quotes := make([]*balance.Quote, len(sample))
@@ -48,10 +59,11 @@
 	}
 	best := balance.Best(quotes, usualWork(quotes))
 	if best < 0 {
-		return n.peers.pick(v, service, tried)
+		instance, candidate, ok := n.peers.pick(v, service, tried)
+		return instance, candidate, sample, ok
 	}
 	n.peers.commit(&sample[best])
-	return sample[best].instance, sample[best].candidate, true
+	return sample[best].instance, sample[best].candidate, sample, true
 }
 
 // usualWork returns the mean of the quoted work.
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -273,11 +273,13 @@
 // state alone.
 func (r *received) refuse(reason wire.RefusalReason, detail string) {
 	r.node.metrics.refused(reason)
+	load := r.node.upstream.report()
+	r.logRefused(reason, load)
 	r.sendLast(refused(&wire.Refused{
 		Reason:   reason,
 		NotRun:   !r.isDispatched() || r.declined,
 		Declined: r.declined,
-		Load:     r.node.upstream.report(),
+		Load:     load,
 		Revision: r.node.directory.view().revision,
 		Detail:   detail,
 	}))
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -51,6 +51,7 @@
 	}
 	err := command.Run(ctx, os.Args)
 	stop()
+	output.Flush()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, command.Name+": "+err.Error())
 		os.Exit(exitCode(err, started))
@@ -66,7 +67,11 @@
 	return exitFailure
 }
 
+// output takes the lines of all loggers. It never blocks, so that a reader of standard
+// output that stops holds up no request.
+var output = obs.NewRing(os.Stdout)
+
 // Logger writes JSON lines to standard output.
 func Logger(levelName string) (log.Logger, error) {
-	return obs.NewLogger(os.Stdout, levelName)
+	return obs.NewLogger(output, levelName)
 }
