--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -237,6 +237,7 @@
 func (c *Control) stop(operators *http.Server, streams *mesh.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.live.Load().StopTimeoutMs)*time.Millisecond)
 	defer cancel()
+	_ = level.Info(c.logger).Log("msg", "control member is stopping", "timeout_ms", c.live.Load().StopTimeoutMs)
 	err := operators.Shutdown(ctx)
 	// Leadership is handed over while the streams to the other members are open.
 	if closeErr := c.log.Close(); err == nil {
--- /dev/null
+++ b/internal/coordination/admission/warmup_test.go
@@ -0,0 +1,79 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+)
+
+// TestStatedWarmup guards against a cold upstream that gets more requests in some second
+// than one and a half times the rate that it bears plus five, also when the node beside
+// it restarts in that second and has forgotten what it sent.
+func TestStatedWarmup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const perSecond = 8.2
+		now := time.Unix(1000, 0)
+		until := now.Add(time.Hour)
+		start := func() *admission.Machine {
+			m := admission.NewMachine(admission.Config{})
+			m.Start(now, "1", 64)
+			m.SetWarmup(now, perSecond, until)
+			return m
+		}
+		m := start()
+		restartAt := rapid.IntRange(0, 4000).Draw(t, "restart at ms")
+		var sent []time.Time
+		for ms := range 4000 {
+			now = now.Add(time.Millisecond)
+			if ms == restartAt {
+				m = start()
+			}
+			for range rapid.IntRange(0, 2).Draw(t, "requests") {
+				ticket, verdict, _ := m.Offer(now, admission.Request{})
+				if verdict != admission.Admitted {
+					continue
+				}
+				sent = append(sent, now)
+				m.Release(now, ticket, admission.Outcome{ServiceTime: time.Millisecond})
+			}
+		}
+		for i := range sent {
+			count := 0
+			for k := i; k < len(sent) && sent[k].Sub(sent[i]) < time.Second; k++ {
+				count++
+			}
+			assert.Assert(t, float64(count) <= 1.5*perSecond+5, "%d in one second", count)
+		}
+	})
+}
+
+// TestWarmUpstreamUsesItsSlots guards against an upstream that stays limited after its
+// cold time, and against one that may have restarted and is not spared.
+func TestWarmUpstreamUsesItsSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := admission.NewMachine(admission.Config{})
+	m.Start(now, "1", 10)
+	m.SetWarmup(now, 8.2, now)
+	admitted := func() int {
+		count := 0
+		for {
+			_, verdict, _ := m.Offer(now, admission.Request{})
+			if verdict != admission.Admitted {
+				return count
+			}
+			count++
+		}
+	}
+	assert.Equal(t, admitted(), 8)
+	assert.Equal(t, m.Report().GetState(), wire.InstanceState_INSTANCE_WARM)
+	m.Suspect(now, time.Second)
+	assert.Equal(t, m.Report().GetState(), wire.InstanceState_INSTANCE_COLD)
+	now = now.Add(2 * time.Second)
+	m.Expire(now)
+	assert.Equal(t, m.Report().GetState(), wire.InstanceState_INSTANCE_WARM)
+}
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -23,7 +23,7 @@
 	// spreadAfterLoss is the range of the random wait after a working session
 	// ended. All nodes of a lost member reconnect within it; it leaves most of
 	// the lease for the attempts themselves.
-	spreadAfterLoss = 2 * time.Second
+	spreadAfterLoss = 500 * time.Millisecond
 	// isolatedPause is how long a member that has no contact with a quorum is avoided.
 	// After it the member is asked again, since all others may be out of reach.
 	isolatedPause = 5 * time.Second
@@ -40,10 +40,15 @@
 	firstStateTimeout = confirmTimeout + 2*time.Second
 	// goodbyeTimeout bounds the wait for control to take the last heartbeat.
 	goodbyeTimeout = 500 * time.Millisecond
-	// silenceTimeout ends a session with a member that acknowledges no heartbeat.
-	// It leaves time to reach another member before the lease ends.
-	silenceTimeout = 2*membership.HeartbeatInterval + time.Second
-	streamBuffer   = 16
+	// quietTime is the time without a message after which a heartbeat asks whether the
+	// member is still there, and silenceTimeout the time without an answer after which
+	// the session ends. A connection may go silent for good; a node must find another
+	// member early enough to have the next revision within its time.
+	quietTime      = 800 * time.Millisecond
+	silenceTimeout = 800 * time.Millisecond
+	// silenceCheck is the time between two looks.
+	silenceCheck = 200 * time.Millisecond
+	streamBuffer = 16
 )
 
 var (
@@ -196,8 +201,8 @@
 	// version is the registry version on this stream; known is set by the first state.
 	version uint64
 	known   bool
-	// heard is the time of the last message.
-	heard time.Time
+	// heard is the time of the last message, asked that of the first heartbeat since.
+	heard, asked time.Time
 	// services are those of the last subscription, in order.
 	services []string
 }
@@ -251,6 +256,8 @@
 	}
 	ticker := time.NewTicker(membership.HeartbeatInterval)
 	defer ticker.Stop()
+	check := time.NewTicker(silenceCheck)
+	defer check.Stop()
 	over := time.NewTimer(sessionMin + rand.N(sessionMax-sessionMin))
 	defer over.Stop()
 	firstState := time.NewTimer(firstStateTimeout)
@@ -268,15 +275,14 @@
 			if !s.known {
 				return errNoState
 			}
-		case now := <-ticker.C:
-			if s.known && now.Sub(s.heard) > silenceTimeout {
-				return errSilent
-			}
+		case <-ticker.C:
 			err = s.sendHeartbeat()
+		case now := <-check.C:
+			err = s.checkSilence(now)
 		case <-s.client.sink.Changed():
 			err = s.sendNews()
 		case message := <-s.incoming:
-			s.heard = time.Now()
+			s.heard, s.asked = time.Now(), time.Time{}
 			err = s.handle(message)
 		}
 		if err != nil {
@@ -285,6 +291,19 @@
 	}
 }
 
+// checkSilence asks a quiet member for a sign and returns errSilent when it gives none.
+func (s *session) checkSilence(now time.Time) error {
+	switch {
+	case !s.known || now.Sub(s.heard) < quietTime:
+		return nil
+	case s.asked.IsZero():
+		return s.sendHeartbeat()
+	case now.Sub(s.asked) > silenceTimeout:
+		return errSilent
+	}
+	return nil
+}
+
 // sendNews sends a heartbeat, and a subscription when the services changed.
 func (s *session) sendNews() error {
 	if err := s.sendHeartbeat(); err != nil {
@@ -371,5 +390,8 @@
 }
 
 func (s *session) sendHeartbeat() error {
+	if s.asked.IsZero() {
+		s.asked = time.Now()
+	}
 	return s.conn.SendNow(&wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: s.client.sink.Heartbeat()}})
 }
--- a/internal/coordination/distribute/client_test.go
+++ b/internal/coordination/distribute/client_test.go
@@ -217,3 +217,41 @@
 		running.Wait()
 	})
 }
+
+// TestSilentMember guards against a node that stays for long with a member whose
+// connection has gone silent, and misses the revisions that others have in force.
+func TestSilentMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &testClients{down: map[string]bool{}, isolated: map[string]bool{}, open: map[net.Conn]string{}, dials: map[int][]time.Time{}}
+		silent, quiet := net.Pipe()
+		dials := 0
+		dial := func(_ context.Context, address string) (net.Conn, error) {
+			if dials++; dials == 1 {
+				return silent, nil
+			}
+			return c.dial(0, address)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			NewClient("node", []string{"a", "b"}, dial, &fakeSink{}, log.NewNopLogger()).Run(ctx)
+		}()
+		conn := frame.NewConn(quiet)
+		_, err := conn.Receive()
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SendNow(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{}}}))
+		go func() {
+			for {
+				if _, err := conn.Receive(); err != nil {
+					return
+				}
+			}
+		}()
+		time.Sleep(2700 * time.Millisecond)
+		assert.Equal(t, c.connected("a")+c.connected("b"), 1)
+		cancel()
+		<-done
+		_ = quiet.Close()
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -242,6 +242,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.live.Load().StopTimeoutMs)*time.Millisecond)
 	defer cancel()
 	n.stopping.Store(true)
+	_ = level.Info(n.logger).Log("msg", "node is stopping", "delay_ms", n.live.Load().StopDelayMs, "timeout_ms", n.live.Load().StopTimeoutMs)
 	n.upstream.gate.Stop()
 	n.directory.notify()
 	entry.Drain()
