Keep the only member that can be had; synchronise a test

A node left its only member, which had no quorum in the first 50 ms, and was stopped before it was connected again, so that its lease stayed. TestAnswers shared a variable between goroutines (test only).

Change: a node stays with an isolated member when it knows of no other that is not. TestOnlyMemberIsKept fails without it (5 connections instead of 1).

--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -155,11 +155,13 @@
 	return next
 }
 
-// avoid returns errIsolated when another member may be better. It does not while this
-// one is being avoided already: no other could be reached then.
+// avoid returns errIsolated when another member may be better. It does not when there is
+// none that is not avoided, or when this one is avoided already: no other could be
+// reached then.
 func (s *session) avoid() error {
 	c, now := s.client, time.Now()
-	if now.Before(c.isolated[s.address]) {
+	isOther := func(address string) bool { return address != s.address && !now.Before(c.isolated[address]) }
+	if now.Before(c.isolated[s.address]) || !slices.ContainsFunc(c.members(), isOther) {
 		return nil
 	}
 	c.isolated[s.address] = now.Add(isolatedPause)
--- a/internal/coordination/distribute/client_test.go
+++ b/internal/coordination/distribute/client_test.go
@@ -255,3 +255,27 @@
 		_ = quiet.Close()
 	})
 }
+
+// TestOnlyMemberIsKept guards against a node that leaves its only member while that has
+// no quorum, for example at its start, and is not connected when it stops.
+func TestOnlyMemberIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &testClients{
+			down: map[string]bool{}, isolated: map[string]bool{"a": true}, open: map[net.Conn]string{}, dials: map[int][]time.Time{},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			dial := func(_ context.Context, address string) (net.Conn, error) { return c.dial(0, address) }
+			NewClient("node", []string{"a"}, dial, &fakeSink{}, log.NewNopLogger()).Run(ctx)
+		}()
+		time.Sleep(20 * time.Second)
+		c.mu.Lock()
+		dials := len(c.dials[0])
+		c.mu.Unlock()
+		assert.Equal(t, dials, 1)
+		cancel()
+		<-done
+	})
+}
--- a/internal/transport/datagram/datagram_test.go
+++ b/internal/transport/datagram/datagram_test.go
@@ -26,10 +26,10 @@
 // TestAnswers guards against answers that reach another question, come twice, come from
 // another process, or come after the question was given up.
 func TestAnswers(t *testing.T) {
-	var late func([]byte)
+	held := make(chan func([]byte), 1)
 	answering := listen(t, func(question []byte, reply func([]byte)) {
 		if string(question) == "late" {
-			late = reply
+			held <- reply
 			return
 		}
 		reply(append([]byte("re: "), question...))
@@ -45,6 +45,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, <-answers, Answer{Question: first, Payload: []byte("re: a")})
 	asking.Forget(forgotten)
+	late := <-held
 	late([]byte("late answer"))
 
 	second, err := asking.Ask(netip.MustParseAddrPort(other.Address()), []byte("x"), answers)
