--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -22,7 +22,9 @@
 // before control has said what it knows.
 func TestRestartedNodeSparesDepartedUpstream(t *testing.T) {
 	_, entry, beside := pair(t, func(http.ResponseWriter, *http.Request) {})
+	beside.Node.upstream.mu.Lock()
 	beside.Node.upstream.announcement = nil // as after a restart
+	beside.Node.upstream.mu.Unlock()
 	assert.NilError(t, beside.Announce(announcement(beside, 17)))
 	pool, reason := beside.Node.upstream.target("s", "i-beside")
 	assert.Assert(t, pool == nil)
