--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -34,7 +34,7 @@
 	sink.ApplyDiff(&wire.StateDiff{RegistryVersion: 9, Changed: []*wire.Instance{
 		{Id: "i-beside", StartId: "1", Service: "s", NodeId: "beside", NodeAddress: beside.settings.MeshAddress, Departing: true},
 	}})
-	beside.Node.upstream.confirm()
+	beside.Node.upstream.confirm("1")
 	assert.Equal(t, beside.Node.upstream.gate.Report().GetState(), wire.InstanceState_INSTANCE_LEAVING)
 	response := send(t, http.MethodPost, entry.url("/p"), nil)
 	assert.Equal(t, response.outcome(), httpapi.OutcomeNotRun)
@@ -56,3 +56,17 @@
 	}
 	assert.Assert(t, beside.Node.upstream.gate.Report().GetState() != wire.InstanceState_INSTANCE_LEAVING)
 }
+
+// TestConfirmationOfEarlierStart guards against using an upstream on the word that control
+// gave, or failed to give in time, on an earlier start.
+func TestConfirmationOfEarlierStart(t *testing.T) {
+	u := newUpstream(httpapi.DefaultDialect())
+	for _, startID := range []string{"1", "2"} {
+		a := &httpapi.Announcement{Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: startID, Slots: 1, Sequence: 7}
+		assert.Assert(t, u.announce(a))
+	}
+	u.confirm("1")
+	assert.Assert(t, !u.isOpen("i"))
+	u.confirm("2")
+	assert.Assert(t, u.isOpen("i"))
+}
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -56,17 +57,24 @@
 		return errors.New(problem)
 	}
 	former := n.upstream.announced()
-	n.upstream.setWarmup(a.Service, n.directory.view().doc.Services[a.Service].WarmupPerSecond)
-	if !n.upstream.announce(a) {
+	isNewStart := former == nil || former.StartID != a.StartID
+	if isNewStart {
+		// No acknowledgement confirms the new start before a heartbeat has told of it.
+		n.announcedAt.Store(math.MaxUint64)
+	}
+	accepted := n.upstream.announce(a)
+	if isNewStart {
+		n.announcedAt.Store(n.directory.sequence.Load() + 1)
+	}
+	if !accepted {
 		_ = level.Info(n.logger).Log("msg", "late announcement ignored", "instance", a.Instance, "start_id", a.StartID, "sequence", a.Sequence)
 		return nil
 	}
 	n.upstream.setWarmup(a.Service, n.directory.view().doc.Services[a.Service].WarmupPerSecond)
-	if former == nil || former.StartID != a.StartID {
-		n.announcedAt.Store(n.directory.sequence.Load() + 1)
-		time.AfterFunc(confirmWait, n.upstream.confirm)
+	if isNewStart {
+		time.AfterFunc(confirmWait, func() { n.upstream.confirm(a.StartID) })
 	}
-	if former == nil || former.StartID != a.StartID || former.Leaving != a.Leaving {
+	if isNewStart || former.Leaving != a.Leaving {
 		n.directory.notify()
 		_ = level.Info(n.logger).Log("msg", "upstream announced", "service", a.Service, "instance", a.Instance,
 			"start_id", a.StartID, "sequence", a.Sequence, "cold_ms", a.ColdMs, "leaving", a.Leaving)
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -58,8 +58,8 @@
 // Acknowledged is called when control has taken a heartbeat. What control knows of the
 // upstream of that heartbeat has arrived before.
 func (s *controlSink) Acknowledged(sequence uint64) {
-	if sequence >= s.announcedAt.Load() {
-		s.upstream.confirm()
+	if a := s.upstream.announced(); a != nil && sequence >= s.announcedAt.Load() {
+		s.upstream.confirm(a.StartID)
 	}
 }
 
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -151,11 +151,14 @@
 	u.departing = true
 }
 
-// confirm ends the wait for what control knows of an upstream's departure.
-func (u *upstream) confirm() {
+// confirm ends the wait for what control knows of the departure of a start. It has no
+// effect once another start is announced.
+func (u *upstream) confirm(startID string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.unconfirmed = false
+	if u.isStart(startID) {
+		u.unconfirmed = false
+	}
 }
 
 // setLoad takes the upstream's own report of its load.
