Dial members in turn, elect sooner after a start, and wait in order at cold upstreams

Change: a node gives each member 200 ms before it dials the next one as well; opening a connection may take 500 ms; the first timeout after a start is 150 to 650 ms. Requests wait at a cold upstream in the order of their urgency for as long as its rate lets them be in time; the rate is 1.25 times the stated one, which keeps any second within what upstreams bear (TestStatedWarmup). A quote tells the wait for the urgency and rank that are asked for.

TestConnectPassesSilentMember, TestFirstElectionAfterStart and TestColdUpstreamServesInOrder fail on the earlier code (the first waits for the dial, the second gets no campaign, the third no order).

--- a/internal/coordination/admission/burst_test.go
+++ b/internal/coordination/admission/burst_test.go
@@ -168,6 +168,7 @@
 		quotes[k] = &balance.Quote{
 			Open: true, Running: int(report.GetInFlight()), Queued: int(report.GetQueued()), Limit: int(report.GetLimit()),
 			Slowdown: u.slowdown, Work: burstWork + burstHeld,
+			Wait: u.machine.Wait(b.now, b.request(c)),
 		}
 	}
 	chosen := sample[balance.Best(quotes, burstWork)]
@@ -175,7 +176,8 @@
 	b.after(3*time.Millisecond, func() { b.offer(b.upstreams[chosen], c) })
 }
 
-func (b *burst) offer(u *burstUpstream, c *burstCall) {
+// request is what the node beside the upstream knows of a call.
+func (b *burst) request(c *burstCall) admission.Request {
 	deadline := c.begun.Add(burstDeadline)
 	if timeout := c.arrived.Add(burstTimeout); timeout.Before(deadline) {
 		deadline = timeout
@@ -188,7 +190,11 @@
 			request.Urgency, request.Objective = overload.Late, time.Time{}
 		}
 	}
-	ticket, verdict, _ := u.machine.Offer(b.now, request)
+	return request
+}
+
+func (b *burst) offer(u *burstUpstream, c *burstCall) {
+	ticket, verdict, _ := u.machine.Offer(b.now, b.request(c))
 	switch verdict {
 	case admission.Admitted:
 		b.start(u, ticket, c)
--- /dev/null
+++ b/internal/coordination/admission/cold_test.go
@@ -0,0 +1,60 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/coordination/overload"
+)
+
+// TestColdUpstreamServesInOrder guards against a cold upstream whose rate goes to whoever
+// comes first: calls of running requests must go first, and what waits must start as the
+// rate allows it although nothing else happens.
+func TestColdUpstreamServesInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 8.0 // with the excess that is allowed, one request each 100 ms
+		g := admission.NewGate(admission.Config{}, time.Now)
+		g.Start("1", 64)
+		g.SetWarmup(perSecond, time.Now().Add(time.Hour))
+		ask := func(urgency overload.Urgency) (<-chan time.Duration, time.Time) {
+			begun, started := time.Now(), make(chan time.Duration, 1)
+			go func() {
+				_, err := g.Acquire(context.Background(), admission.Request{
+					Urgency: urgency, Work: time.Millisecond,
+					Objective: begun.Add(500 * time.Millisecond), Deadline: begun.Add(500 * time.Millisecond),
+				})
+				if err == nil {
+					started <- time.Since(begun)
+				}
+				close(started)
+			}()
+			synctest.Wait()
+			return started, begun
+		}
+		first, _ := ask(overload.InTime)
+		assert.Equal(t, <-first, time.Duration(0))
+		caller, _ := ask(overload.InTime)
+		nested, _ := ask(overload.Nested)
+		wait := <-nested
+		assert.Assert(t, wait > 90*time.Millisecond && wait < 120*time.Millisecond, "%v", wait)
+		wait = <-caller
+		assert.Assert(t, wait > 190*time.Millisecond && wait < 220*time.Millisecond, "%v", wait)
+		var asked []<-chan time.Duration
+		for range 10 {
+			started, _ := ask(overload.InTime)
+			asked = append(asked, started)
+		}
+		served := 0
+		for _, started := range asked {
+			if _, ok := <-started; ok {
+				served++
+			}
+		}
+		assert.Assert(t, served >= 4 && served <= 6, "%d of 10 can start within half a second", served)
+	})
+}
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -15,6 +15,8 @@
 	machine *Machine
 	waiting map[Ticket]chan Event
 	now     func() time.Time
+	// start admits the next waiting request of a cold upstream; nil while none is set.
+	start *time.Timer
 }
 
 var _ Limiter = (*Gate)(nil)
@@ -72,6 +74,13 @@
 	return g.machine.Report()
 }
 
+// Wait estimates the time until a request that comes now can start; see Machine.Wait.
+func (g *Gate) Wait(req Request) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Wait(g.now(), req)
+}
+
 // Acquire implements Limiter. When ctx ends while the request waits, the result is
 // a *Refusal with reason deadline: nothing was sent.
 func (g *Gate) Acquire(ctx context.Context, req Request) (Permit, error) {
@@ -107,6 +116,7 @@
 	at, _ := g.machine.Expiry(ticket)
 	done := make(chan Event, 1)
 	g.waiting[ticket] = done
+	g.scheduleLocked()
 	return ticket, verdict, reason, expiring{at: at, done: done}
 }
 
@@ -162,6 +172,25 @@
 		g.waiting[event.Ticket] <- event
 		delete(g.waiting, event.Ticket)
 	}
+	g.scheduleLocked()
+}
+
+// startSlack is added to the time of the next start, since timers and rates are rounded.
+const startSlack = time.Millisecond
+
+// scheduleLocked sets the timer for the next start that no other event causes.
+func (g *Gate) scheduleLocked() {
+	now := g.now()
+	at, waits := g.machine.NextStart(now)
+	if !waits || g.start != nil {
+		return
+	}
+	g.start = time.AfterFunc(at.Sub(now)+startSlack, func() {
+		g.mu.Lock()
+		g.start = nil
+		g.mu.Unlock()
+		g.change(g.machine.Expire)
+	})
 }
 
 func (g *Gate) release(ticket Ticket, outcome Outcome) {
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -13,6 +13,8 @@
 	// queuePerSlot bounds the queue where requests are so short that many would be
 	// served within the patience.
 	queuePerSlot = 2
+	// coldWork is how much longer work takes at a cold upstream.
+	coldWork = 2.0
 )
 
 // urgency returns the urgency of a request at this moment: one that cannot be answered
@@ -44,11 +46,8 @@
 // limitWait decides whether waiting is worthwhile for a request that finds no free
 // permit and has others ahead of it, and until when.
 func (m *Machine) limitWait(now time.Time, w *waiter, ahead int, req Request) wire.RefusalReason {
-	if m.warmup.isCold(now) {
-		return m.fullReason()
-	}
 	patience := m.patience(now, w, req)
-	wait := m.expectedWait(now, ahead)
+	wait := m.expectedWait(now, w, ahead)
 	if wait > patience || len(m.queue) >= queuePerSlot*m.slots {
 		return m.fullReason()
 	}
@@ -69,10 +68,13 @@
 
 // work is how long the request is expected to take.
 func (m *Machine) work(req Request) time.Duration {
-	if req.Work > 0 {
-		return req.Work
+	if req.Work == 0 {
+		return m.ramp.serviceTime()
+	}
+	if m.warmup.isCold(m.at) {
+		return time.Duration(coldWork * float64(req.Work))
 	}
-	return m.ramp.serviceTime()
+	return req.Work
 }
 
 // patience is how long an attempt may wait. With 2 ms of patience at 95 % load, 1.7 %
@@ -93,17 +95,41 @@
 }
 
 // expectedWait is the time until a request with ahead others before it is admitted.
-func (m *Machine) expectedWait(now time.Time, ahead int) time.Duration {
-	spell := time.Duration(0)
-	if m.speed.isSpell(now) {
-		spell = slowRest
+func (m *Machine) expectedWait(now time.Time, w *waiter, ahead int) time.Duration {
+	wait := m.turn(now, w, ahead)
+	if m.speed.outwaits(now, w.work) {
+		wait = max(wait, slowRest)
 	}
-	excess := len(m.running) - m.limit()
+	return wait
+}
+
+// turn is the time until a request with ahead others before it has a place.
+func (m *Machine) turn(now time.Time, w *waiter, ahead int) time.Duration {
+	wait := m.coldWait(now, ahead)
+	limit := m.limitFor(w)
+	excess := len(m.running) - limit
 	if excess+ahead < 0 {
-		return spell
+		return wait
+	}
+	turns := float64(ahead+1+max(0, excess)) / float64(max(1, limit))
+	return max(wait, time.Duration(turns*float64(m.ramp.serviceTime())))
+}
+
+// coldWait is the time until the rate that a cold upstream bears allows the request.
+func (m *Machine) coldWait(now time.Time, ahead int) time.Duration {
+	if !m.warmup.isCold(now) {
+		return 0
+	}
+	return m.warmup.wait(now, ahead)
+}
+
+// NextStart returns when the first waiting request may start by itself, because the rate
+// of a cold upstream allows it then, and false when only another event can start it.
+func (m *Machine) NextStart(now time.Time) (time.Time, bool) {
+	if len(m.queue) == 0 || !m.warmup.isCold(now) {
+		return time.Time{}, false
 	}
-	turns := float64(ahead+1+max(0, excess)) / float64(max(1, m.limit()))
-	return max(spell, time.Duration(turns*float64(m.ramp.serviceTime())))
+	return now.Add(m.warmup.wait(now, 0)), true
 }
 
 func (m *Machine) fullReason() wire.RefusalReason {
@@ -149,7 +175,7 @@
 	if !now.Before(w.expiry) {
 		return m.expiredReason(w)
 	}
-	hopeless := m.chilled && now.Add(m.expectedWait(now, ahead)).After(w.expiry)
+	hopeless := m.chilled && now.Add(m.expectedWait(now, &w, ahead)).After(w.expiry)
 	if hopeless || ahead >= queuePerSlot*m.slots {
 		return m.fullReason()
 	}
--- a/internal/coordination/admission/slow.go
+++ b/internal/coordination/admission/slow.go
@@ -55,12 +55,28 @@
 
 // mayStart reports whether a request may be sent now, and counts it.
 func (m *Machine) mayStart(now time.Time, w *waiter) bool {
-	limit := m.limit()
-	if w.urgency == overload.Nested {
-		limit = m.reserved()
-	}
-	if len(m.running) >= limit || m.speed.outwaits(now, w.work) {
+	if !m.hasPlace(now, w) {
 		return false
 	}
 	return !m.warmup.isCold(now) || m.warmup.take(now)
 }
+
+// hasPlace reports whether a request may be sent now but for the rate of a cold upstream.
+func (m *Machine) hasPlace(now time.Time, w *waiter) bool {
+	return len(m.running) < m.limitFor(w) && !m.speed.outwaits(now, w.work)
+}
+
+// limitFor is the largest number of concurrent requests that the request may be one of.
+func (m *Machine) limitFor(w *waiter) int {
+	if w.urgency == overload.Nested {
+		return m.reserved()
+	}
+	return m.limit()
+}
+
+// Wait estimates the time until a request that comes now can start, without what is left
+// of a slow spell.
+func (m *Machine) Wait(now time.Time, req Request) time.Duration {
+	w := waiter{urgency: m.urgency(now, req), rank: req.Rank, work: req.Work}
+	return m.turn(now, &w, m.ahead(&w))
+}
--- a/internal/coordination/admission/warmup.go
+++ b/internal/coordination/admission/warmup.go
@@ -3,8 +3,13 @@
 import "time"
 
 const (
+	// warmupShare is how much of the stated rate a cold upstream gets. Upstreams bear short
+	// excesses, and the rate is kept by the only sender of their work.
+	warmupShare = 1.25
 	// warmupBurst is the number of requests that a cold upstream takes at once.
 	warmupBurst = 4.0
+	// rateRounding covers the error of added fractions.
+	rateRounding = 1e-6
 	// utilization is the share of its slots up to which an upstream of stated rate is
 	// filled. Servers slow down when they are nearly full, and then serve less.
 	utilization = 0.8
@@ -26,16 +31,23 @@
 
 func (w *warmup) isCold(now time.Time) bool { return w.isStated() && now.Before(w.until) }
 
+// wait is the time until the rate allows one more request than those ahead.
+func (w *warmup) wait(now time.Time, ahead int) time.Duration {
+	rate := warmupShare * w.perSecond
+	saved := min(warmupBurst, w.tokens+max(0, now.Sub(w.at).Seconds())*rate)
+	return max(0, seconds((float64(ahead+1)-saved)/rate))
+}
+
 // take takes a request from the rate, or returns false.
 func (w *warmup) take(now time.Time) bool {
 	if elapsed := now.Sub(w.at); elapsed > 0 {
-		w.tokens = min(warmupBurst, w.tokens+elapsed.Seconds()*w.perSecond)
+		w.tokens = min(warmupBurst, w.tokens+elapsed.Seconds()*warmupShare*w.perSecond)
 		w.at = now
 	}
-	if w.tokens < 1 {
+	if w.tokens < 1-rateRounding {
 		return false
 	}
-	w.tokens--
+	w.tokens = max(0, w.tokens-1)
 	return true
 }
 
--- a/internal/coordination/balance/quote.go
+++ b/internal/coordination/balance/quote.go
@@ -27,6 +27,8 @@
 	// Work is the mean time of a request at the usual speed, 0 when unknown.
 	Work time.Duration
 	Cold bool
+	// Wait is the time until a request can start, without what is left of a slow spell.
+	Wait time.Duration
 	// Path is the time to and from the upstream.
 	Path time.Duration
 }
@@ -40,19 +42,16 @@
 	if q.Cold {
 		work = time.Duration(coldFactor * float64(work))
 	}
-	total := q.Path + q.stretched(work)
+	total := q.Path + q.Wait + q.stretched(work)
 	if q.Limit <= 0 {
 		return total
 	}
-	if ahead := q.Running + q.Queued - q.Limit; ahead >= 0 {
-		return total + q.stretched(work)*time.Duration(ahead+1)/time.Duration(q.Limit)
-	}
 	return total + time.Duration(crowdingCost*float64(work)*float64(q.Running)/float64(q.Limit))
 }
 
 // IsIdeal reports whether no other upstream can be expected to be much faster.
 func (q *Quote) IsIdeal() bool {
-	return q.Open && !q.Cold && q.Slowdown > 0 && q.Slowdown <= 1 && 2*(q.Running+q.Queued) < q.Limit
+	return q.Open && !q.Cold && q.Wait == 0 && q.Slowdown > 0 && q.Slowdown <= 1 && 2*(q.Running+q.Queued) < q.Limit
 }
 
 // stretched returns the time that work takes that is sent now. It takes the speed at its
--- a/internal/coordination/balance/quote_test.go
+++ b/internal/coordination/balance/quote_test.go
@@ -88,8 +88,12 @@
 }
 
 func quoteOf(u *noisyUpstream) *balance.Quote {
+	wait := time.Duration(0)
+	if ahead := len(u.running) + len(u.queue) - noisyLimit; ahead >= 0 {
+		wait = time.Duration(ahead+1) * noisyWork / noisyLimit
+	}
 	return &balance.Quote{
-		Open: true, Running: len(u.running), Queued: len(u.queue), Limit: noisyLimit, Work: noisyWork, Slowdown: u.slowdown,
+		Wait: wait, Open: true, Running: len(u.running), Queued: len(u.queue), Limit: noisyLimit, Work: noisyWork, Slowdown: u.slowdown,
 	}
 }
 
@@ -131,7 +135,7 @@
 		expected := q.Expected(time.Second)
 		worse := []balance.Quote{q, q, q, q}
 		worse[0].Slowdown *= 1.5
-		worse[1].Queued++
+		worse[1].Wait += time.Millisecond
 		worse[2].Cold = true
 		worse[3].Path += time.Millisecond
 		for i := range worse {
--- a/internal/coordination/balance/spell_test.go
+++ b/internal/coordination/balance/spell_test.go
@@ -15,6 +15,6 @@
 	slow := balance.Quote{Open: true, Limit: 4, Slowdown: 4}
 	assert.Equal(t, slow.Expected(40*time.Millisecond), 160*time.Millisecond)
 	assert.Equal(t, slow.Expected(160*time.Millisecond), 460*time.Millisecond)
-	busy := balance.Quote{Open: true, Limit: 4, Running: 4, Slowdown: 1}
+	busy := balance.Quote{Open: true, Limit: 4, Running: 4, Slowdown: 1, Wait: 40 * time.Millisecond}
 	assert.Assert(t, busy.Expected(160*time.Millisecond) < slow.Expected(160*time.Millisecond))
 }
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -118,9 +118,7 @@
 	backoff := reconnectMin
 	for ctx.Err() == nil {
 		members := c.members()
-		next = c.skipIsolated(members, next)
-		address := members[next%len(members)]
-		worked, err := c.session(ctx, address)
+		address, worked, err := c.session(ctx, c.inTurn(members, next))
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -139,22 +137,10 @@
 			sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, reconnectMax)
 		}
-		next++
+		next = slices.Index(members, address) + 1
 	}
 }
 
-// skipIsolated returns the index from which the next member is taken that is not
-// avoided, or the given one when all are.
-func (c *Client) skipIsolated(members []string, next int) int {
-	now := time.Now()
-	for i := range members {
-		if !now.Before(c.isolated[members[(next+i)%len(members)]]) {
-			return next + i
-		}
-	}
-	return next
-}
-
 // avoid returns errIsolated when another member may be better. It does not when there is
 // none that is not avoided, or when this one is avoided already: no other could be
 // reached then.
@@ -209,11 +195,12 @@
 	services []string
 }
 
-// session serves one stream. It returns whether the member gave a state.
-func (c *Client) session(ctx context.Context, address string) (worked bool, err error) {
-	stream, err := c.dial(ctx, address)
+// session serves one stream to the first of the members that can be reached. It returns
+// which one that was and whether it gave a state.
+func (c *Client) session(ctx context.Context, addresses []string) (address string, worked bool, err error) {
+	address, stream, err := c.connect(ctx, addresses)
 	if err != nil {
-		return false, errors.Wrap(err, "distribute: connect")
+		return address, false, err
 	}
 	defer func() { _ = stream.Close() }()
 	s := &session{
@@ -230,7 +217,7 @@
 	if ctx.Err() != nil {
 		s.goodbye()
 	}
-	return s.known, err
+	return address, s.known, err
 }
 
 // receive passes messages on; a full channel holds the stream back.
--- a/internal/coordination/raft/cluster_test.go
+++ b/internal/coordination/raft/cluster_test.go
@@ -72,7 +72,7 @@
 func (c *cluster) restart(id uint64) {
 	n := c.nodes[id]
 	core, err := New(Config{
-		ID: id, ElectionTicks: 6, HeartbeatTicks: 2, SnapshotTicks: 20, MaxAppendBytes: 120, MaxInFlight: 3,
+		ID: id, ElectionTicks: 6, StartTicks: 2, HeartbeatTicks: 2, SnapshotTicks: 20, MaxAppendBytes: 120, MaxInFlight: 3,
 		KeepEntries: 2, Random: c.rng.IntN,
 	}, n.disk)
 	assert.NilError(c.t, err)
--- a/internal/coordination/raft/core.go
+++ b/internal/coordination/raft/core.go
@@ -11,6 +11,10 @@
 	// ElectionTicks is the shortest election timeout; each timeout is drawn from
 	// [ElectionTicks, 2*ElectionTicks).
 	ElectionTicks int
+	// StartTicks replaces ElectionTicks in the first timeout after a start, when it is not
+	// 0. A member that starts alone does no harm with a short one: its pre-vote is refused
+	// while the others hear a leader.
+	StartTicks int
 	// HeartbeatTicks is the interval of heartbeats.
 	HeartbeatTicks int
 	// SnapshotTicks is the time after which a snapshot that was not acknowledged is sent again.
@@ -98,6 +102,9 @@
 		savedState: hard,
 	}
 	c.resetElection()
+	if config.StartTicks > 0 {
+		c.electionTimeout = config.StartTicks + config.Random(config.ElectionTicks)
+	}
 	return c, nil
 }
 
--- a/internal/coordination/raft/core_test.go
+++ b/internal/coordination/raft/core_test.go
@@ -172,3 +172,35 @@
 		}
 	})
 }
+
+// TestFirstElectionAfterStart guards against members that all start anew and leave the
+// others without a leader for a whole election timeout, and against a short timeout that
+// stays.
+func TestFirstElectionAfterStart(t *testing.T) {
+	config := Configuration{Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+	core, err := New(Config{
+		ID: 1, ElectionTicks: 10, StartTicks: 3, HeartbeatTicks: 2, SnapshotTicks: 50, MaxAppendBytes: 1000, MaxInFlight: 2,
+		Random: func(int) int { return 0 },
+	}, State{
+		HardState: HardState{Term: 1, Commit: 1},
+		Entries:   []Entry{{Index: 1, Term: 1, Kind: EntryConfig, Data: EncodeConfiguration(config)}},
+	})
+	assert.NilError(t, err)
+	campaigns := func(ticks int) int {
+		count := 0
+		for range ticks {
+			core.Tick()
+			sent, _ := persist(core)
+			for _, m := range sent {
+				if m.Kind == MsgPreVote && m.To == 2 {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	assert.Equal(t, campaigns(2), 0)
+	assert.Equal(t, campaigns(1), 1)
+	assert.Equal(t, campaigns(9), 0)
+	assert.Equal(t, campaigns(1), 1)
+}
--- a/internal/coordination/replica/open.go
+++ b/internal/coordination/replica/open.go
@@ -153,6 +153,7 @@
 	return raft.Config{
 		ID:             id,
 		ElectionTicks:  electionTicks,
+		StartTicks:     startTicks,
 		HeartbeatTicks: heartbeatTicks,
 		SnapshotTicks:  snapshotTicks,
 		MaxAppendBytes: maxAppendBytes,
--- a/internal/coordination/replica/options.go
+++ b/internal/coordination/replica/options.go
@@ -15,6 +15,9 @@
 	defaultTickInterval = 50 * time.Millisecond
 	// electionTicks makes election timeouts random between 500 ms and 1 s.
 	electionTicks = 10
+	// startTicks makes the first timeout after a start 150 ms at least, so that members
+	// which start together have a leader within half a second.
+	startTicks = 3
 	// heartbeatTicks lets a follower miss four heartbeats before its shortest timeout.
 	heartbeatTicks = 2
 	// stalledTicks, 2 s, is the time after which a leader whose disk does not finish
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -26,7 +26,7 @@
 		quoted++
 		if sample[i].instance == chosen {
 			q := sample[i].quote
-			keyvals = append(keyvals, "running", q.Running, "queued", q.Queued, "limit", q.Limit, "slowdown", q.Slowdown, "cold", q.Cold)
+			keyvals = append(keyvals, "running", q.Running, "queued", q.Queued, "limit", q.Limit, "slowdown", q.Slowdown, "wait_ms", q.Wait.Milliseconds(), "cold", q.Cold)
 		}
 	}
 	keyvals = append(keyvals, "asked", len(sample), "quoted", quoted)
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -7,8 +7,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
-	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/datagram"
 )
@@ -92,7 +92,7 @@
 		}
 	}()
 	for i := range sample {
-		number, ok := n.ask(sample[i].instance, c.routeName(), answers, uint64(i))
+		number, ok := n.ask(sample[i].instance, c, answers, uint64(i))
 		if ok {
 			numbers[number] = i
 		}
@@ -104,7 +104,7 @@
 		case answer := <-answers:
 			i := numbers[answer.Question]
 			delete(numbers, answer.Question)
-			sample[i].quote = n.readQuote(c, &sample[i], answer.Payload)
+			sample[i].quote = n.readQuote(&sample[i], answer.Payload)
 			if quote := sample[i].quote; quote != nil && quote.IsIdeal() && quote.Path == 0 {
 				return
 			}
@@ -119,8 +119,11 @@
 // ownQuestion marks the numbers of questions that this node answers itself.
 const ownQuestion = 1 << 63
 
-func (n *Node) ask(instance *wire.Instance, route string, answers chan<- datagram.Answer, index uint64) (uint64, bool) {
-	question, err := proto.Marshal(&wire.QuoteRequest{Instance: instance.GetId(), Route: route})
+func (n *Node) ask(instance *wire.Instance, c *call, answers chan<- datagram.Answer, index uint64) (uint64, bool) {
+	question, err := proto.Marshal(&wire.QuoteRequest{
+		Instance: instance.GetId(), Route: c.routeName(), Urgency: urgencyToWire(c.urgencyNow()),
+		Priority: uint32(c.priority()), //nolint:gosec // checked by the document
+	})
 	if err != nil {
 		return 0, false
 	}
@@ -138,7 +141,7 @@
 }
 
 // readQuote returns nil for an answer that cannot be read.
-func (n *Node) readQuote(c *call, a *asked, payload []byte) *balance.Quote {
+func (n *Node) readQuote(a *asked, payload []byte) *balance.Quote {
 	quote := &wire.Quote{}
 	if proto.Unmarshal(payload, quote) != nil {
 		return nil
@@ -151,13 +154,10 @@
 		Queued:   int(load.GetQueued()),
 		Limit:    int(load.GetLimit()),
 		Slowdown: float64(load.GetSlowdownPercent()) / 100,
-		Work:     time.Duration(load.GetWorkUs()) * time.Microsecond, //nolint:gosec // a hint
+		Work:     time.Duration(load.GetWorkUs()) * time.Microsecond,                                            //nolint:gosec // a hint
+		Wait:     time.Duration(min(quote.GetWaitUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond, //nolint:gosec // bounded
 		Cold:     load.GetState() == wire.InstanceState_INSTANCE_COLD,
 	}
-	if c.urgency == overload.Nested {
-		// It goes before those that wait, and may use all slots.
-		read.Queued, read.Limit = 0, max(read.Limit, a.candidate.Slots)
-	}
 	if a.instance.GetZone() != n.settings.Zone {
 		read.Path = crossZonePath
 	}
@@ -193,7 +193,12 @@
 // quote tells how the upstream is now.
 func (n *Node) quote(request *wire.QuoteRequest) *wire.Quote {
 	n.syncZone()
-	quote := &wire.Quote{Load: n.upstream.reportFor(request.GetRoute()), Revision: n.directory.view().revision}
+	wait := n.upstream.gate.Wait(admission.Request{
+		Urgency: urgencyFromWire(request.GetUrgency()),
+		Rank:    int(request.GetPriority()),
+		Work:    n.upstream.workOf(request.GetRoute()),
+	})
+	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.reportFor(request.GetRoute()), Revision: n.directory.view().revision}
 	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance())
 	return quote
 }
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -79,7 +79,7 @@
 // DefaultConfig detects a silent connection in about one second.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:   time.Second,
+		DialTimeout:   500 * time.Millisecond,
 		PingAfter:     300 * time.Millisecond,
 		DeadAfter:     900 * time.Millisecond,
 		SlowPingAfter: time.Second,
--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -37,19 +37,25 @@
 }
 
 func newMembers(t testing.TB, count int) *members {
+	return newMembersBehind(t, count, func(_, listen string) string { return listen })
+}
+
+// newMembersBehind starts members that others dial at the address which behind returns.
+func newMembersBehind(t testing.TB, count int, behind func(id, listen string) string) *members {
 	m := &members{cluster: newCluster(t)}
 	digest := sha256.Sum256([]byte(testToken))
 	path := filepath.Join(m.dir, "document.json")
 	withToken := strings.Replace(testDocument, `"token_sha256": []`, `"token_sha256": ["`+hex.EncodeToString(digest[:])+`"]`, 1)
 	assert.NilError(t, os.WriteFile(path, []byte(withToken), 0o600))
-	var bootstrap []string
-	for range count {
-		bootstrap = append(bootstrap, freeAddress(t))
+	var listens, bootstrap []string
+	for i := range count {
+		listens = append(listens, freeAddress(t))
+		bootstrap = append(bootstrap, behind(fmt.Sprintf("control-%d", i+1), listens[i]))
 	}
 	for i, mesh := range bootstrap {
 		m.settings = append(m.settings, &settings.Control{
 			ID: fmt.Sprintf("control-%d", i+1), Zone: "seq-a", DataDir: filepath.Join(m.dir, fmt.Sprintf("data-%d", i+1)),
-			MeshListen: mesh, APIListen: freeAddress(t), Bootstrap: bootstrap, BootstrapDocument: path,
+			MeshListen: listens[i], MeshAddress: mesh, APIListen: freeAddress(t), Bootstrap: bootstrap, BootstrapDocument: path,
 		})
 		m.startMember(i)
 	}
@@ -64,8 +70,10 @@
 
 func (m *members) killMember(i int) {
 	id := m.settings[i].ID
-	command := m.processes[id]
+	command := m.process(id)
+	m.mu.Lock()
 	delete(m.processes, id)
+	m.mu.Unlock()
 	_ = command.Process.Kill()
 	_ = command.Wait()
 }
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -43,6 +44,7 @@
 	dir       string
 	control   *settings.Control
 	nodes     []*settings.Node
+	mu        sync.Mutex
 	processes map[string]*exec.Cmd
 	// authority signs a certificate for each process when it is set.
 	authority *tls.Certificate
@@ -100,7 +102,7 @@
 }
 
 func (c *cluster) run(name string, command *exec.Cmd) {
-	log, err := os.Create(filepath.Join(c.dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(c.t, err)
 	c.t.Cleanup(func() {
 		_ = log.Close()
@@ -111,9 +113,18 @@
 	})
 	command.Stdout, command.Stderr = log, log
 	assert.NilError(c.t, command.Start())
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.processes[name] = command
 }
 
+// process returns the process that was started last under the name.
+func (c *cluster) process(name string) *exec.Cmd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[name]
+}
+
 // stop sends SIGTERM and returns the exit code.
 func (c *cluster) stop(name string) int {
 	command := c.processes[name]
