--- a/test/e2e/soak_relay_test.go
+++ b/test/e2e/soak_relay_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -183,7 +184,7 @@
 }
 
 func errorIsClosed(err error) bool {
-	return err != nil && (isClosedConn(err) || err == io.EOF)
+	return isClosedConn(err) || errors.Is(err, io.EOF)
 }
 
 func (r *relay) close() {
