Tell callers of a starting node when to return; use less memory and fewer bytes between zones

Collections start at a quarter of the live heap. Bodies of 16 KiB or more ask three instances of their zone and one other, and a byte that crosses zones counts as a microsecond.

--- a/internal/coordination/balance/quote.go
+++ b/internal/coordination/balance/quote.go
@@ -80,9 +80,9 @@
 }
 
 // Sample returns the indexes of up to count candidates that are worth asking for a
-// quote, the first one from the entry's zone. A single index is to be used without
+// quote, the first home ones from the entry's zone as far as it has them. A single index is to be used without
 // asking. The chosen candidate is passed to Chosen.
-func (p *Policy) Sample(now time.Time, service string, candidates []Candidate, tried map[string]bool, count int) []int {
+func (p *Policy) Sample(now time.Time, service string, candidates []Candidate, tried map[string]bool, count, home int) []int {
 	state := p.service(service)
 	state.size = len(candidates)
 	p.collect(candidates, tried)
@@ -92,7 +92,7 @@
 	var sample []int
 	for _, from := range []*pool{&p.eligible, &p.cold} {
 		for len(from.indexes) > 0 && len(sample) < count {
-			i := from.draw(p.random, len(sample) == 0)
+			i := from.draw(p.random, len(sample) < home)
 			c := &candidates[i]
 			t := p.track(state, c.ID)
 			if t.closed(now, c) || c.State == StateEjected || !t.accepts(now, p.random) {
--- a/internal/coordination/balance/spell_test.go
+++ b/internal/coordination/balance/spell_test.go
@@ -1,6 +1,8 @@
 package balance_test
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -18,3 +20,22 @@
 	busy := balance.Quote{Open: true, Limit: 4, Running: 4, Slowdown: 1, Wait: 40 * time.Millisecond}
 	assert.Assert(t, busy.Expected(160*time.Millisecond) < slow.Expected(160*time.Millisecond))
 }
+
+// TestHomeDraws guards against large bodies that cross zones while their own zone has
+// instances to ask.
+func TestHomeDraws(t *testing.T) {
+	p := balance.New(balance.Config{Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+	var candidates []balance.Candidate
+	for i := range 12 {
+		candidates = append(candidates, balance.Candidate{ID: strconv.Itoa(i), Zone: string(rune('a' + i%4)), Slots: 6})
+	}
+	for range 100 {
+		home := 0
+		for _, i := range p.Sample(epoch, "svc", candidates, nil, 4, 3) {
+			if candidates[i].Zone == "a" {
+				home++
+			}
+		}
+		assert.Equal(t, home, 3)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -18,12 +18,17 @@
 const (
 	// subscribeWait bounds the wait for the first state of a service.
 	subscribeWait = 2 * time.Second
+	// defaultLeft is the time left of a caller that states none.
+	defaultLeft = 3 * time.Second
 )
 
 // handleCall serves a caller's request.
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
 	c, err := n.newCall(n.directory.view(), r, time.Now())
 	if err != nil {
+		if errors.Is(err, errNoService) {
+			n.setReturn(w, n.returnWithoutService(r))
+		}
 		rejectCall(w, err)
 		return
 	}
@@ -254,21 +259,43 @@
 
 // setRetryAfter tells the caller when a place is likely to be free.
 func (n *Node) setRetryAfter(w http.ResponseWriter, c *call, failure attemptResult) {
-	wait := n.peers.returnAfter(failure.wait)
-	if c.stated > 0 && isOverload(failure.reason) {
-		wait = n.peers.returnAfterOverload(c.stated - time.Since(c.started))
+	if c.stated > 0 && !isPassing(failure.reason) {
+		n.setReturn(w, n.peers.returnAfterOverload(c.stated-time.Since(c.started)))
+		return
+	}
+	n.setReturn(w, n.peers.returnAfter(failure.wait))
+}
+
+// returnWithoutService tells when a caller should come back to a node that knows no
+// configuration yet. It has one soon after control has a leader.
+func (n *Node) returnWithoutService(r *http.Request) time.Duration {
+	left, err := n.requestTimeout(r, defaultLeft)
+	if err != nil {
+		left = defaultLeft
 	}
-	after := wait.Seconds()
-	text := strconv.Itoa(int(math.Ceil(after)))
+	return n.peers.returnAfterOverload(left)
+}
+
+func (n *Node) setReturn(w http.ResponseWriter, after time.Duration) {
+	text := strconv.Itoa(int(math.Ceil(after.Seconds())))
 	if n.dialect.FractionalRetryAfter {
-		text = strconv.FormatFloat(after, 'f', 3, 64)
+		text = strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
 	}
 	w.Header().Set("Retry-After", text)
 }
 
-// isOverload reports whether the last attempt was refused because the upstream is busy.
-func isOverload(reason wire.RefusalReason) bool {
-	return reason == wire.RefusalReason_REFUSAL_QUEUE_FULL || reason == wire.RefusalReason_REFUSAL_COLD
+// isPassing reports whether the last attempt was refused for a reason that another
+// instance does not have, so that the caller need not wait for room.
+func isPassing(reason wire.RefusalReason) bool {
+	switch reason {
+	case wire.RefusalReason_REFUSAL_LEAVING,
+		wire.RefusalReason_REFUSAL_STOPPING,
+		wire.RefusalReason_REFUSAL_ZONE_OUT,
+		wire.RefusalReason_REFUSAL_WRONG_INSTANCE:
+		return true
+	default:
+		return false
+	}
 }
 
 // setRetried tells callers above that this hop has retried, or would have but for its
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -115,7 +115,7 @@
 }
 
 // sample returns candidates that are worth asking for a quote; see balance.Policy.Sample.
-func (p *peers) sample(v *view, service string, tried map[string]bool) []asked {
+func (p *peers) sample(v *view, service string, tried map[string]bool, home int) []asked {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -124,7 +124,7 @@
 	for _, instance := range instances {
 		p.candidates = append(p.candidates, p.candidateLocked(now, v, instance))
 	}
-	indexes := p.picker.Sample(now, service, p.candidates, tried, quoteCount)
+	indexes := p.picker.Sample(now, service, p.candidates, tried, quoteCount, home)
 	sample := make([]asked, 0, len(indexes))
 	for _, i := range indexes {
 		sample = append(sample, asked{instance: instances[i], candidate: p.candidates[i]})
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -19,6 +19,12 @@
 	// quoteWait bounds the wait for their answers: a round trip to another zone and a
 	// look at the upstream.
 	quoteWait = 8 * time.Millisecond
+	// homeCount of them are in the entry's zone for a body of largeBodyBytes, others one.
+	homeCount      = 3
+	largeBodyBytes = 16 << 10
+	// crossZoneRate is the bytes of a body that are worth a second of waiting in the
+	// entry's zone, since bytes between zones are paid for.
+	crossZoneRate = 1 << 20
 	// defaultWork is the work of a request of a service of which nothing is known.
 	defaultWork = 100 * time.Millisecond
 )
@@ -47,7 +53,7 @@
 		instance, candidate, ok := n.peers.pick(v, service, tried)
 		return instance, candidate, nil, ok
 	}
-	sample := n.peers.sample(v, service, tried)
+	sample := n.peers.sample(v, service, tried, c.homeDraws())
 	if len(sample) == 1 {
 		n.peers.commit(&sample[0])
 		return sample[0].instance, sample[0].candidate, sample, true
@@ -104,7 +110,7 @@
 		case answer := <-answers:
 			i := numbers[answer.Question]
 			delete(numbers, answer.Question)
-			sample[i].quote = n.readQuote(&sample[i], answer.Payload)
+			sample[i].quote = n.readQuote(c, &sample[i], answer.Payload)
 			if quote := sample[i].quote; quote != nil && quote.IsIdeal() && quote.Path == 0 {
 				return
 			}
@@ -141,7 +147,7 @@
 }
 
 // readQuote returns nil for an answer that cannot be read.
-func (n *Node) readQuote(a *asked, payload []byte) *balance.Quote {
+func (n *Node) readQuote(c *call, a *asked, payload []byte) *balance.Quote {
 	quote := &wire.Quote{}
 	if proto.Unmarshal(payload, quote) != nil {
 		return nil
@@ -159,11 +165,24 @@
 		Cold:     load.GetState() == wire.InstanceState_INSTANCE_COLD,
 	}
 	if a.instance.GetZone() != n.settings.Zone {
-		read.Path = crossZonePath
+		read.Path = crossZonePath + c.crossZoneCost()
 	}
 	return read
 }
 
+// homeDraws is the number of instances of the entry's zone that are asked first.
+func (c *call) homeDraws() int {
+	if c.length < largeBodyBytes {
+		return 1
+	}
+	return homeCount
+}
+
+// crossZoneCost is the time that sending the body to another zone is worth.
+func (c *call) crossZoneCost() time.Duration {
+	return time.Duration(max(0, c.length)) * time.Second / crossZoneRate
+}
+
 // crossZonePath is the time to another zone and back.
 const crossZonePath = 3 * time.Millisecond
 
--- a/internal/program/daemons.go
+++ b/internal/program/daemons.go
@@ -13,7 +13,7 @@
 const (
 	// gcPercent and memoryLimitBytes trade memory for fewer collections, which are
 	// visible in the latency of calls. A node may use 128 MB.
-	gcPercent        = 50
+	gcPercent        = 25
 	memoryLimitBytes = 96 << 20
 )
 
