--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -102,6 +102,8 @@
 	ticket  Ticket
 	urgency overload.Urgency
 	rank    int
+	// latest is when a request in time must start, zero for others.
+	latest time.Time
 	// work is how long the request takes at the usual speed, 0 when unknown.
 	work   time.Duration
 	expiry time.Time
@@ -177,6 +179,9 @@
 	ticket := m.next
 	m.at = now
 	w := waiter{ticket: ticket, urgency: m.urgency(now, req), rank: req.Rank, work: req.Work}
+	if w.urgency == overload.InTime && !req.Objective.IsZero() {
+		w.latest = req.Objective.Add(-m.work(req))
+	}
 	ahead := m.ahead(&w)
 	if ahead == 0 && m.mayStart(now, &w) {
 		m.running[ticket] = m.epoch
--- a/internal/coordination/admission/order_test.go
+++ b/internal/coordination/admission/order_test.go
@@ -133,3 +133,24 @@
 	}
 	t.Fatal("no request was refused")
 }
+
+// TestEarliestStartFirst guards against short requests with a near objective that wait
+// behind long ones of the same rank, which have time.
+func TestEarliestStartFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := warmMachine(now)
+	running := fill(t, m, now)
+	patient := admission.Request{Work: 190 * time.Millisecond, Objective: now.Add(time.Second)}
+	near := admission.Request{Work: 64 * time.Millisecond, Objective: now.Add(200 * time.Millisecond)}
+	first, verdict, _ := m.Offer(now, patient)
+	assert.Equal(t, verdict, admission.Queued)
+	second, verdict, _ := m.Offer(now, near)
+	assert.Equal(t, verdict, admission.Queued)
+	third, verdict, _ := m.Offer(now, near)
+	assert.Equal(t, verdict, admission.Queued)
+	for i, want := range []admission.Ticket{second, third, first} {
+		events := m.Release(now, running[i], admission.Outcome{Result: admission.ResultCancelled})
+		assert.Equal(t, len(events), 1)
+		assert.Equal(t, events[0].Ticket, want)
+	}
+}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -40,7 +40,10 @@
 	if w.urgency != other.urgency {
 		return w.urgency.GoesBefore(other.urgency)
 	}
-	return w.rank < other.rank
+	if w.rank != other.rank {
+		return w.rank < other.rank
+	}
+	return !w.latest.IsZero() && (other.latest.IsZero() || w.latest.Before(other.latest))
 }
 
 // limitWait decides whether waiting is worthwhile for a request that finds no free
