Rank nested calls with the request that makes them

Change: a nested call has the rank of its route or that of the request which makes it, whichever is lower; among equals it still goes first. It passes callers that wait for a place which they may not use.

--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -183,7 +183,8 @@
 		w.latest = req.Objective.Add(-m.work(req))
 	}
 	ahead := m.ahead(&w)
-	if ahead == 0 && m.mayStart(now, &w) {
+	// A nested request passes those that it does not take a place from.
+	if (ahead == 0 || w.urgency == overload.Nested) && m.mayStart(now, &w) {
 		m.running[ticket] = m.epoch
 		return ticket, Admitted, notRefused
 	}
--- a/internal/coordination/admission/order_test.go
+++ b/internal/coordination/admission/order_test.go
@@ -154,3 +154,29 @@
 		assert.Equal(t, events[0].Ticket, want)
 	}
 }
+
+// TestNestedRanksWithItsParent guards against calls of less urgent requests that take all
+// that a cold upstream bears from more urgent callers, and against a call that waits behind
+// one that could not use its place.
+func TestNestedRanksWithItsParent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := warmMachine(now)
+	running := fill(t, m, now)
+	urgent := admission.Request{Rank: 1, Objective: now.Add(time.Second)}
+	nested := admission.Request{Rank: 2, Urgency: overload.Nested, Deadline: now.Add(time.Second)}
+	caller, verdict, _ := m.Offer(now, urgent)
+	assert.Equal(t, verdict, admission.Queued)
+	_, verdict, _ = m.Offer(now, nested)
+	assert.Equal(t, verdict, admission.Admitted, "the caller may not use the last place")
+	waiting, verdict, _ := m.Offer(now, nested)
+	assert.Equal(t, verdict, admission.Queued)
+	release := func(i int) admission.Ticket {
+		events := m.Release(now, running[i], admission.Outcome{Result: admission.ResultCancelled})
+		assert.Equal(t, len(events), 1)
+		return events[0].Ticket
+	}
+	assert.Equal(t, release(0), waiting, "five run, the caller may be one of four")
+	events := m.Release(now, running[1], admission.Outcome{Result: admission.ResultCancelled})
+	assert.Equal(t, len(events), 0)
+	assert.Equal(t, release(2), caller)
+}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
@@ -37,11 +38,14 @@
 }
 
 func (w *waiter) goesBefore(other *waiter) bool {
-	if w.urgency != other.urgency {
-		return w.urgency.GoesBefore(other.urgency)
-	}
-	if w.rank != other.rank {
+	isLate, otherIsLate := w.urgency == overload.Late, other.urgency == overload.Late
+	switch {
+	case isLate != otherIsLate:
+		return otherIsLate
+	case w.rank != other.rank:
 		return w.rank < other.rank
+	case w.urgency != other.urgency:
+		return w.urgency.GoesBefore(other.urgency)
 	}
 	return !w.latest.IsZero() && (other.latest.IsZero() || w.latest.Before(other.latest))
 }
@@ -147,13 +151,30 @@
 func (m *Machine) settle(now time.Time) {
 	m.at = now
 	m.refuseWaiting(now)
-	for len(m.queue) > 0 && m.mayStart(now, m.nextWaiter()) {
-		w := m.dequeue()
+	for i := m.startable(now); i >= 0; i = m.startable(now) {
+		w := m.queue[i]
+		m.queue = slices.Delete(m.queue, i, i+1)
 		m.running[w.ticket] = m.epoch
 		m.events = append(m.events, Event{Ticket: w.ticket, Admitted: true})
 	}
 }
 
+// startable returns the index of the waiting request that starts now, and counts it, or
+// -1. Where the next one finds no place, a nested one may use those that are left free.
+func (m *Machine) startable(now time.Time) int {
+	if len(m.queue) == 0 {
+		return -1
+	}
+	next := m.nextWaiter()
+	if !m.hasPlace(now, &m.queue[next]) {
+		next = slices.IndexFunc(m.queue, func(w waiter) bool { return w.urgency == overload.Nested && m.hasPlace(now, &w) })
+	}
+	if next < 0 || !m.mayStart(now, &m.queue[next]) {
+		return -1
+	}
+	return next
+}
+
 func (m *Machine) refuseWaiting(now time.Time) {
 	kept := m.queue[:0]
 	for _, w := range m.queue {
@@ -192,22 +213,10 @@
 	return m.fullReason()
 }
 
-// nextWaiter returns the waiting request that is admitted next.
-func (m *Machine) nextWaiter() *waiter {
-	if m.config.Order == LIFO {
-		return &m.queue[len(m.queue)-1]
-	}
-	return &m.queue[0]
-}
-
-func (m *Machine) dequeue() waiter {
-	last := len(m.queue) - 1
+// nextWaiter returns the index of the waiting request that is admitted next.
+func (m *Machine) nextWaiter() int {
 	if m.config.Order == LIFO {
-		w := m.queue[last]
-		m.queue = m.queue[:last]
-		return w
+		return len(m.queue) - 1
 	}
-	w := m.queue[0]
-	m.queue = append(m.queue[:0], m.queue[1:]...)
-	return w
+	return 0
 }
--- a/internal/coordination/overload/urgency.go
+++ b/internal/coordination/overload/urgency.go
@@ -14,7 +14,7 @@
 )
 
 // GoesBefore reports whether requests of this urgency are admitted before those of the
-// other.
+// other and of the same rank.
 func (u Urgency) GoesBefore(other Urgency) bool { return u.order() < other.order() }
 
 // String names the urgency in logs.
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -73,6 +73,8 @@
 	// stated is the time left that the caller stated, 0 without one.
 	stated  time.Duration
 	urgency overload.Urgency
+	// rank is that of the route, or of the request that makes the call when that is lower.
+	rank int
 	// sent counts the attempts that reached an upstream, refusals those that a node
 	// refused.
 	sent, refusals int
@@ -123,7 +125,7 @@
 	}
 	c.deadline = now.Add(timeout)
 	n.identify(c)
-	c.urgency = n.urgency(c)
+	n.rankUrgency(c)
 	return c, err
 }
 
@@ -269,13 +271,6 @@
 	return c.route.Name
 }
 
-func (c *call) priority() int {
-	if c.route == nil {
-		return 0
-	}
-	return c.route.Priority
-}
-
 // head returns the first message of an attempt.
 func (c *call) head(instance *wire.Instance, entry *settings.Node, number int) *wire.RequestHead {
 	return &wire.RequestHead{
@@ -295,7 +290,7 @@
 		EntryZone:      entry.Zone,
 		SenderAddress:  entry.MeshAddress,
 		AttemptNumber:  uint32(number),                           //nolint:gosec // small
-		Priority:       uint32(c.priority()),                     //nolint:gosec // checked by the document
+		Priority:       uint32(c.rank),                           //nolint:gosec // checked by the document
 		ObjectiveUs:    uint64(c.objectiveLeft().Microseconds()), //nolint:gosec // not negative
 		Urgency:        urgencyToWire(c.urgencyNow()),
 		Route:          c.routeName(),
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -128,7 +128,7 @@
 func (n *Node) ask(instance *wire.Instance, c *call, answers chan<- datagram.Answer, index uint64) (uint64, bool) {
 	question, err := proto.Marshal(&wire.QuoteRequest{
 		Instance: instance.GetId(), Route: c.routeName(), Urgency: urgencyToWire(c.urgencyNow()),
-		Priority: uint32(c.priority()), //nolint:gosec // checked by the document
+		Priority: uint32(c.rank), //nolint:gosec // checked by the document
 	})
 	if err != nil {
 		return 0, false
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -204,7 +204,7 @@
 		}
 	}
 	name := r.requestName()
-	r.node.upstream.began(name)
+	r.node.upstream.began(name, int(r.head.GetPriority()))
 	defer r.node.upstream.ended(name)
 	response, err := r.pool.Do(ctx, request, r.streamed, func() error { return r.dispatch(ctx) })
 	if err != nil {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -40,7 +40,7 @@
 	ownLoadAt   time.Time
 	works       admission.Works
 	// running counts the requests at the upstream by the identity that callers gave.
-	running map[string]int
+	running map[string]runningRequest
 	// watching is set while looks at a slow upstream follow one another.
 	watching bool
 	// unreachableAt is the time of the last refused connection.
@@ -55,7 +55,7 @@
 		dialect: dialect,
 		gate:    admission.NewGate(admission.Config{}, time.Now),
 		measure: admission.NewMeasureBudget(time.Now(), 0),
-		running: map[string]int{},
+		running: map[string]runningRequest{},
 	}
 }
 
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -11,13 +11,21 @@
 // nestedSeparator joins the identity of a request to that of one that it makes.
 const nestedSeparator = "."
 
-// urgency tells how urgent a call with a route is. A call that the upstream beside this
-// node makes for a running request goes first; one whose caller has come back after a
-// refusal takes what the others leave.
-func (n *Node) urgency(c *call) overload.Urgency {
-	if n.isNested(c.name) {
-		return overload.Nested
+// rankUrgency sets rank and urgency of a call. One that the upstream beside this node makes
+// for a running request is nested and ranks no higher than that; one whose caller has come
+// back after a refusal takes what the others leave.
+func (n *Node) rankUrgency(c *call) {
+	if c.route != nil {
+		c.rank = c.route.Priority
+	}
+	if rank, nested := n.nestedRank(c.name); nested {
+		c.rank, c.urgency = max(c.rank, rank), overload.Nested
+		return
 	}
+	c.urgency = n.callerUrgency(c)
+}
+
+func (n *Node) callerUrgency(c *call) overload.Urgency {
 	if c.route == nil || c.stated == 0 {
 		return overload.InTime
 	}
@@ -27,12 +35,15 @@
 	return overload.InTime
 }
 
-// isNested reports whether the identity extends that of a request which runs at the
-// upstream beside this node. Upstreams that name their calls otherwise are served as any
-// caller.
-func (n *Node) isNested(name string) bool {
+// nestedRank returns the rank of the request that makes the call, and false for a call
+// whose identity does not extend that of a request which runs at the upstream beside this
+// node. Upstreams that name their calls otherwise are served as any caller.
+func (n *Node) nestedRank(name string) (int, bool) {
 	end := strings.LastIndex(name, nestedSeparator)
-	return end > 0 && n.upstream.runs(name[:end])
+	if end <= 0 {
+		return 0, false
+	}
+	return n.upstream.runs(name[:end])
 }
 
 func urgencyToWire(urgency overload.Urgency) wire.Urgency {
@@ -57,26 +68,35 @@
 	}
 }
 
+// runningRequest counts the attempts of one identity at the upstream.
+type runningRequest struct {
+	attempts, rank int
+}
+
 // began records that a request of the name runs at the upstream until ended is called.
-func (u *upstream) began(name string) {
+func (u *upstream) began(name string, rank int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.running[name]++
+	u.running[name] = runningRequest{attempts: u.running[name].attempts + 1, rank: rank}
 }
 
 func (u *upstream) ended(name string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.running[name]--; u.running[name] <= 0 {
+	r := u.running[name]
+	if r.attempts--; r.attempts <= 0 {
 		delete(u.running, name)
+		return
 	}
+	u.running[name] = r
 }
 
-// runs reports whether a request of the name runs at the upstream.
-func (u *upstream) runs(name string) bool {
+// runs reports whether a request of the name runs at the upstream, and its rank.
+func (u *upstream) runs(name string) (rank int, isRunning bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.running[name] > 0
+	r, isRunning := u.running[name]
+	return r.rank, isRunning
 }
 
 // spellLook is the time between two looks at an upstream whose slow spell requests wait
--- a/internal/node/urgency_test.go
+++ b/internal/node/urgency_test.go
@@ -14,15 +14,20 @@
 // its identity: only a call of a request that runs at the upstream beside the node does.
 func TestNestedCall(t *testing.T) {
 	n := &Node{upstream: newUpstream(httpapi.DefaultDialect())}
-	assert.Assert(t, !n.isNested("parent.child"))
-	n.upstream.began("parent")
-	n.upstream.began("parent")
-	assert.Assert(t, n.isNested("parent.child"))
-	assert.Assert(t, !n.isNested("parent") && !n.isNested(".child") && !n.isNested("other.child"))
+	isNested := func(name string) bool {
+		rank, nested := n.nestedRank(name)
+		assert.Assert(t, !nested || rank == 2)
+		return nested
+	}
+	assert.Assert(t, !isNested("parent.child"))
+	n.upstream.began("parent", 2)
+	n.upstream.began("parent", 2)
+	assert.Assert(t, isNested("parent.child"))
+	assert.Assert(t, !isNested("parent") && !isNested(".child") && !isNested("other.child"))
 	n.upstream.ended("parent")
-	assert.Assert(t, n.isNested("parent.child"))
+	assert.Assert(t, isNested("parent.child"))
 	n.upstream.ended("parent")
-	assert.Assert(t, !n.isNested("parent.child"))
+	assert.Assert(t, !isNested("parent.child"))
 	assert.Equal(t, len(n.upstream.running), 0)
 }
 
