Set no timer for a cold upstream that has no place

Cause, found in reading: while a cold upstream's rate allowed a request but all its places were taken or a slow spell held it, the timer for the next start fired every millisecond. TestNoTimerWithoutPlace fails on the earlier code.

--- a/internal/coordination/admission/cold_test.go
+++ b/internal/coordination/admission/cold_test.go
@@ -58,3 +58,25 @@
 		assert.Assert(t, served >= 4 && served <= 6, "%d of 10 can start within half a second", served)
 	})
 }
+
+// TestNoTimerWithoutPlace guards against a timer that fires again and again while the rate
+// of a cold upstream allows a request, but all places are taken or a slow spell holds it.
+func TestNoTimerWithoutPlace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := admission.NewMachine(admission.Config{})
+	m.Start(now, "1", 1)
+	m.SetWarmup(now, 8, now.Add(time.Hour))
+	request := admission.Request{Work: 160 * time.Millisecond, Objective: now.Add(10 * time.Second)}
+	running, verdict, _ := m.Offer(now, request)
+	assert.Equal(t, verdict, admission.Admitted)
+	now = now.Add(time.Second)
+	_, verdict, _ = m.Offer(now, request)
+	assert.Equal(t, verdict, admission.Queued)
+	_, waits := m.NextStart(now)
+	assert.Assert(t, !waits, "the only place is taken")
+	m.SetSlowdown(now, 4)
+	assert.Equal(t, len(m.Release(now, running, admission.Outcome{Result: admission.ResultCancelled})), 0)
+	_, waits = m.NextStart(now)
+	assert.Assert(t, !waits, "a slow spell holds the request")
+	assert.Equal(t, len(m.SetSlowdown(now, 1)), 1)
+}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -84,12 +84,9 @@
 	return req.Work
 }
 
-// patience is how long an attempt may wait. With 2 ms of patience at 95 % load, 1.7 %
-// were refused for 0.4 ms of p99; with 12 ms, p99 under noisy neighbours rose by
-// 3.5 ms.
-//
-// A request with an objective waits as long as it can still be answered within it, a nested
-// one as long as it can be answered at all.
+// patience is how long an attempt may wait: one with an objective as long as it can still
+// be answered within it, a nested one as long as it can be answered at all, and others
+// until another instance is likely to be quicker.
 func (m *Machine) patience(now time.Time, w *waiter, req Request) time.Duration {
 	switch {
 	case w.urgency == overload.Nested && !req.Deadline.IsZero():
@@ -133,7 +130,7 @@
 // NextStart returns when the first waiting request may start by itself, because the rate
 // of a cold upstream allows it then, and false when only another event can start it.
 func (m *Machine) NextStart(now time.Time) (time.Time, bool) {
-	if len(m.queue) == 0 || !m.warmup.isCold(now) {
+	if len(m.queue) == 0 || !m.warmup.isCold(now) || !m.hasPlace(now, &m.queue[m.nextWaiter()]) {
 		return time.Time{}, false
 	}
 	return now.Add(m.warmup.wait(now, 0)), true
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -107,12 +107,10 @@
 // soon as it is as fast as usual.
 func (u *upstream) watchSpell(path string) {
 	u.mu.Lock()
-	watches := u.watching || u.slowdown <= usualPercent || path == ""
-	if !watches {
-		u.watching = true
-	}
+	begins := !u.watching && u.slowdown > usualPercent && path != ""
+	u.watching = u.watching || begins
 	u.mu.Unlock()
-	if !watches {
+	if begins {
 		time.AfterFunc(spellLook, func() { u.lookAgain(path) })
 	}
 }
