Find the lines of three kinds of failed request by its identity in a test

A request refused at once, one that timed out at its upstream and one whose connection broke off each leave the lines that docs/OPERATIONS.md follows, with the reason and the nodes that wrote them.

--- /dev/null
+++ b/internal/node/explain_test.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+)
+
+// logLines keeps the lines of all nodes of a test.
+type logLines struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.data.Write(p)
+}
+
+// of returns the lines that carry the request's identity, by message.
+func (l *logLines) of(t *testing.T, request string) map[string]map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := map[string]map[string]any{}
+	for line := range bytes.Lines(slices.Clone(l.data.Bytes())) {
+		fields := map[string]any{}
+		assert.NilError(t, json.Unmarshal(line, &fields))
+		if fields["request"] == request {
+			message, _ := fields["msg"].(string)
+			found[message] = fields
+		}
+	}
+	return found
+}
+
+// TestFailureIsExplained guards against a failed request whose cause cannot be found in
+// the logs by its identity: one refused at once, one that timed out at its upstream and one
+// whose connection broke off. docs/OPERATIONS.md follows the same lines.
+func TestFailureIsExplained(t *testing.T) {
+	lines := &logLines{}
+	control := newFakeControl(t)
+	control.logger = log.NewJSONLogger(log.NewSyncWriter(lines))
+	entry, beside := control.startNode(t, "entry", "a", ""), control.startNode(t, "beside", "a", "")
+	beside.serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/slow":
+			<-r.Context().Done()
+		case "/cut":
+			hangUp(w, r)
+		}
+	})
+	entry.waitFor(t, 1)
+	for _, c := range []struct {
+		name, id, path, timeoutMs string
+		prepare                   func()
+		status                    int
+		outcome, result, reason   string
+		refused                   bool
+	}{
+		{
+			name: "timed out", id: "00000000-0000-4000-8000-000000000001", path: "/slow", timeoutMs: "150",
+			status: http.StatusGatewayTimeout, outcome: httpapi.OutcomeUnknown, result: "unknown",
+		},
+		{
+			name: "broken off", id: "00000000-0000-4000-8000-000000000002", path: "/cut", timeoutMs: "5000",
+			status: http.StatusBadGateway, outcome: httpapi.OutcomeUnknown, result: "unknown", reason: "connect", refused: true,
+		},
+		{
+			name: "refused at once", id: "00000000-0000-4000-8000-000000000003", path: "/p", timeoutMs: "5000",
+			prepare: func() { beside.Node.upstream.leave("1") },
+			status:  http.StatusServiceUnavailable, outcome: httpapi.OutcomeNotRun, result: "not_run", reason: "leaving", refused: true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.prepare != nil {
+				c.prepare()
+			}
+			request, err := http.NewRequest(http.MethodPost, entry.url(c.path), http.NoBody)
+			assert.NilError(t, err)
+			request.Header.Set(httpapi.HeaderRequestID, c.id)
+			request.Header.Set(httpapi.HeaderTimeout, c.timeoutMs)
+			response, err := http.DefaultClient.Do(request)
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, response.Body)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, c.status)
+			var found map[string]map[string]any
+			eventually(t, func() bool { found = lines.of(t, c.id); return found["request ended"] != nil })
+			failed := found["attempt failed"]
+			assert.Assert(t, failed != nil, "%v", found)
+			assert.Equal(t, failed["outcome"], c.outcome)
+			assert.Equal(t, failed["instance"], "i-beside")
+			assert.Equal(t, failed["node"], "entry")
+			assert.Equal(t, found["request ended"]["result"], c.result)
+			if c.refused {
+				refused := found["attempt refused"]
+				assert.Assert(t, refused != nil, "%v", found)
+				assert.Equal(t, refused["reason"], c.reason)
+				assert.Equal(t, refused["node"], "beside")
+				assert.Equal(t, refused["not_run"], c.outcome == httpapi.OutcomeNotRun)
+			}
+		})
+	}
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -38,6 +38,7 @@
 	changed  chan struct{}
 	deaf     bool   // ignores announcements
 	withheld string // node that gets no states
+	logger   log.Logger
 	// onClaim answers claims; nil is no answer.
 	onClaim  func(*wire.Claim) *wire.ClaimResult
 	claims   []*wire.Claim
@@ -50,7 +51,7 @@
 	assert.NilError(t, err)
 	c := &fakeControl{
 		address: listener.Addr().String(), document: testDocument, revision: 1,
-		listed: map[string]*wire.Instance{}, changed: make(chan struct{}),
+		listed: map[string]*wire.Instance{}, changed: make(chan struct{}), logger: log.NewNopLogger(),
 	}
 	server := mesh.NewServer(mesh.DefaultConfig(), c.serve)
 	go func() { _ = server.Serve(context.Background(), listener) }()
@@ -163,7 +164,7 @@
 		ID: id, Zone: zone, EntryListen: "127.0.0.1:0", LocalListen: "127.0.0.1:0", MeshListen: "127.0.0.1:0",
 		AdminListen: "127.0.0.1:0", Control: []string{c.address}, StopTimeoutMs: 5000,
 	}
-	n, err := New(s, log.NewNopLogger(), Options{})
+	n, err := New(s, c.logger, Options{})
 	assert.NilError(t, err)
 	s.MeshAddress = meshAddress
 	if meshAddress == "" {
