Let callers of a starting node wait for its configuration

A node applied the stated rate of a cold upstream only at its next look, up to then one request at a time.

Change: a caller waits up to half a second, at most a third of its time, for the configuration and for the instances of its service while their list is incomplete. The rate is applied with the configuration.

TestCallersWaitForConfiguration fails without it.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"sync"
 	"sync/atomic"
@@ -22,7 +23,8 @@
 	hosts    map[string]string
 	routes   *routing.Table
 	services map[string][]*wire.Instance
-	// stale marks a list of instances that control could not bring up to date.
+	// stale marks a list of instances that control has not sent yet or could not bring up
+	// to date.
 	stale bool
 }
 
@@ -41,6 +43,8 @@
 	wanted   map[string]bool
 	changed  chan struct{}
 	updated  chan struct{}
+	// stored is closed and replaced when a view is put in force.
+	stored   chan struct{}
 	fetch    fetcher
 	fetching atomic.Bool
 
@@ -54,8 +58,9 @@
 		wanted:   map[string]bool{},
 		changed:  make(chan struct{}, 1),
 		updated:  make(chan struct{}),
+		stored:   make(chan struct{}),
 	}
-	d.current.Store(&view{doc: &document.Document{}})
+	d.current.Store(&view{doc: &document.Document{}, stale: true})
 	return d
 }
 
@@ -135,11 +140,30 @@
 	}
 	d.sections = sections
 	d.current.Store(next)
+	close(d.stored)
+	d.stored = make(chan struct{})
 	if raised {
 		d.notify()
 	}
 }
 
+// await returns the view in force once it is ready, or as it is when ctx ends.
+func (d *directory) await(ctx context.Context, ready func(*view) bool) *view {
+	for {
+		d.mu.Lock()
+		current, stored := d.current.Load(), d.stored
+		d.mu.Unlock()
+		if ready(current) {
+			return current
+		}
+		select {
+		case <-stored:
+		case <-ctx.Done():
+			return current
+		}
+	}
+}
+
 // want subscribes to a service and returns a channel that is closed at the next
 // full registry, or nil when the node was subscribed before.
 func (d *directory) want(service string) <-chan struct{} {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -18,13 +18,12 @@
 const (
 	// subscribeWait bounds the wait for the first state of a service.
 	subscribeWait = 2 * time.Second
-	// defaultLeft is the time left of a caller that states none.
-	defaultLeft = 3 * time.Second
 )
 
 // handleCall serves a caller's request.
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
-	c, err := n.newCall(n.directory.view(), r, time.Now())
+	arrived := time.Now()
+	c, err := n.newCall(n.awaitConfiguration(r), r, arrived)
 	if err != nil {
 		if errors.Is(err, errNoService) {
 			n.setReturn(w, n.returnWithoutService(r))
@@ -50,7 +49,7 @@
 		return
 	}
 	n.waitForInstances(ctx, c.service)
-	c.view = n.directory.view()
+	c.view = n.awaitInstances(ctx, c)
 	result = n.serveCall(ctx, w, c)
 }
 
@@ -266,16 +265,6 @@
 	n.setReturn(w, n.peers.returnAfter(failure.wait))
 }
 
-// returnWithoutService tells when a caller should come back to a node that knows no
-// configuration yet. It has one soon after control has a leader.
-func (n *Node) returnWithoutService(r *http.Request) time.Duration {
-	left, err := n.requestTimeout(r, defaultLeft)
-	if err != nil {
-		left = defaultLeft
-	}
-	return n.peers.returnAfterOverload(left)
-}
-
 func (n *Node) setReturn(w http.ResponseWriter, after time.Duration) {
 	text := strconv.Itoa(int(math.Ceil(after.Seconds())))
 	if n.dialect.FractionalRetryAfter {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -38,6 +38,7 @@
 	changed  chan struct{}
 	deaf     bool   // ignores announcements
 	withheld string // node that gets no states
+	stale    bool   // the list of instances is incomplete
 	logger   log.Logger
 	// onClaim answers claims; nil is no answer.
 	onClaim  func(*wire.Claim) *wire.ClaimResult
@@ -143,7 +144,7 @@
 func (c *fakeControl) state() (*wire.StateFull, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	state := &wire.StateFull{Revision: c.revision, Document: []byte(c.document), RegistryVersion: c.version, Confirmed: true}
+	state := &wire.StateFull{Revision: c.revision, Document: []byte(c.document), RegistryVersion: c.version, Confirmed: true, Stale: c.stale}
 	for _, instance := range c.listed {
 		state.Instances = append(state.Instances, instance)
 	}
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -21,3 +22,34 @@
 	after := a.Header.Get("Retry-After")
 	assert.Assert(t, after == "1" || after == "2", "%q", after) // a sixth to a third of 6 s
 }
+
+// TestCallersWaitForConfiguration guards against refusing the callers of a node that has
+// just started although it has configuration and instances a moment later. The two come
+// one after the other.
+func TestCallersWaitForConfiguration(t *testing.T) {
+	control := newFakeControl(t)
+	control.withheld, control.stale, control.deaf = "entry", true, true
+	entry := control.startNode(t, "entry", "a", "")
+	entry.serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	answered := make(chan answer, 1)
+	go func() { answered <- send(t, "GET", entry.url("/p"), nil, httpapi.HeaderTimeout, "6000") }()
+	time.Sleep(50 * time.Millisecond)
+	control.change(func() { control.withheld = "" })
+	time.Sleep(50 * time.Millisecond)
+	listed := entry.Node.upstream.instance("entry", "a", entry.settings.MeshAddress, entry.start)
+	control.change(func() { control.listed[listed.GetId()] = listed })
+	assert.Equal(t, (<-answered).StatusCode, http.StatusOK)
+}
+
+// TestNoWaitForCompleteList guards against callers that wait for instances of a service
+// which has none.
+func TestNoWaitForCompleteList(t *testing.T) {
+	control := newFakeControl(t)
+	entry := control.startNode(t, "entry", "a", "")
+	entry.directory.await(t.Context(), func(v *view) bool { return !v.stale })
+	send(t, "GET", entry.url("/p"), nil, httpapi.HeaderTimeout, "6000") // subscribes to the service
+	began := time.Now()
+	a := send(t, "GET", entry.url("/p"), nil, httpapi.HeaderTimeout, "6000")
+	assert.Equal(t, a.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(began) < startPatience)
+}
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -12,16 +12,22 @@
 // Apply takes a state from control.
 func (s *controlSink) Apply(state *wire.StateFull) {
 	s.directory.apply(state)
+	s.configureUpstream()
 	s.learnDeparture(state.GetInstances())
 }
 
 // ApplyDiff takes a difference from control.
 func (s *controlSink) ApplyDiff(diff *wire.StateDiff) bool {
 	followed := s.directory.applyDiff(diff)
+	s.configureUpstream()
 	s.learnDeparture(diff.GetChanged())
 	return followed
 }
 
+// configureUpstream applies the configuration in force to the upstream at once. Without its
+// stated rate a cold upstream is limited to one request at a time.
+func (s *controlSink) configureUpstream() { (*Node)(s).syncMeasuring() }
+
 // learnDeparture takes no more work for the upstream beside the node when control knows
 // that it leaves. A node that was restarted has forgotten it.
 func (s *controlSink) learnDeparture(instances []*wire.Instance) {
--- /dev/null
+++ b/internal/node/start.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// defaultLeft is the time left of a caller that states none.
+	defaultLeft = 3 * time.Second
+	// startPatience bounds the wait of a caller at a node that has just started. Control
+	// has a leader, and the nodes each other's upstreams, within about that time after all
+	// processes have started.
+	startPatience = 500 * time.Millisecond
+	// startShare is the part of its time left that such a caller waits at most.
+	startShare = 3
+)
+
+// awaitConfiguration returns the view in force. A node that knows no configuration yet has
+// one soon, so that callers wait for it instead of coming back.
+func (n *Node) awaitConfiguration(r *http.Request) *view {
+	if current := n.directory.view(); current.revision > 0 {
+		return current
+	}
+	left, err := n.requestTimeout(r, defaultLeft)
+	if err != nil {
+		left = defaultLeft
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(startPatience, left/startShare))
+	defer cancel()
+	return n.directory.await(ctx, func(v *view) bool { return v.revision > 0 })
+}
+
+// awaitInstances returns the view in force once it has an instance of the call's service.
+// It waits only while the list of instances is incomplete and the call can still be in
+// time.
+func (n *Node) awaitInstances(ctx context.Context, c *call) *view {
+	ready := func(v *view) bool { return !v.stale || len(v.services[c.service]) > 0 }
+	if current := n.directory.view(); ready(current) {
+		return current
+	}
+	wait := min(startPatience, time.Until(c.deadline)/startShare)
+	ctx, cancel := context.WithTimeout(ctx, wait-time.Since(c.started))
+	defer cancel()
+	return n.directory.await(ctx, ready)
+}
+
+// returnWithoutService tells when a caller should come back to a node that knows no
+// configuration yet. It has one soon after control has a leader.
+func (n *Node) returnWithoutService(r *http.Request) time.Duration {
+	left, err := n.requestTimeout(r, defaultLeft)
+	if err != nil {
+		left = defaultLeft
+	}
+	return n.peers.returnAfterOverload(left)
+}
