Count once that an upstream is cold

The gate took that for a slow spell and held work of more than 300 ms although places and rate were free; the choice doubled the work once more, so that a cold upstream in a slow spell looked hardly worse than another.

Change: a spell is what exceeds the speed of a cold upstream, and the choice takes the told speed as it is.

TestColdCountsOnce and TestColdIsNoSlowSpell fail without it.

--- a/internal/coordination/admission/cold_test.go
+++ b/internal/coordination/admission/cold_test.go
@@ -80,3 +80,22 @@
 	assert.Assert(t, !waits, "a slow spell holds the request")
 	assert.Equal(t, len(m.SetSlowdown(now, 1)), 1)
 }
+
+// TestColdIsNoSlowSpell guards against a cold upstream whose usual slowness is taken for a
+// slow spell, so that long work waits while places and rate are free. A spell on top of it
+// must still hold the work.
+func TestColdIsNoSlowSpell(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := admission.NewMachine(admission.Config{})
+	m.Start(now, "1", 9)
+	m.SetWarmup(now, 16, now.Add(time.Hour))
+	request := admission.Request{Work: 400 * time.Millisecond, Objective: now.Add(10 * time.Second)}
+	m.SetSlowdown(now, 2)
+	_, verdict, _ := m.Offer(now, request)
+	assert.Equal(t, verdict, admission.Admitted)
+	now = now.Add(time.Second)
+	m.SetSlowdown(now, 8)
+	_, verdict, _ = m.Offer(now, request)
+	assert.Equal(t, verdict, admission.Queued)
+	assert.Equal(t, len(m.SetSlowdown(now, 2)), 1)
+}
--- a/internal/coordination/admission/slow.go
+++ b/internal/coordination/admission/slow.go
@@ -17,23 +17,30 @@
 
 // speed is how long work takes at the upstream at this moment.
 type speed struct {
-	// slowdown is the time that work takes compared to the usual, 1 when unknown.
+	// slowdown is the time that work takes compared to the usual of a warm upstream, 1 when
+	// unknown.
 	slowdown float64
+	// base is the slowdown outside of slow spells: that of a cold upstream while it is cold.
+	base float64
 	// since is the begin of the slow spell, zero outside of one.
 	since time.Time
 }
 
-// SetSlowdown takes how long work takes at this moment compared to the usual.
+// SetSlowdown takes how long work takes at this moment compared to the usual of a warm
+// upstream.
 func (m *Machine) SetSlowdown(now time.Time, slowdown float64) []Event {
 	m.events = m.events[:0]
-	switch {
-	case slowdown <= 1:
-		m.speed = speed{}
-	case m.speed.since.IsZero():
-		m.speed = speed{slowdown: slowdown, since: now}
-	default:
-		m.speed.slowdown = slowdown
+	next := speed{slowdown: slowdown, base: 1}
+	if m.warmup.isCold(now) {
+		next.base = coldWork
 	}
+	if slowdown > next.base {
+		next.since = m.speed.since
+		if next.since.IsZero() {
+			next.since = now
+		}
+	}
+	m.speed = next
 	m.settle(now)
 	return m.events
 }
@@ -43,14 +50,10 @@
 	return !s.since.IsZero() && now.Sub(s.since) < slowLasting
 }
 
-// stretched returns the time that work takes when it is started now.
-func (s *speed) stretched(work time.Duration) time.Duration {
-	return time.Duration(max(1, s.slowdown) * float64(work))
-}
-
 // outwaits reports whether work is done sooner when it waits for the end of the spell.
 func (s *speed) outwaits(now time.Time, work time.Duration) bool {
-	return s.isSpell(now) && s.stretched(work)-work > slowRest
+	excess := time.Duration((s.slowdown - s.base) * float64(work))
+	return s.isSpell(now) && excess > slowRest
 }
 
 // mayStart reports whether a request may be sent now, and counts it.
--- a/internal/coordination/balance/quote.go
+++ b/internal/coordination/balance/quote.go
@@ -39,9 +39,6 @@
 	if q.Work > 0 {
 		work = q.Work
 	}
-	if q.Cold {
-		work = time.Duration(coldFactor * float64(work))
-	}
 	total := q.Path + q.Wait + q.stretched(work)
 	if q.Limit <= 0 {
 		return total
@@ -55,13 +52,17 @@
 }
 
 // stretched returns the time that work takes that is sent now. It takes the speed at its
-// start, or waits for the end of a slow spell.
+// start, or waits for the end of a slow spell. What a cold upstream tells of its speed
+// includes that it is cold.
 func (q *Quote) stretched(work time.Duration) time.Duration {
-	slowdown := q.Slowdown
+	usual, slowdown := 1.0, q.Slowdown
+	if q.Cold {
+		usual = coldFactor
+	}
 	if slowdown == 0 {
-		slowdown = unknownSlowdown
+		slowdown = usual * unknownSlowdown
 	}
-	return min(time.Duration(slowdown*float64(work)), slowRest+work)
+	return min(time.Duration(slowdown*float64(work)), slowRest+time.Duration(usual*float64(work)))
 }
 
 // Best returns the index of the open quote with the shortest expected time, or -1. A
--- a/internal/coordination/balance/spell_test.go
+++ b/internal/coordination/balance/spell_test.go
@@ -21,6 +21,18 @@
 	assert.Assert(t, busy.Expected(160*time.Millisecond) < slow.Expected(160*time.Millisecond))
 }
 
+// TestColdCountsOnce guards against an estimate that takes a cold upstream for slower than
+// one in a slow spell: the speed that it tells includes that it is cold.
+func TestColdCountsOnce(t *testing.T) {
+	const work = 120 * time.Millisecond
+	cold := balance.Quote{Open: true, Limit: 7, Slowdown: 2, Cold: true}
+	assert.Equal(t, cold.Expected(work), 2*work)
+	coldSpell := balance.Quote{Open: true, Limit: 7, Slowdown: 8, Cold: true}
+	assert.Equal(t, coldSpell.Expected(work), 300*time.Millisecond+2*work)
+	unknown := balance.Quote{Open: true, Limit: 7, Cold: true}
+	assert.Equal(t, unknown.Expected(work), 3*work)
+}
+
 // TestHomeDraws guards against large bodies that cross zones while their own zone has
 // instances to ask.
 func TestHomeDraws(t *testing.T) {
