Send cold upstreams what the deployment allows beyond their rate

Change: the settings cold_factor and cold_slack state the excess; 95 % of the factor are used, and the slack but for two requests that a node may have sent before a restart. Without the settings it is 1.5 times and 5.

TestStatedWarmup covers both slacks and a restart; TestColdUpstreamIsUsed guards the other side.

--- a/internal/coordination/admission/cold_test.go
+++ b/internal/coordination/admission/cold_test.go
@@ -17,8 +17,9 @@
 // rate allows it although nothing else happens.
 func TestColdUpstreamServesInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const perSecond = 8.0 // with the excess that is allowed, one request each 100 ms
-		g := admission.NewGate(admission.Config{}, time.Now)
+		const perSecond = 8.0
+		// With the part of the excess that is used, one request each 100 ms.
+		g := admission.NewGate(admission.Config{Excess: admission.Excess{Factor: 1.25 / 0.95, Slack: 6}}, time.Now)
 		g.Start("1", 64)
 		g.SetWarmup(perSecond, time.Now().Add(time.Hour))
 		ask := func(urgency overload.Urgency) (<-chan time.Duration, time.Time) {
--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -63,6 +63,8 @@
 	Order Order
 	// StepInterval is the shortest time between two increases of a cold limit.
 	StepInterval time.Duration
+	// Excess is what a cold upstream bears beyond its stated rate.
+	Excess Excess
 }
 
 func (c Config) withDefaults() Config {
@@ -72,6 +74,9 @@
 	if c.StepInterval == 0 {
 		c.StepInterval = defaultStepInterval
 	}
+	if c.Excess == (Excess{}) {
+		c.Excess = defaultExcess
+	}
 	return c
 }
 
@@ -113,7 +118,8 @@
 
 // NewMachine returns a machine without an upstream; it refuses until Start.
 func NewMachine(config Config) *Machine {
-	return &Machine{config: config.withDefaults(), running: map[Ticket]uint64{}}
+	config = config.withDefaults()
+	return &Machine{config: config, running: map[Ticket]uint64{}, warmup: warmup{excess: config.Excess}}
 }
 
 // Start announces the upstream. A new start ID begins a cold start; the same one
--- a/internal/coordination/admission/warmup_test.go
+++ b/internal/coordination/admission/warmup_test.go
@@ -12,15 +12,16 @@
 )
 
 // TestStatedWarmup guards against a cold upstream that gets more requests in some second
-// than one and a half times the rate that it bears plus five, also when the node beside
-// it restarts in that second and has forgotten what it sent.
+// than the allowed factor times the rate that it bears plus the allowed slack, also when
+// the node beside it restarts in that second and has forgotten what it sent.
 func TestStatedWarmup(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const perSecond = 8.2
+		perSecond := rapid.SampledFrom([]float64{8.2, 16}).Draw(t, "rate")
+		excess := admission.Excess{Factor: 1.5, Slack: rapid.SampledFrom([]float64{5, 8}).Draw(t, "slack")}
 		now := time.Unix(1000, 0)
 		until := now.Add(time.Hour)
 		start := func() *admission.Machine {
-			m := admission.NewMachine(admission.Config{})
+			m := admission.NewMachine(admission.Config{Excess: excess})
 			m.Start(now, "1", 64)
 			m.SetWarmup(now, perSecond, until)
 			return m
@@ -47,11 +48,30 @@
 			for k := i; k < len(sent) && sent[k].Sub(sent[i]) < time.Second; k++ {
 				count++
 			}
-			assert.Assert(t, float64(count) <= 1.5*perSecond+5, "%d in one second", count)
+			assert.Assert(t, float64(count) <= excess.Factor*perSecond+excess.Slack, "%d in one second", count)
 		}
 	})
 }
 
+// TestColdUpstreamIsUsed guards against a cold upstream that gets much less than it may
+// while callers wait for it.
+func TestColdUpstreamIsUsed(t *testing.T) {
+	const perSecond = 16.0
+	now := time.Unix(1000, 0)
+	m := admission.NewMachine(admission.Config{})
+	m.Start(now, "1", 64)
+	m.SetWarmup(now, perSecond, now.Add(time.Hour))
+	sent := 0
+	for range 4000 {
+		now = now.Add(time.Millisecond)
+		if ticket, verdict, _ := m.Offer(now, admission.Request{Deadline: now.Add(time.Microsecond)}); verdict == admission.Admitted {
+			sent++
+			m.Release(now, ticket, admission.Outcome{ServiceTime: time.Millisecond})
+		}
+	}
+	assert.Assert(t, float64(sent) > 4*1.4*perSecond, "%d in 4 s", sent)
+}
+
 // TestWarmUpstreamUsesItsSlots guards against an upstream that stays limited after its
 // cold time, and against one that may have restarted and is not spared.
 func TestWarmUpstreamUsesItsSlots(t *testing.T) {
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -60,7 +61,7 @@
 // TestConfirmationOfEarlierStart guards against using an upstream on the word that control
 // gave, or failed to give in time, on an earlier start.
 func TestConfirmationOfEarlierStart(t *testing.T) {
-	u := newUpstream(httpapi.DefaultDialect())
+	u := newUpstream(httpapi.DefaultDialect(), admission.Excess{})
 	for _, startID := range []string{"1", "2"} {
 		a := &httpapi.Announcement{Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: startID, Slots: 1, Sequence: 7}
 		assert.Assert(t, u.announce(a))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/obs"
@@ -111,7 +112,7 @@
 		logger:          log.With(logger, "node", s.ID),
 		start:           uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
 		directory:       newDirectory(),
-		upstream:        newUpstream(options.Dialect),
+		upstream:        newUpstream(options.Dialect, admission.Excess{Factor: s.ColdFactor, Slack: s.ColdSlack}),
 		metrics:         newNodeMetrics(),
 		client:          mesh.NewClient(config),
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,10 +50,10 @@
 	waiting []func()
 }
 
-func newUpstream(dialect *httpapi.Dialect) *upstream {
+func newUpstream(dialect *httpapi.Dialect, excess admission.Excess) *upstream {
 	return &upstream{
 		dialect: dialect,
-		gate:    admission.NewGate(admission.Config{}, time.Now),
+		gate:    admission.NewGate(admission.Config{Excess: excess}, time.Now),
 		measure: admission.NewMeasureBudget(time.Now(), 0),
 		running: map[string]runningRequest{},
 	}
--- a/internal/node/urgency_test.go
+++ b/internal/node/urgency_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
@@ -13,7 +14,7 @@
 // TestNestedCall guards against a caller that goes before others because of the form of
 // its identity: only a call of a request that runs at the upstream beside the node does.
 func TestNestedCall(t *testing.T) {
-	n := &Node{upstream: newUpstream(httpapi.DefaultDialect())}
+	n := &Node{upstream: newUpstream(httpapi.DefaultDialect(), admission.Excess{})}
 	isNested := func(name string) bool {
 		rank, nested := n.nestedRank(name)
 		assert.Assert(t, !nested || rank == 2)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -43,6 +43,11 @@
 	RetryRatio   float64 `json:"retry_ratio,omitempty"`
 	RetrySlack   float64 `json:"retry_slack,omitempty"`
 	RetryWindowS float64 `json:"retry_window_s,omitempty"`
+	// ColdFactor and ColdSlack are what a cold upstream bears beyond the rate that its
+	// service states: in any second at most ColdFactor times the rate and ColdSlack more
+	// requests; without both 1.5 and 5.
+	ColdFactor float64 `json:"cold_factor,omitempty"`
+	ColdSlack  float64 `json:"cold_slack,omitempty"`
 	// StopDelayMs is the time in milliseconds for which a stopping node still takes
 	// callers' requests while it reports that it is not ready, so that callers turn to
 	// other nodes before it closes; default 0.
@@ -80,6 +85,7 @@
 		checkNotNegative("control_port", s.ControlPort),
 		checkNotNegative("stop_delay_ms", s.StopDelayMs),
 		s.checkRetries(),
+		s.checkCold(),
 		checkAddress("mesh_listen", s.MeshListen),
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("admin_listen", s.AdminListen),
@@ -97,6 +103,16 @@
 	return nil
 }
 
+func (s *Node) checkCold() *Error {
+	if s.ColdFactor == 0 && s.ColdSlack == 0 {
+		return nil
+	}
+	if s.ColdFactor < 1 || s.ColdSlack < 0 {
+		return &Error{Field: "cold_factor", Problem: "cold_factor must be at least 1 and cold_slack not be negative"}
+	}
+	return nil
+}
+
 func (s *Node) checkLocal() *Error {
 	if s.LocalOpen {
 		return nil
