Give nested calls the objective of the request that makes them

Requests that started with just their mean work left were late as well.

Change: a nested call is of use while its parent can be in time, and takes what others leave after that, also while it waits. A request must start while 1.2 times its work is left.

TestOverdueNestedWaitsBehind and TestNestedCallHasObjectiveOfItsParent guard it; the latter does not compile against the code before.

--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -107,8 +107,10 @@
 	ticket  Ticket
 	urgency overload.Urgency
 	rank    int
-	// latest is when a request in time must start, zero for others.
-	latest time.Time
+	// latest is when the request must start to be in time, zero when that is unknown. A
+	// nested one is overdue after it.
+	latest  time.Time
+	overdue bool
 	// work is how long the request takes at the usual speed, 0 when unknown.
 	work   time.Duration
 	expiry time.Time
@@ -185,8 +187,9 @@
 	ticket := m.next
 	m.at = now
 	w := waiter{ticket: ticket, urgency: m.urgency(now, req), rank: req.Rank, work: req.Work}
-	if w.urgency == overload.InTime && !req.Objective.IsZero() {
-		w.latest = req.Objective.Add(-m.work(req))
+	if w.urgency != overload.Late && !req.Objective.IsZero() {
+		w.latest = m.latestStart(req)
+		w.overdue = now.After(w.latest)
 	}
 	ahead := m.ahead(&w)
 	// A nested request passes those that it does not take a place from.
--- a/internal/coordination/admission/order_test.go
+++ b/internal/coordination/admission/order_test.go
@@ -180,3 +180,34 @@
 	assert.Equal(t, len(events), 0)
 	assert.Equal(t, release(2), caller)
 }
+
+// TestOverdueNestedWaitsBehind guards against an overload of nested calls in which each
+// waits as long as the one before, so that all of the requests that made them are late:
+// one whose parent can't be in time any more takes what the others leave.
+func TestOverdueNestedWaitsBehind(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := warmMachine(now)
+	running := fill(t, m, now)
+	const work = 100 * time.Millisecond
+	nested := func(objective time.Duration) admission.Request {
+		return admission.Request{Urgency: overload.Nested, Work: work, Objective: now.Add(objective), Deadline: now.Add(10 * time.Second)}
+	}
+	_, verdict, _ := m.Offer(now, nested(time.Second))
+	assert.Equal(t, verdict, admission.Admitted, "the last place")
+	overdue, verdict, _ := m.Offer(now, nested(work/2))
+	assert.Equal(t, verdict, admission.Queued)
+	near, verdict, _ := m.Offer(now, nested(3*work))
+	assert.Equal(t, verdict, admission.Queued)
+	far, verdict, _ := m.Offer(now, nested(time.Second))
+	assert.Equal(t, verdict, admission.Queued)
+	release := func(i int) admission.Ticket {
+		events := m.Release(now, running[i], admission.Outcome{Result: admission.ResultCancelled})
+		assert.Equal(t, len(events), 1)
+		assert.Assert(t, events[0].Admitted)
+		return events[0].Ticket
+	}
+	now = now.Add(3 * work) // the near one has become overdue while it waited
+	assert.Equal(t, release(0), far)
+	assert.Equal(t, release(1), overdue)
+	assert.Equal(t, release(2), near)
+}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -16,17 +16,26 @@
 	queuePerSlot = 2
 	// coldWork is how much longer work takes at a cold upstream.
 	coldWork = 2.0
+	// workMargin times the mean work is the time that is kept for a request. Work varies,
+	// and half of the requests that start with just the mean left would be late.
+	workMargin = 1.2
 )
 
 // urgency returns the urgency of a request at this moment: one that cannot be answered
 // within its objective any more is late.
 func (m *Machine) urgency(now time.Time, req Request) overload.Urgency {
-	if req.Urgency == overload.InTime && !req.Objective.IsZero() && now.Add(m.work(req)).After(req.Objective) {
+	if req.Urgency == overload.InTime && !req.Objective.IsZero() && now.After(m.latestStart(req)) {
 		return overload.Late
 	}
 	return req.Urgency
 }
 
+// latestStart is when a request with an objective must start so that most like it are in
+// time.
+func (m *Machine) latestStart(req Request) time.Time {
+	return req.Objective.Add(-time.Duration(workMargin * float64(m.work(req))))
+}
+
 // ahead returns how many waiting requests go before w.
 func (m *Machine) ahead(w *waiter) int {
 	for i := range m.queue {
@@ -38,7 +47,7 @@
 }
 
 func (w *waiter) goesBefore(other *waiter) bool {
-	isLate, otherIsLate := w.urgency == overload.Late, other.urgency == overload.Late
+	isLate, otherIsLate := w.isLate(), other.isLate()
 	switch {
 	case isLate != otherIsLate:
 		return otherIsLate
@@ -50,6 +59,31 @@
 	return !w.latest.IsZero() && (other.latest.IsZero() || w.latest.Before(other.latest))
 }
 
+// isLate reports whether the request takes what those leave that can be in time.
+func (w *waiter) isLate() bool { return w.urgency == overload.Late || w.overdue }
+
+// postpone puts nested requests behind others once they can't be in time any more.
+func (m *Machine) postpone(now time.Time) {
+	changed := false
+	for i := range m.queue {
+		w := &m.queue[i]
+		if !w.overdue && !w.latest.IsZero() && now.After(w.latest) {
+			w.overdue, changed = true, true
+		}
+	}
+	if changed {
+		slices.SortStableFunc(m.queue, func(a, b waiter) int {
+			switch {
+			case a.goesBefore(&b):
+				return -1
+			case b.goesBefore(&a):
+				return 1
+			}
+			return 0
+		})
+	}
+}
+
 // limitWait decides whether waiting is worthwhile for a request that finds no free
 // permit and has others ahead of it, and until when.
 func (m *Machine) limitWait(now time.Time, w *waiter, ahead int, req Request) wire.RefusalReason {
@@ -92,7 +126,7 @@
 	case w.urgency == overload.Nested && !req.Deadline.IsZero():
 		return max(0, req.Deadline.Sub(now)-m.work(req))
 	case w.urgency == overload.InTime && !req.Objective.IsZero():
-		return max(0, req.Objective.Sub(now)-m.work(req))
+		return max(0, m.latestStart(req).Sub(now))
 	}
 	elsewhere := m.config.Patience + seconds(m.ramp.usual/2)
 	return min(elsewhere, maxPatience) * time.Duration(max(1, req.Attempt))
@@ -148,6 +182,7 @@
 func (m *Machine) settle(now time.Time) {
 	m.at = now
 	m.refuseWaiting(now)
+	m.postpone(now)
 	for i := m.startable(now); i >= 0; i = m.startable(now) {
 		w := m.queue[i]
 		m.queue = slices.Delete(m.queue, i, i+1)
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -73,6 +73,8 @@
 	// stated is the time left that the caller stated, 0 without one.
 	stated  time.Duration
 	urgency overload.Urgency
+	// objective is when a response stops being good; zero without one.
+	objective time.Time
 	// rank is that of the route, or of the request that makes the call when that is lower.
 	rank int
 	// sent counts the attempts that reached an upstream, refusals those that a node
@@ -240,25 +242,21 @@
 	return c.isRepeatable() && !c.streamed && (c.route == nil || c.route.MaxAttempts > 1)
 }
 
-// objective returns when a response stops being good; zero without a route's objective.
-func (c *call) objective() time.Time {
-	if c.route == nil || c.route.ObjectiveMs == 0 {
-		return time.Time{}
-	}
-	return c.started.Add(c.route.Objective())
-}
+// leastObjective stands for an objective that has passed, since 0 stands for none.
+const leastObjective = time.Microsecond
 
+// objectiveLeft returns the time for which a response is good, or 0 without an objective.
 func (c *call) objectiveLeft() time.Duration {
-	objective := c.objective()
-	if objective.IsZero() || c.urgency == overload.Late {
+	if c.objective.IsZero() || c.urgency == overload.Late {
 		return 0
 	}
-	return max(0, time.Until(objective))
+	return max(leastObjective, time.Until(c.objective))
 }
 
-// urgencyNow returns late once the objective has passed.
+// urgencyNow returns late once the objective has passed. The call of a running request
+// stays nested, since the work of that is wasted without it.
 func (c *call) urgencyNow() overload.Urgency {
-	if c.urgency == overload.InTime && !c.objective().IsZero() && c.objectiveLeft() == 0 {
+	if c.urgency == overload.InTime && c.objectiveLeft() == leastObjective {
 		return overload.Late
 	}
 	return c.urgency
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -46,8 +46,7 @@
 // level.
 func (n *Node) logEnded(c *call, result callResult) {
 	elapsed := time.Since(c.started)
-	objective := c.objective()
-	late := !objective.IsZero() && time.Now().After(objective)
+	late := !c.objective.IsZero() && time.Now().After(c.objective)
 	logger := level.Info(n.logger)
 	if result == callAnswered && c.status < 500 && !late {
 		logger = level.Debug(n.logger)
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -41,11 +41,13 @@
 	head     *wire.RequestHead
 	id       []byte
 	deadline time.Time
-	streamed bool
-	body     []byte // when it is not streamed
-	pool     *egress.Pool
-	permit   admission.Permit
-	claim    *heldClaim // nil without an idempotency key
+	// objective is when a response stops being good; zero without one.
+	objective time.Time
+	streamed  bool
+	body      []byte // when it is not streamed
+	pool      *egress.Pool
+	permit    admission.Permit
+	claim     *heldClaim // nil without an idempotency key
 
 	state        atomic.Int32
 	dispatchedAt time.Time
@@ -66,7 +68,7 @@
 	now := time.Now()
 	n.lastAttempt.Store(now.UnixNano())
 	left := time.Duration(min(head.GetTimeoutUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond //nolint:gosec // bounded
-	return &received{
+	r := &received{
 		node:     n,
 		stream:   stream,
 		head:     head,
@@ -74,6 +76,10 @@
 		deadline: now.Add(left - n.freeze.age(now)),
 		streamed: head.GetBodyLength() < 0 || head.GetBodyLength() > heldBodyBytes,
 	}
+	if us := min(head.GetObjectiveUs(), uint64(maxTimeout/time.Microsecond)); us > 0 {
+		r.objective = now.Add(time.Duration(us) * time.Microsecond) //nolint:gosec // bounded
+	}
+	return r
 }
 
 // serve serves the attempt. It returns true when both sides have ended it, nothing has
@@ -163,9 +169,7 @@
 		Work:     r.node.upstream.workOf(r.head.GetRoute()),
 		Attempt:  int(r.head.GetAttemptNumber()),
 	}
-	if us := min(r.head.GetObjectiveUs(), uint64(maxTimeout/time.Microsecond)); us > 0 {
-		request.Objective = time.Now().Add(time.Duration(us) * time.Microsecond) //nolint:gosec // bounded
-	}
+	request.Objective = r.objective
 	return request
 }
 
@@ -204,7 +208,7 @@
 		}
 	}
 	name := r.requestName()
-	r.node.upstream.began(name, int(r.head.GetPriority()))
+	r.node.upstream.began(name, int(r.head.GetPriority()), r.objective)
 	defer r.node.upstream.ended(name)
 	response, err := r.pool.Do(ctx, request, r.streamed, func() error { return r.dispatch(ctx) })
 	if err != nil {
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -11,15 +11,27 @@
 // nestedSeparator joins the identity of a request to that of one that it makes.
 const nestedSeparator = "."
 
-// rankUrgency sets rank and urgency of a call. One that the upstream beside this node makes
-// for a running request is nested and ranks no higher than that; one whose caller has come
-// back after a refusal takes what the others leave.
+// parentReserve is the part of a request's objective that its nested calls leave for the
+// way back to the caller.
+const parentReserve = 20 * time.Millisecond
+
+// rankUrgency sets rank, urgency and objective of a call. One that the upstream beside this
+// node makes for a running request is nested: it ranks no higher than that and is of use
+// while that can be in time. One whose caller has come back after a refusal takes what the
+// others leave.
 func (n *Node) rankUrgency(c *call) {
 	if c.route != nil {
 		c.rank = c.route.Priority
+		if c.route.ObjectiveMs > 0 {
+			c.objective = c.started.Add(c.route.Objective())
+		}
 	}
-	if rank, nested := n.nestedRank(c.name); nested {
-		c.rank, c.urgency = max(c.rank, rank), overload.Nested
+	if parent, nested := n.parent(c.name); nested {
+		c.rank, c.urgency = max(c.rank, parent.rank), overload.Nested
+		c.objective = time.Time{}
+		if !parent.objective.IsZero() {
+			c.objective = parent.objective.Add(-parentReserve)
+		}
 		return
 	}
 	c.urgency = n.callerUrgency(c)
@@ -35,13 +47,13 @@
 	return overload.InTime
 }
 
-// nestedRank returns the rank of the request that makes the call, and false for a call
-// whose identity does not extend that of a request which runs at the upstream beside this
-// node. Upstreams that name their calls otherwise are served as any caller.
-func (n *Node) nestedRank(name string) (int, bool) {
+// parent returns the request that makes the call, and false for a call whose identity does
+// not extend that of a request which runs at the upstream beside this node. Upstreams that
+// name their calls otherwise are served as any caller.
+func (n *Node) parent(name string) (runningRequest, bool) {
 	end := strings.LastIndex(name, nestedSeparator)
 	if end <= 0 {
-		return 0, false
+		return runningRequest{}, false
 	}
 	return n.upstream.runs(name[:end])
 }
@@ -68,16 +80,18 @@
 	}
 }
 
-// runningRequest counts the attempts of one identity at the upstream.
+// runningRequest is a request at the upstream. Attempts of the same identity count as one.
 type runningRequest struct {
 	attempts, rank int
+	// objective is when its response stops being good; zero without one.
+	objective time.Time
 }
 
 // began records that a request of the name runs at the upstream until ended is called.
-func (u *upstream) began(name string, rank int) {
+func (u *upstream) began(name string, rank int, objective time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.running[name] = runningRequest{attempts: u.running[name].attempts + 1, rank: rank}
+	u.running[name] = runningRequest{attempts: u.running[name].attempts + 1, rank: rank, objective: objective}
 }
 
 func (u *upstream) ended(name string) {
@@ -91,12 +105,12 @@
 	u.running[name] = r
 }
 
-// runs reports whether a request of the name runs at the upstream, and its rank.
-func (u *upstream) runs(name string) (rank int, isRunning bool) {
+// runs returns the request of the name, and false when none runs at the upstream.
+func (u *upstream) runs(name string) (runningRequest, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	r, isRunning := u.running[name]
-	return r.rank, isRunning
+	return r, isRunning
 }
 
 // spellLook is the time between two looks at an upstream whose slow spell requests wait
--- a/internal/node/urgency_test.go
+++ b/internal/node/urgency_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
+	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
 // TestNestedCall guards against a caller that goes before others because of the form of
@@ -16,13 +19,13 @@
 func TestNestedCall(t *testing.T) {
 	n := &Node{upstream: newUpstream(httpapi.DefaultDialect(), admission.Excess{})}
 	isNested := func(name string) bool {
-		rank, nested := n.nestedRank(name)
-		assert.Assert(t, !nested || rank == 2)
+		parent, nested := n.parent(name)
+		assert.Assert(t, !nested || parent.rank == 2)
 		return nested
 	}
 	assert.Assert(t, !isNested("parent.child"))
-	n.upstream.began("parent", 2)
-	n.upstream.began("parent", 2)
+	n.upstream.began("parent", 2, time.Time{})
+	n.upstream.began("parent", 2, time.Time{})
 	assert.Assert(t, isNested("parent.child"))
 	assert.Assert(t, !isNested("parent") && !isNested(".child") && !isNested("other.child"))
 	n.upstream.ended("parent")
@@ -40,3 +43,27 @@
 	}
 	assert.Equal(t, urgencyFromWire(wire.Urgency(99)), overload.InTime)
 }
+
+// TestNestedCallHasObjectiveOfItsParent guards against a call of a running request that is
+// served in time for its own route, or after its parent is late.
+func TestNestedCallHasObjectiveOfItsParent(t *testing.T) {
+	n := &Node{upstream: newUpstream(httpapi.DefaultDialect(), admission.Excess{})}
+	now := time.Now()
+	newCall := func() *call {
+		c := &call{name: "parent.1", started: now, route: &routing.Route{Route: document.Route{Priority: 1, ObjectiveMs: 120}}}
+		n.rankUrgency(c)
+		return c
+	}
+	n.upstream.began("parent", 2, now.Add(time.Hour))
+	c := newCall()
+	assert.Equal(t, c.urgency, overload.Nested)
+	assert.Equal(t, c.objective, now.Add(time.Hour-parentReserve))
+	n.upstream.ended("parent")
+	n.upstream.began("parent", 2, now)
+	c = newCall()
+	assert.Equal(t, c.objectiveLeft(), leastObjective)
+	assert.Equal(t, c.urgencyNow(), overload.Nested)
+	n.upstream.ended("parent")
+	n.upstream.began("parent", 2, time.Time{})
+	assert.Equal(t, newCall().objectiveLeft(), time.Duration(0))
+}
