Take a quarter of the objective as the work of a route that was not observed

Cause: a node that has just started knows the work of no route.

Change: while no response of a route was observed, its requests are taken to need a quarter of the route's objective.

--- a/internal/coordination/admission/work.go
+++ b/internal/coordination/admission/work.go
@@ -29,11 +29,16 @@
 	}
 }
 
-// Of returns the mean work of a route's requests, that of all when none was observed, and
-// 0 while nothing is known.
-func (w *Works) Of(route string) time.Duration {
-	if own, known := w.routes[route]; known {
+// Of returns the mean work of a route's requests. While none was observed it returns the
+// prior, or without one the mean of all, which is 0 while nothing is known.
+func (w *Works) Of(route string, prior time.Duration) time.Duration {
+	own, known := w.routes[route]
+	switch {
+	case known:
 		return seconds(own)
+	case prior > 0:
+		return prior
+	default:
+		return seconds(w.mean)
 	}
-	return seconds(w.mean)
 }
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -135,11 +135,23 @@
 	u.works.Observe(route, serviceTime, float64(slowdown)/usualPercent)
 }
 
+// priorWorkShare is the part of a route's objective that its requests are taken to need
+// while none was observed. A node that has just started would otherwise take all of them
+// and answer them late.
+const priorWorkShare = 4
+
 // workOf returns the usual work of a route's requests, 0 when nothing is known.
-func (u *upstream) workOf(route string) time.Duration {
+func (n *Node) workOf(route string) time.Duration {
+	prior := n.priorWork(route)
+	u := n.upstream
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.works.Of(route)
+	return u.works.Of(route, prior)
+}
+
+func (n *Node) priorWork(route string) time.Duration {
+	configured := n.directory.view().doc.Routes[route]
+	return configured.Objective() / priorWorkShare
 }
 
 // slowdownNow returns the last reported slowdown in percent, 0 when unknown.
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -215,9 +215,9 @@
 	wait := n.upstream.gate.Wait(admission.Request{
 		Urgency: urgencyFromWire(request.GetUrgency()),
 		Rank:    int(request.GetPriority()),
-		Work:    n.upstream.workOf(request.GetRoute()),
+		Work:    n.workOf(request.GetRoute()),
 	})
-	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.reportFor(request.GetRoute()), Revision: n.directory.view().revision}
+	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.reportFor(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.view().revision}
 	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance())
 	return quote
 }
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -166,7 +166,7 @@
 		Deadline: r.deadline,
 		Urgency:  urgencyFromWire(r.head.GetUrgency()),
 		Rank:     int(r.head.GetPriority()),
-		Work:     r.node.upstream.workOf(r.head.GetRoute()),
+		Work:     r.node.workOf(r.head.GetRoute()),
 		Attempt:  int(r.head.GetAttemptNumber()),
 	}
 	request.Objective = r.objective
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -213,17 +213,18 @@
 
 // report returns the load as the gate sees it, or as the upstream reports it when
 // that is higher: it may have work that did not come through this node.
-func (u *upstream) report() *wire.LoadReport { return u.reportFor("") }
+func (u *upstream) report() *wire.LoadReport { return u.reportFor("", 0) }
 
-// reportFor is the report with the work of a route's requests.
-func (u *upstream) reportFor(route string) *wire.LoadReport {
+// reportFor is the report with the work of a route's requests, the prior while none was
+// observed.
+func (u *upstream) reportFor(route string, prior time.Duration) *wire.LoadReport {
 	report := u.gate.Report()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if time.Since(u.ownLoadAt) < ownLoadAge {
 		report.SlowdownPercent = u.slowdown
 	}
-	report.WorkUs = uint64(u.works.Of(route).Microseconds()) //nolint:gosec // not negative
+	report.WorkUs = uint64(u.works.Of(route, prior).Microseconds()) //nolint:gosec // not negative
 	if own := u.ownLoad; own > int(report.GetInFlight()) && time.Since(u.ownLoadAt) < ownLoadAge {
 		report.InFlight = uint32(min(own, maxReportedLoad)) //nolint:gosec // bounded
 	}
