Keep the process of a control member whose disk is full

Change: the process stays and opens the log again each second. Nothing that was not written had been acknowledged. Other errors of the disk still end it.

--- a/internal/program/daemons.go
+++ b/internal/program/daemons.go
@@ -5,6 +5,8 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/go-kit/log"
+
 	"github.com/chicorylever/chicorylever/internal/control"
 	"github.com/chicorylever/chicorylever/internal/node"
 	"github.com/chicorylever/chicorylever/internal/settings"
@@ -64,19 +66,24 @@
 		if err != nil {
 			return err
 		}
-		c, err := control.New(s, logger, options)
+		return whileDiskFull(ctx, logger, func(ctx context.Context) error { return runControl(ctx, path, s, logger, options) })
+	}
+}
+
+// runControl runs a member until it stops or fails.
+func runControl(ctx context.Context, path string, s *settings.Control, logger log.Logger, options control.Options) error {
+	c, err := control.New(s, logger, options)
+	if err != nil {
+		return err
+	}
+	watchCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go watchSettings(watchCtx, path, logger, func() ([]string, error) {
+		next, err := settings.LoadControl(path)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		watchCtx, stop := context.WithCancel(ctx)
-		defer stop()
-		go watchSettings(watchCtx, path, logger, func() ([]string, error) {
-			next, err := settings.LoadControl(path)
-			if err != nil {
-				return nil, err
-			}
-			return c.Reload(next), nil
-		})
-		return c.Run(ctx)
-	}
+		return c.Reload(next), nil
+	})
+	return c.Run(ctx)
 }
--- /dev/null
+++ b/internal/program/diskfull_test.go
@@ -0,0 +1,37 @@
+package program
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/state/wal"
+)
+
+// TestWhileDiskFull guards against a member that ends its process again and again while
+// its disk is full, against one that goes on after another error of its disk, and against
+// one that can't be stopped meanwhile.
+func TestWhileDiskFull(t *testing.T) {
+	full := errors.WithMessage(&wal.FailedError{Operation: "append", Cause: &os.PathError{Op: "write", Path: "log", Err: syscall.ENOSPC}}, "control")
+	broken := errors.WithMessage(&wal.FailedError{Operation: "append", Cause: syscall.EIO}, "control")
+	synctest.Test(t, func(t *testing.T) {
+		failures := []error{full, full, broken}
+		runs := 0
+		err := whileDiskFull(t.Context(), log.NewNopLogger(), func(context.Context) error {
+			runs++
+			return failures[runs-1]
+		})
+		assert.ErrorIs(t, err, syscall.EIO)
+		assert.Equal(t, runs, 3)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		err = whileDiskFull(ctx, log.NewNopLogger(), func(context.Context) error { cancel(); return full })
+		assert.NilError(t, err)
+	})
+}
