Start no request with just its mean work left before its deadline

Change: the margin of 1.2 holds for deadlines as for objectives.

No test shows the margin of the deadline alone.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -17,7 +17,7 @@
 	// coldWork is how much longer work takes at a cold upstream.
 	coldWork = 2.0
 	// workMargin times the mean work is the time that is kept for a request. Work varies,
-	// and half of the requests that start with just the mean left would be late.
+	// and half of the requests that start with just the mean left would end too late.
 	workMargin = 1.2
 )
 
@@ -33,7 +33,12 @@
 // latestStart is when a request with an objective must start so that most like it are in
 // time.
 func (m *Machine) latestStart(req Request) time.Time {
-	return req.Objective.Add(-time.Duration(workMargin * float64(m.work(req))))
+	return req.Objective.Add(-m.reserve(req))
+}
+
+// reserve is the time that is kept for a request, so that most like it end within it.
+func (m *Machine) reserve(req Request) time.Duration {
+	return time.Duration(workMargin * float64(m.work(req)))
 }
 
 // ahead returns how many waiting requests go before w.
@@ -96,7 +101,7 @@
 	if req.Deadline.IsZero() {
 		return notRefused
 	}
-	latest := req.Deadline.Add(-m.work(req))
+	latest := req.Deadline.Add(-m.reserve(req))
 	if now.Add(wait).After(latest) {
 		return wire.RefusalReason_REFUSAL_DEADLINE
 	}
@@ -124,7 +129,7 @@
 func (m *Machine) patience(now time.Time, w *waiter, req Request) time.Duration {
 	switch {
 	case w.urgency == overload.Nested && !req.Deadline.IsZero():
-		return max(0, req.Deadline.Sub(now)-m.work(req))
+		return max(0, req.Deadline.Sub(now)-m.reserve(req))
 	case w.urgency == overload.InTime && !req.Objective.IsZero():
 		return max(0, m.latestStart(req).Sub(now))
 	}
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -1,5 +1,6 @@
-// Package overload decides when refused callers come back while there is more work than
-// upstreams can take. It is pure: the random source is passed in.
+// Package overload holds what overload decisions need: when refused callers come back, how
+// urgent requests are, and which requests run at an upstream. It is pure: time and random
+// source are passed in.
 package overload
 
 import (
