--- a/internal/coordination/admission/order_test.go
+++ b/internal/coordination/admission/order_test.go
@@ -211,3 +211,19 @@
 	assert.Equal(t, release(1), overdue)
 	assert.Equal(t, release(2), near)
 }
+
+// TestMarginBeforeDeadline guards against a request that waits until just its mean work is
+// left before its deadline: half of those would run and end too late.
+func TestMarginBeforeDeadline(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := warmMachine(now)
+	fill(t, m, now)
+	const work = 100 * time.Millisecond
+	nested := admission.Request{Urgency: overload.Nested, Work: admission.Work{Own: work}, Deadline: now.Add(5 * work)}
+	_, verdict, _ := m.Offer(now, nested)
+	assert.Equal(t, verdict, admission.Admitted, "the last place")
+	waiting, verdict, _ := m.Offer(now, nested)
+	assert.Equal(t, verdict, admission.Queued)
+	expiry, _ := m.Expiry(waiting)
+	assert.Equal(t, expiry, now.Add(5*work-work*6/5))
+}
