Move the directory of a node to a package of its own

internal/node was large. What control has distributed to a node, as immutable views, and the revisions that peers pass on have no other duty of the node in them. FuzzHeaders builds its node with an upstream, which ranking a call needs since running requests moved.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
 
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -59,17 +60,17 @@
 
 // isReady reports whether callers should send their requests here.
 func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.directory.view().revision > 0
+	return !n.stopping.Load() && n.directory.View().Revision > 0
 }
 
 func (n *Node) status() status {
-	current := n.directory.view()
+	current := n.directory.View()
 	report := n.upstream.gate.Report()
 	counters := n.upstream.measure.Counters()
 	s := status{
 		Node:         n.settings.ID,
 		Zone:         n.settings.Zone,
-		Revision:     current.revision,
+		Revision:     current.Revision,
 		Upstream:     n.upstream.announced(),
 		State:        stateName(report.GetState()),
 		InFlight:     report.GetInFlight(),
@@ -80,7 +81,7 @@
 		Replaced:     n.client.Replaced(),
 		Measurements: measurements{Budget: counters.Budget, Spent: counters.Spent, Denied: counters.Denied},
 	}
-	for service, instances := range current.services {
+	for service, instances := range current.Services {
 		s.Services[service] = len(instances)
 	}
 	return s
@@ -103,7 +104,7 @@
 	ticker := time.NewTicker(stateInterval)
 	defer ticker.Stop()
 	last := n.upstream.gate.Report().GetState()
-	var swept *view
+	var swept *directory.View
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,7 +113,7 @@
 		}
 		n.syncZone()
 		n.syncMeasuring()
-		if current := n.directory.view(); current != swept {
+		if current := n.directory.View(); current != swept {
 			n.peers.sweep(current)
 			swept = current
 		}
@@ -121,7 +122,7 @@
 			continue
 		}
 		last = state
-		n.directory.notify()
+		n.directory.Notify()
 		_ = level.Info(n.logger).Log("msg", "upstream state changed", "state", stateName(state))
 	}
 }
@@ -132,7 +133,7 @@
 	if a == nil {
 		return
 	}
-	service := n.directory.view().doc.Services[a.Service]
+	service := n.directory.View().Doc.Services[a.Service]
 	rate := service.Measuring.PerSecond
 	if rate == 0 && service.HealthPath != "" {
 		rate = defaultMeasuring
--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -49,7 +49,7 @@
 		ByteCount: sent,
 		Trailers:  trailers,
 		Load:      r.node.upstream.report(),
-		Revision:  r.node.directory.view().revision,
+		Revision:  r.node.directory.View().Revision,
 	}))
 	return outcome
 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -225,7 +225,7 @@
 // learn takes what the node beside the upstream tells with a response or refusal.
 func (a *attempt) learn(load *wire.LoadReport, revision uint64) {
 	a.load = load
-	a.node.directory.observeRevision(a.instance.GetNodeAddress(), revision)
+	a.node.directory.ObserveRevision(a.instance.GetNodeAddress(), revision)
 }
 
 // refusedResult takes a refusal. Without the receiver's word that nothing was
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -18,6 +18,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/settings"
@@ -51,7 +52,7 @@
 	route    *routing.Route
 	target   string
 	request  *http.Request
-	view     *view
+	view     *directory.View
 	limits   document.Limits
 	rule     document.RequestRule
 	key      string
@@ -95,14 +96,14 @@
 }
 
 // newCall reads everything of the request but its body.
-func (n *Node) newCall(current *view, r *http.Request, now time.Time) (*call, error) {
+func (n *Node) newCall(current *directory.View, r *http.Request, now time.Time) (*call, error) {
 	if !utf8.ValidString(r.RequestURI) || !utf8.ValidString(r.Host) {
 		return nil, errTarget
 	}
 	c := &call{
 		request: r,
 		view:    current,
-		limits:  limitsOf(current.doc),
+		limits:  limitsOf(current.Doc),
 		started: now,
 		length:  r.ContentLength,
 	}
@@ -137,7 +138,7 @@
 // the services' own hosts and paths.
 func (n *Node) selectService(c *call) error {
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
-	if c.route = c.view.routes.Match(c.request.Host, path); c.route != nil {
+	if c.route = c.view.Routes.Match(c.request.Host, path); c.route != nil {
 		c.target = c.request.RequestURI
 		c.service = n.splits.choose(c.route)
 		c.rule = document.RequestRule{Repeatable: c.route.Repeatable(), TimeoutMs: c.route.TimeoutMs}
@@ -145,13 +146,13 @@
 	}
 	service, target, ok := route(c.view, c.request)
 	if !ok {
-		if c.view.routes.IsEmpty() {
+		if c.view.Routes.IsEmpty() {
 			return errNoService
 		}
 		return errNoRoute
 	}
 	c.service, c.target = service, target
-	config := c.view.doc.Services[service]
+	config := c.view.Doc.Services[service]
 	path, _, _ = strings.Cut(target, "?")
 	c.rule = config.Rule(c.request.Method, path)
 	return nil
@@ -286,7 +287,7 @@
 		IdempotencyKey: c.key,
 		Repeatable:     c.rule.Repeatable,
 		BodyLength:     c.length,
-		Revision:       c.view.revision,
+		Revision:       c.view.Revision,
 		EntryZone:      entry.Zone,
 		SenderAddress:  entry.MeshAddress,
 		AttemptNumber:  uint32(number),                           //nolint:gosec // small
@@ -298,21 +299,21 @@
 }
 
 // route returns the service and the request target without the service prefix.
-func route(current *view, r *http.Request) (service, target string, ok bool) {
+func route(current *directory.View, r *http.Request) (service, target string, ok bool) {
 	target = r.URL.RequestURI()
 	if rest, found := strings.CutPrefix(target, servicePrefix); found {
 		name, path, _ := strings.Cut(rest, "/")
-		_, ok = current.doc.Services[name]
+		_, ok = current.Doc.Services[name]
 		return name, "/" + path, ok
 	}
-	if service, ok = current.hosts[r.Host]; ok {
+	if service, ok = current.Hosts[r.Host]; ok {
 		return service, target, true
 	}
 	host := strings.ToLower(r.Host)
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	service, ok = current.hosts[host]
+	service, ok = current.Hosts[host]
 	return service, target, ok
 }
 
@@ -354,7 +355,7 @@
 
 // waitForInstances subscribes to the service and waits for its first state.
 func (n *Node) waitForInstances(ctx context.Context, service string) {
-	updated := n.directory.want(service)
+	updated := n.directory.Want(service)
 	if updated == nil {
 		return
 	}
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -17,7 +17,7 @@
 	quoted := 0
 	keyvals := []any{
 		"msg", "attempt placed", "request", c.name, "attempt", number, "service", c.service,
-		"instance", chosen.GetId(), "zone", chosen.GetZone(), "revision", c.view.revision,
+		"instance", chosen.GetId(), "zone", chosen.GetZone(), "revision", c.view.Revision,
 	}
 	for i := range sample {
 		if sample[i].quote == nil {
@@ -53,7 +53,7 @@
 	}
 	_ = logger.Log("msg", "request ended", "request", c.name, "route", c.routeName(), "urgency", c.urgency, "service", c.service, "result", callResultNames[result],
 		"status", c.status, "late", late, "elapsed_ms", elapsed.Milliseconds(), "sent", c.sent, "refusals", c.refusals,
-		"revision", c.view.revision)
+		"revision", c.view.Revision)
 }
 
 // logRefused tells why the node beside an upstream refused an attempt.
@@ -62,7 +62,7 @@
 		"reason", httpapi.ReasonName(reason), "not_run", !r.isDispatched() || r.declined, "declined", r.declined,
 		"urgency", urgencyFromWire(r.head.GetUrgency()), "slowdown_percent", load.GetSlowdownPercent(),
 		"running", load.GetInFlight(), "queued", load.GetQueued(), "limit", load.GetLimit(), "state", stateName(load.GetState()),
-		"left_ms", time.Until(r.deadline).Milliseconds(), "revision", r.node.directory.view().revision)
+		"left_ms", time.Until(r.deadline).Milliseconds(), "revision", r.node.directory.View().Revision)
 }
 
 // requestName returns the identity that the caller gave.
--- a/internal/node/directory.go
+++ b/internal/node/directory/directory.go
@@ -1,4 +1,6 @@
-package node
+// Package directory holds the configuration and the registry that control has distributed
+// to a node, as immutable views.
+package directory
 
 import (
 	"context"
@@ -16,27 +18,30 @@
 // for them.
 const maxEarlyServices = 32
 
-// view is an immutable state of configuration and registry.
-type view struct {
-	revision uint64
-	doc      *document.Document
-	hosts    map[string]string
-	routes   *routing.Table
-	services map[string][]*wire.Instance
-	// stale marks a list of instances that control has not sent yet or could not bring up
+// View is an immutable state of configuration and registry.
+type View struct {
+	// Revision is 0 while no configuration is known.
+	Revision uint64
+	Doc      *document.Document
+	// Hosts holds the service of each host name.
+	Hosts  map[string]string
+	Routes *routing.Table
+	// Services holds the known instances of each service.
+	Services map[string][]*wire.Instance
+	// Stale marks a list of instances that control has not sent yet or could not bring up
 	// to date.
-	stale bool
+	Stale bool
 }
 
 // setDocument puts a document and its indexes into a view that is not yet in force.
-func (v *view) setDocument(revision uint64, doc *document.Document) {
-	v.revision, v.doc = revision, doc
-	v.hosts, v.routes = hostIndex(doc), routing.NewTable(doc.Routes)
+func (v *View) setDocument(revision uint64, doc *document.Document) {
+	v.Revision, v.Doc = revision, doc
+	v.Hosts, v.Routes = hostIndex(doc), routing.NewTable(doc.Routes)
 }
 
-// directory holds what control has distributed to this node.
-type directory struct {
-	current atomic.Pointer[view]
+// Directory holds what control has distributed to this node. It is safe for concurrent use.
+type Directory struct {
+	current atomic.Pointer[View]
 
 	mu       sync.Mutex
 	sections *distribute.Sections
@@ -45,41 +50,43 @@
 	updated  chan struct{}
 	// stored is closed and replaced when a view is put in force.
 	stored   chan struct{}
-	fetch    fetcher
+	fetch    Fetcher
 	fetching atomic.Bool
 
 	// sequence numbers the heartbeats of this start.
 	sequence atomic.Uint64
 }
 
-func newDirectory() *directory {
-	d := &directory{
+// New returns an empty directory. Fetch asks peers for later revisions; with nil it asks none.
+func New(fetch Fetcher) *Directory {
+	d := &Directory{
+		fetch:    fetch,
 		sections: distribute.NewSections(),
 		wanted:   map[string]bool{},
 		changed:  make(chan struct{}, 1),
 		updated:  make(chan struct{}),
 		stored:   make(chan struct{}),
 	}
-	d.current.Store(&view{doc: &document.Document{}, stale: true})
+	d.current.Store(&View{Doc: &document.Document{}, Stale: true})
 	return d
 }
 
-// view returns the state in force.
-func (d *directory) view() *view { return d.current.Load() }
+// View returns the state in force.
+func (d *Directory) View() *View { return d.current.Load() }
 
-// apply takes a state from control or the document of a peer. A document of a
+// Apply takes a state from control or the document of a peer. A document of a
 // lower revision is ignored, so that a member that lags cannot take a node back.
-func (d *directory) apply(state *wire.StateFull) {
+func (d *Directory) Apply(state *wire.StateFull) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.current.Load()
 	sections := d.sections
-	if state.GetRevision() > next.revision && len(state.GetDocument()) > 0 {
+	if state.GetRevision() > next.Revision && len(state.GetDocument()) > 0 {
 		sections = d.replaceDocument(&next, state)
 	}
 	if !state.GetDocumentOnly() {
-		next.stale = state.GetStale()
-		next.services = mergeInstances(next.services, state)
+		next.Stale = state.GetStale()
+		next.Services = mergeInstances(next.Services, state)
 		close(d.updated)
 		d.updated = make(chan struct{})
 	}
@@ -88,7 +95,7 @@
 
 // replaceDocument puts a whole document into the view. A document that cannot be
 // decoded leaves the one in force.
-func (d *directory) replaceDocument(next *view, state *wire.StateFull) *distribute.Sections {
+func (d *Directory) replaceDocument(next *View, state *wire.StateFull) *distribute.Sections {
 	doc := &document.Document{}
 	if err := json.Unmarshal(state.GetDocument(), doc); err != nil {
 		return d.sections
@@ -101,30 +108,30 @@
 	return sections
 }
 
-// applyDiff takes a difference. It returns false when the changed sections do
+// ApplyDiff takes a difference. It returns false when the changed sections do
 // not follow on the revision in force; the registry part is taken regardless.
-func (d *directory) applyDiff(diff *wire.StateDiff) bool {
+func (d *Directory) ApplyDiff(diff *wire.StateDiff) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.current.Load()
 	sections, followed := d.patchDocument(&next, diff)
 	if diff.GetRegistryVersion() != 0 {
-		next.stale = diff.GetStale()
-		next.services = patchInstances(next.services, diff.GetChanged(), diff.GetRemoved())
+		next.Stale = diff.GetStale()
+		next.Services = patchInstances(next.Services, diff.GetChanged(), diff.GetRemoved())
 	}
 	d.store(sections, &next)
 	return followed
 }
 
-func (d *directory) patchDocument(next *view, diff *wire.StateDiff) (*distribute.Sections, bool) {
-	if diff.GetRevision() <= next.revision {
+func (d *Directory) patchDocument(next *View, diff *wire.StateDiff) (*distribute.Sections, bool) {
+	if diff.GetRevision() <= next.Revision {
 		return d.sections, true
 	}
 	sections, ok := d.sections.Patch(diff)
 	if !ok {
 		return d.sections, false
 	}
-	doc, err := patchSections(next.doc, diff.GetSections())
+	doc, err := patchSections(next.Doc, diff.GetSections())
 	if err != nil {
 		return d.sections, false
 	}
@@ -133,22 +140,22 @@
 }
 
 // store puts a view in force. The caller holds the lock.
-func (d *directory) store(sections *distribute.Sections, next *view) {
-	raised := next.revision > d.current.Load().revision
+func (d *Directory) store(sections *distribute.Sections, next *View) {
+	raised := next.Revision > d.current.Load().Revision
 	if raised {
-		d.wantRoutesLocked(next.doc)
+		d.wantRoutesLocked(next.Doc)
 	}
 	d.sections = sections
 	d.current.Store(next)
 	close(d.stored)
 	d.stored = make(chan struct{})
 	if raised {
-		d.notify()
+		d.Notify()
 	}
 }
 
-// await returns the view in force once it is ready, or as it is when ctx ends.
-func (d *directory) await(ctx context.Context, ready func(*view) bool) *view {
+// Await returns the view in force once it is ready, or as it is when ctx ends.
+func (d *Directory) Await(ctx context.Context, ready func(*View) bool) *View {
 	for {
 		d.mu.Lock()
 		current, stored := d.current.Load(), d.stored
@@ -164,22 +171,22 @@
 	}
 }
 
-// want subscribes to a service and returns a channel that is closed at the next
+// Want subscribes to a service and returns a channel that is closed at the next
 // full registry, or nil when the node was subscribed before.
-func (d *directory) want(service string) <-chan struct{} {
+func (d *Directory) Want(service string) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.wanted[service] {
 		return nil
 	}
 	d.wanted[service] = true
-	d.notify()
+	d.Notify()
 	return d.updated
 }
 
 // wantRoutesLocked subscribes to the services of a document's routes when they are few,
 // so that the first request of a route need not wait for its instances.
-func (d *directory) wantRoutesLocked(doc *document.Document) {
+func (d *Directory) wantRoutesLocked(doc *document.Document) {
 	named := map[string]bool{}
 	for _, route := range doc.Routes {
 		for _, backend := range route.Backends {
@@ -194,15 +201,16 @@
 	}
 }
 
-// notify tells control at once that heartbeat or subscription have news.
-func (d *directory) notify() {
+// Notify tells control at once that heartbeat or subscription have news.
+func (d *Directory) Notify() {
 	select {
 	case d.changed <- struct{}{}:
 	default:
 	}
 }
 
-func (d *directory) wantedServices() []string {
+// WantedServices returns the services that the node has subscribed to.
+func (d *Directory) WantedServices() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	services := make([]string, 0, len(d.wanted))
@@ -211,3 +219,12 @@
 	}
 	return services
 }
+
+// Changed delivers a value when heartbeat or subscription have news.
+func (d *Directory) Changed() <-chan struct{} { return d.changed }
+
+// NextSequence numbers the next heartbeat of this start.
+func (d *Directory) NextSequence() uint64 { return d.sequence.Add(1) }
+
+// LastSequence returns the number of the last heartbeat, 0 before the first.
+func (d *Directory) LastSequence() uint64 { return d.sequence.Load() }
--- a/internal/node/fetch_test.go
+++ b/internal/node/directory/fetch_test.go
@@ -1,4 +1,4 @@
-package node
+package directory
 
 import (
 	"context"
@@ -17,31 +17,31 @@
 // revision that takes an old one from a peer.
 func TestPeersPassRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		in, out := newDirectory(), newDirectory()
+		in, out := New(nil), New(nil)
 		first := []byte(`{"zones":{"seq-a":{"state":"in"}},"services":{"drafts":{"timeout_ms":5}}}`)
 		second := []byte(`{"zones":{"seq-a":{"state":"out"}},"services":{"drafts":{"timeout_ms":5}}}`)
-		out.apply(&wire.StateFull{Revision: 1, Document: first})
-		out.apply(&wire.StateFull{Revision: 2, Document: second})
+		out.Apply(&wire.StateFull{Revision: 1, Document: first})
+		out.Apply(&wire.StateFull{Revision: 2, Document: second})
 		fetches := 0
 		in.fetch = func(_ context.Context, _ string, have uint64) (*wire.Envelope, error) {
 			fetches++
-			message, err := out.revisionAbove(have)
+			message, err := out.RevisionAbove(have)
 			assert.Assert(t, message.GetStateDiff() != nil, "a peer that held the revision sends the difference")
 			return message, err
 		}
-		in.observeRevision("peer", 2)
+		in.ObserveRevision("peer", 2)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.Equal(t, in.view().revision, uint64(0))
-		in.apply(&wire.StateFull{Revision: 1, Document: first, Instances: []*wire.Instance{{Id: "a", Service: "drafts"}}})
+		assert.Equal(t, in.View().Revision, uint64(0))
+		in.Apply(&wire.StateFull{Revision: 1, Document: first, Instances: []*wire.Instance{{Id: "a", Service: "drafts"}}})
 		for range 10 {
-			in.observeRevision("peer", 2)
+			in.ObserveRevision("peer", 2)
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
 		assert.Equal(t, fetches, 1)
-		assert.Equal(t, in.view().revision, uint64(2))
-		assert.Equal(t, in.view().doc.Zones["seq-a"].State, document.ZoneOut)
-		assert.Equal(t, len(in.view().services["drafts"]), 1)
+		assert.Equal(t, in.View().Revision, uint64(2))
+		assert.Equal(t, in.View().Doc.Zones["seq-a"].State, document.ZoneOut)
+		assert.Equal(t, len(in.View().Services["drafts"]), 1)
 	})
 }
--- a/internal/node/patch.go
+++ b/internal/node/directory/patch.go
@@ -1,4 +1,4 @@
-package node
+package directory
 
 import (
 	"encoding/json"
--- a/internal/node/revision_test.go
+++ b/internal/node/directory/revision_test.go
@@ -1,4 +1,4 @@
-package node
+package directory
 
 import (
 	"context"
@@ -135,7 +135,7 @@
 type directoryNode struct {
 	t       *rapid.T
 	name    string
-	current atomic.Pointer[directory]
+	current atomic.Pointer[Directory]
 	mu      sync.Mutex
 	highest uint64
 	cut     bool
@@ -164,36 +164,36 @@
 	return conn, err
 }
 
-func (n *directoryNode) directory() *directory { return n.current.Load() }
+func (n *directoryNode) directory() *Directory { return n.current.Load() }
 
 func (n *directoryNode) Apply(state *wire.StateFull) {
-	n.directory().apply(state)
+	n.directory().Apply(state)
 	n.check()
 }
 
 func (n *directoryNode) ApplyDiff(diff *wire.StateDiff) bool {
 	defer n.check()
-	return n.directory().applyDiff(diff)
+	return n.directory().ApplyDiff(diff)
 }
 
 func (n *directoryNode) check() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	revision := n.directory().view().revision
+	revision := n.directory().View().Revision
 	if revision > 0 && revision < n.highest {
 		n.t.Errorf("%s went back from revision %d to %d", n.name, n.highest, revision)
 	}
 	n.highest = max(n.highest, revision)
 }
 
-func (n *directoryNode) Revision() uint64         { return n.directory().view().revision }
+func (n *directoryNode) Revision() uint64         { return n.directory().View().Revision }
 func (n *directoryNode) Fleet(int)                {}
 func (n *directoryNode) Acknowledged(uint64)      {}
-func (n *directoryNode) Services() []string       { return n.directory().wantedServices() }
-func (n *directoryNode) Changed() <-chan struct{} { return n.directory().changed }
+func (n *directoryNode) Services() []string       { return n.directory().WantedServices() }
+func (n *directoryNode) Changed() <-chan struct{} { return n.directory().Changed() }
 func (n *directoryNode) Heartbeat() *wire.Heartbeat {
 	return &wire.Heartbeat{
-		NodeId: n.name, NodeStart: 1, Revision: n.Revision(), Sequence: n.directory().sequence.Add(1),
+		NodeId: n.name, NodeStart: 1, Revision: n.Revision(), Sequence: n.directory().NextSequence(),
 	}
 }
 
@@ -228,11 +228,11 @@
 	if n.stop != nil {
 		n.stop()
 	}
-	d := newDirectory()
+	d := New(nil)
 	d.fetch = func(_ context.Context, address string, have uint64) (*wire.Envelope, error) {
 		for _, peer := range s.nodes {
 			if peer.name == address {
-				return peer.directory().revisionAbove(have)
+				return peer.directory().RevisionAbove(have)
 			}
 		}
 		return nil, errors.New("no such peer")
@@ -299,7 +299,7 @@
 		n.setCut(!n.cut)
 	case 8:
 		peer := s.nodes[rapid.IntRange(0, 3).Draw(s.t, "peer")]
-		n.directory().observeRevision(peer.name, peer.directory().view().revision)
+		n.directory().ObserveRevision(peer.name, peer.directory().View().Revision)
 	case 9:
 		s.replay(n)
 	}
@@ -367,9 +367,9 @@
 			assert.NilError(t, json.Unmarshal(s.log.documents[s.log.last()-1], want))
 			for _, n := range s.nodes {
 				n.check()
-				view := n.directory().view()
-				assert.Equal(t, view.revision, s.log.last(), n.name)
-				assert.Equal(t, fmt.Sprint(view.doc), fmt.Sprint(want), n.name)
+				view := n.directory().View()
+				assert.Equal(t, view.Revision, s.log.last(), n.name)
+				assert.Equal(t, fmt.Sprint(view.Doc), fmt.Sprint(want), n.name)
 			}
 		})
 	})
--- a/internal/node/scale_test.go
+++ b/internal/node/directory/scale_test.go
@@ -1,4 +1,4 @@
-package node
+package directory
 
 import (
 	"encoding/json"
@@ -53,17 +53,17 @@
 	for _, size := range [][3]int{{360, 4, 18}, {360, 360, 18}, {720, 4, 18}} {
 		b.Run(fmt.Sprintf("services=%d/used=%d/instances=%d", size[0], size[1], size[2]), func(b *testing.B) {
 			before := heapBytes()
-			d := newDirectory()
-			d.apply(scaleState(size[0], size[1], size[2]))
+			d := New(nil)
+			d.Apply(scaleState(size[0], size[1], size[2]))
 			used := heapBytes() - before
-			section, _ := json.Marshal(d.view().doc.Services["service-1"])
+			section, _ := json.Marshal(d.View().Doc.Services["service-1"])
 			revision := uint64(1)
 			for b.Loop() {
-				d.applyDiff(&wire.StateDiff{
+				d.ApplyDiff(&wire.StateDiff{
 					BaseRevision: revision, Revision: revision + 1,
 					Sections: []*wire.Section{{Path: "services/service-1", Json: section}},
 				})
-				d.applyDiff(&wire.StateDiff{
+				d.ApplyDiff(&wire.StateDiff{
 					RegistryVersion: revision + 1, Changed: []*wire.Instance{scaleInstance("service-1", 3)},
 				})
 				revision++
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -182,7 +182,7 @@
 	warm := func() bool {
 		send(t, "GET", entry.url("/warm"), nil)
 		warmed := 0
-		for _, instance := range entry.directory.view().services["s"] {
+		for _, instance := range entry.directory.View().Services["s"] {
 			if stateName(instance.GetState()) == "warm" {
 				warmed++
 			}
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -11,87 +11,14 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-// canonical returns the document as control encodes it.
-func canonical(data []byte) ([]byte, bool) {
-	doc := &document.Document{}
-	if json.Unmarshal(data, doc) != nil {
-		return nil, false
-	}
-	encoded, err := json.Marshal(doc)
-	return encoded, err == nil
-}
-
-// FuzzDocuments guards against a node that took a difference and holds another
-// document than a node that took the whole one.
-func FuzzDocuments(f *testing.F) {
-	f.Add([]byte(`{"services":{"a":{"hosts":["h"]},"b":{}},"limits":{"claim_hours":3}}`), []byte(`{"services":{"b":{"owner":"red"}},"zones":{"z":{"state":"out"}}}`))
-	f.Add([]byte(`{"services":{"a/b":{"rules":[{}]}}}`), []byte(`{}`))
-	f.Add([]byte(`{"zones":{"":{}}}`), []byte(`null`))
-	f.Fuzz(func(t *testing.T, first, second []byte) {
-		first, ok := canonical(first)
-		second, valid := canonical(second)
-		if !ok || !valid {
-			return
-		}
-		whole, patched := newDirectory(), newDirectory()
-		for _, d := range []*directory{whole, patched} {
-			d.apply(&wire.StateFull{Revision: 1, Document: first, DocumentOnly: true})
-		}
-		whole.apply(&wire.StateFull{Revision: 2, Document: second, DocumentOnly: true})
-		message, err := whole.revisionAbove(1)
-		assert.NilError(t, err)
-		assert.Assert(t, patched.applyDiff(message.GetStateDiff()))
-		assert.Equal(t, describe(t, patched), describe(t, whole))
-	})
-}
-
-// describe returns what a directory holds, in a form that can be compared.
-func describe(t *testing.T, d *directory) string {
-	v := d.view()
-	doc, err := patchSections(v.doc, nil) // makes missing and empty maps the same
-	assert.NilError(t, err)
-	data, err := json.Marshal(map[string]any{"r": v.revision, "d": doc, "h": v.hosts, "s": v.services, "t": v.stale})
-	assert.NilError(t, err)
-	return string(data)
-}
-
-// FuzzDirectory guards against a panic on any state from control or a peer, against a
-// revision that falls, and against views that depend on more than the messages.
-func FuzzDirectory(f *testing.F) {
-	instances := []*wire.Instance{{Id: "a", Service: "drafts"}, {Id: "a", Service: "archive"}, nil}
-	full, _ := proto.Marshal(&wire.StateFull{Revision: 2, Document: []byte(`{"services":{"drafts":null}}`), Instances: instances})
-	sections := []*wire.Section{{Path: "services/drafts"}, {Path: "limits", Json: []byte(`{}`)}, {Path: "teams/x", Json: []byte(`{`)}}
-	diff, _ := proto.Marshal(&wire.StateDiff{BaseRevision: 2, Revision: 3, Sections: sections, RegistryVersion: 1, Changed: instances, Removed: []string{"a"}})
-	f.Add(full, diff)
-	f.Add(diff, full)
-	f.Fuzz(func(t *testing.T, first, second []byte) {
-		a, b := newDirectory(), newDirectory()
-		for _, data := range [][]byte{first, second} {
-			full, diff := &wire.StateFull{}, &wire.StateDiff{}
-			isFull, isDiff := proto.Unmarshal(data, full) == nil, proto.Unmarshal(data, diff) == nil
-			for _, d := range []*directory{a, b} {
-				before := d.view().revision
-				if isFull {
-					d.apply(full)
-				}
-				if isDiff {
-					d.applyDiff(diff)
-				}
-				assert.Assert(t, d.view().revision >= before)
-				_, err := d.revisionAbove(0)
-				assert.NilError(t, err)
-			}
-			assert.Equal(t, describe(t, a), describe(t, b))
-		}
-	})
-}
-
 // FuzzHeaders guards against header values that give a call without a bound on its
 // time, depth or key, and against values that cannot be sent to another node. Bytes
 // of values need not be UTF-8 (RFC 9110, section 5.5).
@@ -100,11 +27,11 @@
 	f.Add("2147483648", "256", "", "drafts:80", "", "")
 	f.Add("", "", "\xff", "[::1", "urn:uuid:", "text")
 	f.Add("0", "16", "k", "[host]:", "{6ba7b810-9dad-11d1-80b4-00c04fd430c8}", "a, b")
-	current := &view{
-		doc:   &document.Document{Services: map[string]document.Service{"drafts": {}}},
-		hosts: map[string]string{"host": "drafts"},
+	current := &directory.View{
+		Doc:   &document.Document{Services: map[string]document.Service{"drafts": {}}},
+		Hosts: map[string]string{"host": "drafts"},
 	}
-	n := &Node{settings: &settings.Node{}, dialect: httpapi.DefaultDialect(), splits: newSplits()}
+	n := &Node{settings: &settings.Node{}, dialect: httpapi.DefaultDialect(), splits: newSplits(), upstream: newUpstream(httpapi.DefaultDialect(), admission.Excess{})}
 	n.live.Store(n.settings)
 	f.Fuzz(func(t *testing.T, timeout, depth, key, host, id, value string) {
 		r := httptest.NewRequest(http.MethodPost, "/svc/drafts/x?y", nil)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -204,8 +204,8 @@
 
 // waitFor returns once the entry knows the number of instances.
 func (n *testNode) waitFor(t testing.TB, instances int) {
-	n.directory.want("s")
-	eventually(t, func() bool { return len(n.directory.view().services["s"]) == instances })
+	n.directory.Want("s")
+	eventually(t, func() bool { return len(n.directory.View().Services["s"]) == instances })
 }
 
 func eventually(t testing.TB, condition func() bool) {
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -64,18 +64,18 @@
 	}
 	accepted := n.upstream.announce(a)
 	if isNewStart {
-		n.announcedAt.Store(n.directory.sequence.Load() + 1)
+		n.announcedAt.Store(n.directory.LastSequence() + 1)
 	}
 	if !accepted {
 		_ = level.Info(n.logger).Log("msg", "late announcement ignored", "instance", a.Instance, "start_id", a.StartID, "sequence", a.Sequence)
 		return nil
 	}
-	n.upstream.setWarmup(a.Service, n.directory.view().doc.Services[a.Service].WarmupPerSecond)
+	n.upstream.setWarmup(a.Service, n.directory.View().Doc.Services[a.Service].WarmupPerSecond)
 	if isNewStart {
 		time.AfterFunc(confirmWait, func() { n.upstream.confirm(a.StartID) })
 	}
 	if isNewStart || former.Leaving != a.Leaving {
-		n.directory.notify()
+		n.directory.Notify()
 		_ = level.Info(n.logger).Log("msg", "upstream announced", "service", a.Service, "instance", a.Instance,
 			"start_id", a.StartID, "sequence", a.Sequence, "cold_ms", a.ColdMs, "leaving", a.Leaving)
 	}
@@ -89,7 +89,7 @@
 	if a == nil || a.Instance != instance || !n.upstream.leave(a.StartID) {
 		return false
 	}
-	n.directory.notify()
+	n.directory.Notify()
 	_ = level.Info(n.logger).Log("msg", "upstream is leaving", "instance", instance, "start_id", a.StartID)
 	return true
 }
@@ -120,7 +120,7 @@
 		writeError(w, http.StatusConflict, httpapi.ErrorBody{Error: "start_id is not the announced one"})
 		return
 	}
-	n.directory.notify()
+	n.directory.Notify()
 	_ = level.Info(n.logger).Log("msg", "upstream is leaving", "start_id", leave.StartID)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -116,7 +116,7 @@
 	if result == callCancelled || result == callRefused {
 		return
 	}
-	objective := c.view.doc.Services[c.service].Objective
+	objective := c.view.Doc.Services[c.service].Objective
 	within := time.Duration(objective.GoodWithinMs) * time.Millisecond
 	good := result == callAnswered && c.status < http.StatusInternalServerError && (within == 0 || time.Since(c.started) <= within)
 	s.mu.Lock()
@@ -159,7 +159,7 @@
 	set.NewGauge("chicorylever_measurement_budget_total", func() float64 { return n.upstream.measure.Counters().Budget })
 	set.NewGauge("chicorylever_measurement_spent_total", func() float64 { return float64(n.upstream.measure.Counters().Spent) })
 	set.NewGauge("chicorylever_measurement_denied_total", func() float64 { return float64(n.upstream.measure.Counters().Denied) })
-	set.NewGauge("chicorylever_configuration_revision", func() float64 { return float64(n.directory.view().revision) })
+	set.NewGauge("chicorylever_configuration_revision", func() float64 { return float64(n.directory.View().Revision) })
 	set.NewGauge("chicorylever_mesh_connections_replaced_total", func() float64 { return float64(n.client.Replaced()) })
 	set.NewGauge("chicorylever_claims_settling", func() float64 { return float64(len(n.settler.places)) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/settings"
@@ -63,7 +64,7 @@
 	upstreamHeaders map[string]bool
 	logger          log.Logger
 	start           uint64
-	directory       *directory
+	directory       *directory.Directory
 	upstream        *upstream
 	peers           *peers
 	metrics         *nodeMetrics
@@ -111,14 +112,13 @@
 		splits:          newSplits(),
 		logger:          log.With(logger, "node", s.ID),
 		start:           uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
-		directory:       newDirectory(),
 		upstream:        newUpstream(options.Dialect, admission.Excess{Factor: s.ColdFactor, Slack: s.ColdSlack}),
 		metrics:         newNodeMetrics(),
 		client:          mesh.NewClient(config),
 	}
+	n.directory = directory.New(n.fetchRevision)
 	n.live.Store(s)
 	n.subscription = distribute.NewClient(s.ID, s.Control, n.dialControl, (*controlSink)(n), n.logger)
-	n.directory.fetch = n.fetchRevision
 	total := budget.Total{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: time.Duration(s.RetryWindowS * float64(time.Second))}
 	n.peers = newPeers(s.Zone, total, func(instance string) {
 		n.metrics.ejections.Inc()
@@ -249,7 +249,7 @@
 	delay := time.Duration(n.live.Load().StopDelayMs) * time.Millisecond
 	sleep(ctx, delay-workLead)
 	n.upstream.gate.Stop()
-	n.directory.notify()
+	n.directory.Notify()
 	sleep(ctx, min(delay, workLead))
 	_ = n.entryListener.Close()
 	first := errors.Wrap(entry.Shutdown(ctx), "node: finish callers' requests")
@@ -300,7 +300,7 @@
 
 // callerLimits returns what the configuration in force allows callers to send.
 func (n *Node) callerLimits() callerhttp.Limits {
-	limits := n.directory.view().doc.Limits
+	limits := n.directory.View().Doc.Limits
 	return callerhttp.Limits{
 		MaxHeaderBytes: limits.MaxHeaderBytes,
 		HeaderTimeout:  time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -110,28 +110,28 @@
 		control.revision++
 		control.document = strings.Replace(testDocument, `"a": {"state": "in"}`, `"a": {"state": "out"}`, 1)
 	})
-	eventually(t, func() bool { return beside.directory.view().revision == 2 })
+	eventually(t, func() bool { return beside.directory.View().Revision == 2 })
 	a := send(t, "POST", entry.url("/p"), nil)
 	assert.Equal(t, a.outcome(), httpapi.OutcomeNotRun)
 	control.change(func() {
 		control.revision++
 		control.document = testDocument
 	})
-	eventually(t, func() bool { return beside.directory.view().revision == 3 && entry.directory.view().revision == 3 })
+	eventually(t, func() bool { return beside.directory.View().Revision == 3 && entry.directory.View().Revision == 3 })
 	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
-	instances := entry.directory.view().services["s"]
+	instances := entry.directory.View().Services["s"]
 	control.change(func() { // a registry entry whose address another instance has taken over
 		ghost := proto.Clone(instances[0]).(*wire.Instance)
 		ghost.Id = "ghost"
 		control.deaf, control.listed = true, map[string]*wire.Instance{"ghost": ghost}
 	})
-	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() == "ghost" })
+	eventually(t, func() bool { return entry.directory.View().Services["s"][0].GetId() == "ghost" })
 	a = send(t, "POST", entry.url("/p"), nil)
 	assert.Equal(t, a.Header.Get(httpapi.HeaderReason), "wrong-instance")
 	control.change(func() {
 		control.deaf, control.listed = false, map[string]*wire.Instance{instances[0].GetId(): instances[0]}
 	})
-	eventually(t, func() bool { return entry.directory.view().services["s"][0].GetId() != "ghost" })
+	eventually(t, func() bool { return entry.directory.View().Services["s"][0].GetId() != "ghost" })
 
 	response, err := http.Post("http://"+beside.LocalAddress()+"/v1/leave", "", strings.NewReader(`{"start_id": "1"}`))
 	assert.NilError(t, err)
@@ -153,11 +153,11 @@
 		})
 	}
 	setZone("out", "entry")
-	eventually(t, func() bool { return beside.directory.view().revision == 2 })
-	assert.Equal(t, entry.directory.view().revision, uint64(1))
+	eventually(t, func() bool { return beside.directory.View().Revision == 2 })
+	assert.Equal(t, entry.directory.View().Revision, uint64(1))
 	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).outcome(), httpapi.OutcomeNotRun)
 	setZone("in", "")
-	eventually(t, func() bool { return beside.directory.view().revision == 3 && entry.directory.view().revision == 3 })
+	eventually(t, func() bool { return beside.directory.View().Revision == 3 && entry.directory.View().Revision == 3 })
 	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,6 +9,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
@@ -61,11 +62,11 @@
 
 // pick chooses an instance and counts an attempt in flight to it. Each pick is
 // followed by one done.
-func (p *peers) pick(v *view, service string, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
+func (p *peers) pick(v *directory.View, service string, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	instances := v.services[service]
+	instances := v.Services[service]
 	p.candidates = p.candidates[:0]
 	for _, instance := range instances {
 		p.candidates = append(p.candidates, p.candidateLocked(now, v, instance))
@@ -83,7 +84,7 @@
 	return nil, chosen, false
 }
 
-func (p *peers) candidateLocked(now time.Time, v *view, instance *wire.Instance) balance.Candidate {
+func (p *peers) candidateLocked(now time.Time, v *directory.View, instance *wire.Instance) balance.Candidate {
 	state, known := p.states[instance.GetId()]
 	if !known || state.startID != instance.GetStartId() {
 		inFlight := 0
@@ -99,7 +100,7 @@
 		Slots:    int(instance.GetSlots()),
 		InFlight: state.inFlight,
 		State:    balance.StateFromWire(instance.GetState()),
-		Revision: v.revision,
+		Revision: v.Revision,
 	}
 	if state.report != nil {
 		candidate.Report = balance.FromWire(state.report)
@@ -108,18 +109,18 @@
 			candidate.State = balance.StateFromWire(state.report.GetState())
 		}
 	}
-	if v.doc.Zones[instance.GetZone()].State == document.ZoneOut {
+	if v.Doc.Zones[instance.GetZone()].State == document.ZoneOut {
 		candidate.State = balance.StateZoneOut
 	}
 	return candidate
 }
 
 // sample returns candidates that are worth asking for a quote; see balance.Policy.Sample.
-func (p *peers) sample(v *view, service string, tried map[string]bool, home int) []asked {
+func (p *peers) sample(v *directory.View, service string, tried map[string]bool, home int) []asked {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	instances := v.services[service]
+	instances := v.Services[service]
 	p.candidates = p.candidates[:0]
 	for _, instance := range instances {
 		p.candidates = append(p.candidates, p.candidateLocked(now, v, instance))
@@ -165,9 +166,9 @@
 }
 
 // sweep drops what is known of instances that are gone from the registry.
-func (p *peers) sweep(v *view) {
+func (p *peers) sweep(v *directory.View) {
 	listed := map[string]bool{}
-	for _, instances := range v.services {
+	for _, instances := range v.Services {
 		for _, instance := range instances {
 			listed[instance.GetId()] = true
 		}
@@ -175,7 +176,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.returns.Keep(func(route string) bool {
-		_, kept := v.doc.Routes[route]
+		_, kept := v.Doc.Routes[route]
 		return kept
 	})
 	for id, state := range p.states {
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -152,7 +152,7 @@
 }
 
 func (n *Node) priorWork(route string) time.Duration {
-	configured := n.directory.view().doc.Routes[route]
+	configured := n.directory.View().Doc.Routes[route]
 	return configured.Objective() / priorWorkShare
 }
 
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -152,7 +152,7 @@
 	if proto.Unmarshal(payload, quote) != nil {
 		return nil
 	}
-	n.directory.observeRevision(a.instance.GetNodeAddress(), quote.GetRevision())
+	n.directory.ObserveRevision(a.instance.GetNodeAddress(), quote.GetRevision())
 	load := quote.GetLoad()
 	read := &balance.Quote{
 		Open:     quote.GetOpen(),
@@ -206,7 +206,7 @@
 	if a == nil {
 		return ""
 	}
-	return n.directory.view().doc.Services[a.Service].HealthPath
+	return n.directory.View().Doc.Services[a.Service].HealthPath
 }
 
 // quote tells how the upstream is now.
@@ -217,7 +217,7 @@
 		Rank:    int(request.GetPriority()),
 		Work:    n.workOf(request.GetRoute()),
 	})
-	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.reportFor(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.view().revision}
+	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.reportFor(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.View().Revision}
 	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance())
 	return quote
 }
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -57,16 +57,16 @@
 
 // syncZone applies the state of this node's zone in the configuration in force.
 func (n *Node) syncZone() {
-	zone := n.directory.view().doc.Zones[n.settings.Zone]
+	zone := n.directory.View().Doc.Zones[n.settings.Zone]
 	if n.upstream.setZoneOut(zone.State == document.ZoneOut) {
-		n.directory.notify()
+		n.directory.Notify()
 		_ = level.Info(n.logger).Log("msg", "zone changed", "zone", n.settings.Zone, "state", zone.State)
 	}
 }
 
 // maxBodyBytes returns the largest request body in bytes.
 func (n *Node) maxBodyBytes() int64 {
-	if limit := n.directory.view().doc.Limits.MaxBodyBytes; limit > 0 {
+	if limit := n.directory.View().Doc.Limits.MaxBodyBytes; limit > 0 {
 		return limit
 	}
 	return document.DefaultLimits().MaxBodyBytes
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -65,7 +65,7 @@
 
 // newReceived returns an attempt of this or another entry whose head has arrived.
 func (n *Node) newReceived(stream messageStream, id []byte, head *wire.RequestHead) *received {
-	n.directory.observeRevision(head.GetSenderAddress(), head.GetRevision())
+	n.directory.ObserveRevision(head.GetSenderAddress(), head.GetRevision())
 	now := time.Now()
 	n.lastAttempt.Store(now.UnixNano())
 	left := time.Duration(min(head.GetTimeoutUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond //nolint:gosec // bounded
@@ -300,7 +300,7 @@
 		NotRun:   !r.isDispatched() || r.declined,
 		Declined: r.declined,
 		Load:     load,
-		Revision: r.node.directory.view().revision,
+		Revision: r.node.directory.View().Revision,
 		Detail:   detail,
 	}))
 }
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 )
 
@@ -46,7 +47,7 @@
 func TestNoWaitForCompleteList(t *testing.T) {
 	control := newFakeControl(t)
 	entry := control.startNode(t, "entry", "a", "")
-	entry.directory.await(t.Context(), func(v *view) bool { return !v.stale })
+	entry.directory.Await(t.Context(), func(v *directory.View) bool { return !v.Stale })
 	send(t, "GET", entry.url("/p"), nil, httpapi.HeaderTimeout, "6000") // subscribes to the service
 	began := time.Now()
 	a := send(t, "GET", entry.url("/p"), nil, httpapi.HeaderTimeout, "6000")
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -11,14 +11,14 @@
 
 // Apply takes a state from control.
 func (s *controlSink) Apply(state *wire.StateFull) {
-	s.directory.apply(state)
+	s.directory.Apply(state)
 	s.configureUpstream()
 	s.learnDeparture(state.GetInstances())
 }
 
 // ApplyDiff takes a difference from control.
 func (s *controlSink) ApplyDiff(diff *wire.StateDiff) bool {
-	followed := s.directory.applyDiff(diff)
+	followed := s.directory.ApplyDiff(diff)
 	s.configureUpstream()
 	s.learnDeparture(diff.GetChanged())
 	return followed
@@ -43,7 +43,7 @@
 }
 
 // Revision returns the revision in force.
-func (s *controlSink) Revision() uint64 { return s.directory.view().revision }
+func (s *controlSink) Revision() uint64 { return s.directory.View().Revision }
 
 // Heartbeat returns the node's lease renewal.
 func (s *controlSink) Heartbeat() *wire.Heartbeat {
@@ -51,10 +51,10 @@
 		NodeId:    s.settings.ID,
 		NodeStart: s.start,
 		Zone:      s.settings.Zone,
-		Revision:  s.directory.view().revision,
+		Revision:  s.directory.View().Revision,
 		Instance:  s.upstream.instance(s.settings.ID, s.settings.Zone, s.settings.MeshAddress, s.start),
 		Counts:    s.metrics.burnCounts(),
-		Sequence:  s.directory.sequence.Add(1),
+		Sequence:  s.directory.NextSequence(),
 	}
 }
 
@@ -70,7 +70,7 @@
 }
 
 // Services returns the services that the node has been asked for.
-func (s *controlSink) Services() []string { return s.directory.wantedServices() }
+func (s *controlSink) Services() []string { return s.directory.WantedServices() }
 
 // Changed signals news for control.
-func (s *controlSink) Changed() <-chan struct{} { return s.directory.changed }
+func (s *controlSink) Changed() <-chan struct{} { return s.directory.Changed() }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 )
 
 const (
@@ -19,8 +21,8 @@
 
 // awaitConfiguration returns the view in force. A node that knows no configuration yet has
 // one soon, so that callers wait for it instead of coming back.
-func (n *Node) awaitConfiguration(r *http.Request) *view {
-	if current := n.directory.view(); current.revision > 0 {
+func (n *Node) awaitConfiguration(r *http.Request) *directory.View {
+	if current := n.directory.View(); current.Revision > 0 {
 		return current
 	}
 	left, err := n.requestTimeout(r, defaultLeft)
@@ -29,21 +31,21 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(startPatience, left/startShare))
 	defer cancel()
-	return n.directory.await(ctx, func(v *view) bool { return v.revision > 0 })
+	return n.directory.Await(ctx, func(v *directory.View) bool { return v.Revision > 0 })
 }
 
 // awaitInstances returns the view in force once it has an instance of the call's service.
 // It waits only while the list of instances is incomplete and the call can still be in
 // time.
-func (n *Node) awaitInstances(ctx context.Context, c *call) *view {
-	ready := func(v *view) bool { return !v.stale || len(v.services[c.service]) > 0 }
-	if current := n.directory.view(); ready(current) {
+func (n *Node) awaitInstances(ctx context.Context, c *call) *directory.View {
+	ready := func(v *directory.View) bool { return !v.Stale || len(v.Services[c.service]) > 0 }
+	if current := n.directory.View(); ready(current) {
 		return current
 	}
 	wait := min(startPatience, time.Until(c.deadline)/startShare)
 	ctx, cancel := context.WithTimeout(ctx, wait-time.Since(c.started))
 	defer cancel()
-	return n.directory.await(ctx, ready)
+	return n.directory.Await(ctx, ready)
 }
 
 // returnWithoutService tells when a caller should come back to a node that knows no
