Keep the lists of services that a difference does not concern

patchInstances copied the list of every service for each difference, although its comment says that only those that change are copied.

--- a/internal/node/directory/patch.go
+++ b/internal/node/directory/patch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -103,8 +104,11 @@
 		drop[instance.GetId()] = true
 	}
 	services := map[string][]*wire.Instance{}
+	isDropped := func(instance *wire.Instance) bool { return drop[instance.GetId()] }
 	for service, instances := range old {
-		if kept := without(instances, drop); len(kept) > 0 {
+		if !slices.ContainsFunc(instances, isDropped) {
+			services[service] = slices.Clip(instances)
+		} else if kept := without(instances, drop); len(kept) > 0 {
 			services[service] = kept
 		}
 	}
