--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -67,7 +67,8 @@
 // isLate reports whether the request takes what those leave that can be in time.
 func (w *waiter) isLate() bool { return w.urgency == overload.Late || w.overdue }
 
-// postpone puts nested requests behind others once they can't be in time any more.
+// postpone puts requests that can't be in time any more behind others. These are nested
+// ones, since others are refused at that time.
 func (m *Machine) postpone(now time.Time) {
 	changed := false
 	for i := range m.queue {
--- a/internal/coordination/admission/warmup.go
+++ b/internal/coordination/admission/warmup.go
@@ -17,8 +17,8 @@
 )
 
 // Excess is what a cold upstream bears beyond its stated rate: in any second at most Factor
-// times the rate and Slack more requests. The zero value stands
-// for a factor of 1.5 and a slack of 5.
+// times the rate and Slack more requests. The zero value stands for a factor of 1.5 and a
+// slack of 5.
 type Excess struct {
 	Factor float64
 	Slack  float64
--- a/internal/node/directory/fetch.go
+++ b/internal/node/directory/fetch.go
@@ -50,7 +50,7 @@
 	defer cancel()
 	message, err := d.fetch(ctx, peerAddress, have)
 	if err != nil {
-		return
+		return // the next message of a peer makes another attempt
 	}
 	if state := message.GetStateFull(); state != nil {
 		d.Apply(&wire.StateFull{Revision: state.GetRevision(), Document: state.GetDocument(), DocumentOnly: true})
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -35,8 +35,8 @@
 }
 
 // awaitInstances returns the view in force once it has an instance of the call's service.
-// It waits only while the list of instances is incomplete and the call can still be in
-// time.
+// It waits only while the list of instances is incomplete, together with the wait for the
+// configuration no longer than that alone.
 func (n *Node) awaitInstances(ctx context.Context, c *call) *directory.View {
 	ready := func(v *directory.View) bool { return !v.Stale || len(v.Services[c.service]) > 0 }
 	if current := n.directory.View(); ready(current) {
--- a/internal/transport/stagger/stagger_test.go
+++ b/internal/transport/stagger/stagger_test.go
@@ -60,6 +60,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, value, "b")
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		assert.DeepEqual(t, discarded, []string{"late"})
 	})
 }
