Log requests that end before they become a call

A request for which a node had no configuration, no such service or an invalid header left no line, so that its identity led nowhere. It now has 'request rejected' with the reason, the revision and the time that it waited for a configuration. TestRejectionIsExplained fails without it.

--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -42,6 +44,14 @@
 		"left_ms", time.Until(c.deadline).Milliseconds())
 }
 
+// logRejected tells why a request did not become a call, by which configuration, and how
+// long it waited for one.
+func (n *Node) logRejected(r *http.Request, err error, current *directory.View, arrived time.Time) {
+	_, name := requestID(r, n.dialect.RequestID)
+	_ = level.Info(n.logger).Log("msg", "request rejected", "request", name, "host", r.Host, "path", r.URL.Path, "err", err,
+		"waited_ms", time.Since(arrived).Milliseconds(), "revision", current.Revision)
+}
+
 // logEnded tells how a call ended. Calls that were answered well are logged at debug
 // level.
 func (n *Node) logEnded(c *call, result callResult) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -24,8 +24,10 @@
 // handleCall serves a caller's request.
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	c, err := n.newCall(n.awaitConfiguration(r), r, arrived)
+	current := n.awaitConfiguration(r)
+	c, err := n.newCall(current, r, arrived)
 	if err != nil {
+		n.logRejected(r, err, current, arrived)
 		if errors.Is(err, errNoService) {
 			n.setReturn(w, n.returnWithoutService(r))
 		}
--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -112,3 +112,25 @@
 		})
 	}
 }
+
+// TestRejectionIsExplained guards against a request that ends before it becomes a call, and
+// of which the logs say nothing: the node knows no configuration, or none with the service.
+func TestRejectionIsExplained(t *testing.T) {
+	lines := &logLines{}
+	control := newFakeControl(t)
+	control.logger = log.NewJSONLogger(log.NewSyncWriter(lines))
+	control.withheld = "entry"
+	entry := control.startNode(t, "entry", "a", "")
+	for _, revision := range []float64{0, 1} {
+		const id = "00000000-0000-4000-8000-000000000004"
+		if revision > 0 {
+			control.change(func() { control.withheld = "" })
+			eventually(t, func() bool { return entry.isReady() })
+		}
+		a := send(t, "GET", "http://"+entry.EntryAddress()+"/svc/unknown/p", nil, httpapi.HeaderRequestID, id, httpapi.HeaderTimeout, "300")
+		assert.Equal(t, a.StatusCode, http.StatusServiceUnavailable)
+		rejected := lines.of(t, id)["request rejected"]
+		assert.Equal(t, rejected["revision"], revision)
+		assert.Equal(t, rejected["err"], errNoService.Error())
+	}
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -137,9 +137,9 @@
 	u.works.Observe(route, serviceTime, held, float64(slowdown)/usualPercent)
 }
 
-// priorWorkShare is the part of a route's objective that its requests are taken to need
-// while none was observed. A node that has just started would otherwise take all of them
-// and answer them late.
+// priorWorkShare divides a route's objective into the work that its requests are taken to
+// need while none was observed. A node that has just started would otherwise take all of
+// them and answer them late.
 const priorWorkShare = 4
 
 // workOf returns the usual work of a route's requests.
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -15,7 +15,7 @@
 	// has a leader, and the nodes each other's upstreams, within about that time after all
 	// processes have started.
 	startPatience = 500 * time.Millisecond
-	// startShare is the part of its time left that such a caller waits at most.
+	// startShare divides the time left of such a caller; it waits no longer than that.
 	startShare = 3
 )
 
