--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -93,7 +93,7 @@
 			assert.NilError(t, err)
 			_, _ = io.Copy(io.Discard, response.Body)
 			assert.NilError(t, response.Body.Close())
-			assert.Equal(t, response.StatusCode, c.status)
+			assert.Equal(t, response.StatusCode, c.status, "%v", lines.of(t, c.id))
 			var found map[string]map[string]any
 			eventually(t, func() bool { found = lines.of(t, c.id); return found["request ended"] != nil })
 			failed := found["attempt failed"]
