Make two tests independent of attempts of an earlier round

TestFailureIsExplained: the upstream is cold and has one place. The attempt that timed out at the entry may still hold it when the next case begins, which is then rejected, truthfully, as not run.

TestHedgedAttempt: the next request to reach an upstream took the mark that makes it hang, whichever request that was.

--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -82,6 +82,9 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			// The upstream is cold and has one place, which a request of the case before that
+			// timed out at the entry may still hold for a moment.
+			eventually(t, func() bool { return upstreamNode.Node.upstream.gate.Report().GetInFlight() == 0 })
 			if c.prepare != nil {
 				c.prepare()
 			}
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -167,10 +168,12 @@
 	control := newFakeControl(t)
 	entry := control.startNode(t, "entry", "a", "")
 	cancelled := make(chan struct{}, 8)
-	var slow atomic.Bool
+	// hangingTarget is the target of the one request that hangs; empty when there is none.
+	// Each round has its own, so that a late attempt of an earlier round can't take its place.
+	var hangingTarget atomic.Pointer[string]
 	for _, id := range []string{"n1", "n2"} {
 		control.startNode(t, id, "a", "").serve(t, func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/slow" && slow.CompareAndSwap(true, false) {
+			if target := hangingTarget.Load(); target != nil && r.RequestURI == *target && hangingTarget.CompareAndSwap(target, nil) {
 				<-r.Context().Done()
 				cancelled <- struct{}{}
 				return
@@ -191,18 +194,21 @@
 		return warmCount == 2
 	}
 	// On a busy machine an upstream may become cold again, which forbids the hedge; the
-	// call then ends at its deadline.
+	// call then ends at its deadline, or is retried when its connection is lost.
+	rounds := 0
 	eventually(t, func() bool {
 		eventually(t, warm)
-		slow.Store(true)
-		a := send(t, "GET", entry.url("/slow"), nil, httpapi.HeaderTimeout, "1000")
-		if slow.CompareAndSwap(true, false) {
+		rounds++
+		target := fmt.Sprintf("/slow?round=%d", rounds)
+		hedgesBefore := entry.metrics.hedges.Get()
+		hangingTarget.Store(&target)
+		a := send(t, "GET", entry.url(target), nil, httpapi.HeaderTimeout, "1000")
+		if hangingTarget.Swap(nil) != nil {
 			return false // refused before it reached an upstream
 		}
 		<-cancelled
-		return a.body == "fast"
+		return a.body == "fast" && entry.metrics.hedges.Get() > hedgesBefore
 	})
-	assert.Equal(t, entry.metrics.hedges.Get() > 0, true)
 }
 
 // TestSuspensionDetector guards against executing requests whose deadline passed while the
