Replace lost control members instead of keeping them as voters

Cause: a learner was always promoted, and a voter was removed only if the learner had its address.

Change: planMemberChange, a pure function of what the leader knows. A member that stops says so when a learner could take its place, and one that was removed during an absence asks to join again as a learner. Silent voters are a metric, a log line with the losses still borne, and a line of chicoryctl status.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -123,6 +123,7 @@
 		Address:       c.settings.MeshAddress,
 		Bootstrap:     c.settings.Bootstrap,
 		JoinAddresses: c.settings.Join,
+		TargetVoters:  2*c.settings.ToleratedLosses + 1,
 		StateMachine:  c.newStateMachine(),
 		Mesh:          c.meshClient,
 		Logger:        c.logger,
--- a/internal/coordination/raft/status.go
+++ b/internal/coordination/raft/status.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// SilentTicks returns the ticks since the last response of the member with the given ID,
+// counted from the start of this member's leadership at the earliest. It returns 0 for
+// this member, for one that is not in the configuration, and if this member does not lead.
+func (c *Core) SilentTicks(id uint64) uint64 {
+	p := c.progress[id]
+	if c.role != Leader || id == c.id || p == nil {
+		return 0
+	}
+	return c.ticks - p.lastResponseTick
+}
+
 // IsActive reports whether this member leads and received a response from the member with
 // the given ID within the shortest election timeout.
 func (c *Core) IsActive(id uint64) bool {
--- a/internal/coordination/raft/types.go
+++ b/internal/coordination/raft/types.go
@@ -190,6 +190,20 @@
 	Remove
 )
 
+// String returns the name of the change for logs.
+func (k ChangeKind) String() string {
+	switch k {
+	case AddLearner:
+		return "add learner"
+	case Promote:
+		return "promote"
+	case Remove:
+		return "remove"
+	default:
+		return "unknown"
+	}
+}
+
 // Change is a membership change that adds, promotes or removes one member.
 type Change struct {
 	Kind ChangeKind
--- a/internal/coordination/replica/close.go
+++ b/internal/coordination/replica/close.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/chicorylever/chicorylever/internal/coordination/raft"
 )
 
@@ -24,6 +27,7 @@
 	r.closing.Store(true)
 	r.closeOnce.Do(func() {
 		r.transferLeadership()
+		r.announceStop()
 		r.waitForForwards()
 		r.closeErr = r.shutDown()
 	})
@@ -69,6 +73,25 @@
 	})
 }
 
+// announceStop tells the leader that this member stops, so that a learner that has caught
+// up takes its place at once. Without a learner nobody could, and nothing is sent: the
+// stop is then a restart, in which the member stays a voter.
+func (r *Replica) announceStop() {
+	members := r.Status().Members
+	if !slices.ContainsFunc(members, func(m Member) bool { return m.Learner && m.ID != r.id }) {
+		return
+	}
+	// After a transfer of leadership the successor is not known at once.
+	r.pollInLoop(r.ctx, func(l *loop) bool { return l.core.Status().Leader != 0 })
+	leader, ok := r.leader()
+	if !ok || leader.ID == r.id {
+		return
+	}
+	if _, err := r.exchangeIdentity(leader.Address, payloadStopNotice); err != nil {
+		_ = level.Warn(r.logger).Log("msg", "failed to announce the stop to the leader", "leader", leader.ID, "err", err)
+	}
+}
+
 // pollInLoop evaluates the condition in the event loop until it is true, for at most
 // drainTimeout.
 func (r *Replica) pollInLoop(ctx context.Context, condition func(*loop) bool) {
--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -135,13 +135,18 @@
 }
 
 func (c *cluster) startMember(i int, listener net.Listener) {
+	c.startMemberWith(i, listener, Options{Bootstrap: c.addresses})
+}
+
+// startMemberWith starts a member with the addresses of Bootstrap or JoinAddresses from options.
+func (c *cluster) startMemberWith(i int, listener net.Listener, options Options) {
 	config := mesh.DefaultConfig()
 	member := &testMember{machine: &countingMachine{counts: map[string]int{}}, client: mesh.NewClient(config)}
-	replica, err := Open(Options{
-		DataDir: c.dataDir(i), Address: c.addresses[i], Bootstrap: c.addresses,
-		StateMachine: member.machine, Mesh: member.client, SnapshotIntervalEntries: c.snapshotIntervalEntries, TickInterval: c.tickInterval,
-		fs: failingFS{syncFails: &member.failSync},
-	})
+	options.DataDir, options.Address = c.dataDir(i), c.addresses[i]
+	options.StateMachine, options.Mesh = member.machine, member.client
+	options.SnapshotIntervalEntries, options.TickInterval = c.snapshotIntervalEntries, c.tickInterval
+	options.fs = failingFS{syncFails: &member.failSync}
+	replica, err := Open(options)
 	assert.NilError(c.t, err)
 	member.Replica = replica
 	ctx, cancel := context.WithCancel(context.Background())
@@ -186,6 +191,19 @@
 	c.startMember(i, listener)
 }
 
+// addMember starts a member with an empty data directory at a new address, which joins
+// the cluster, and returns its index.
+func (c *cluster) addMember() int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	join := slices.Clone(c.addresses)
+	c.addresses = append(c.addresses, listener.Addr().String())
+	c.members = append(c.members, nil)
+	i := len(c.members) - 1
+	c.startMemberWith(i, listener, Options{JoinAddresses: join})
+	return i
+}
+
 // restartWithoutData stops a member, deletes its data directory and starts it again
 // with the same settings.
 func (c *cluster) restartWithoutData(i int) {
--- a/internal/coordination/replica/form.go
+++ b/internal/coordination/replica/form.go
@@ -101,7 +101,7 @@
 // requestJoin asks the known members to add this one. If a response names the leader,
 // it repeats the request there.
 func (r *Replica) requestJoin() {
-	for _, address := range r.withoutSelf(append(slices.Clone(r.options.Bootstrap), *r.joinAddresses.Load()...)) {
+	for _, address := range r.joinTargets() {
 		response, err := r.exchangeIdentity(address, payloadJoinRequest)
 		if err != nil || response.address == "" || response.address == address {
 			continue
@@ -113,6 +113,39 @@
 	}
 }
 
+// joinTargets returns the addresses of all members that this one knows of, without
+// duplicates.
+func (r *Replica) joinTargets() []string {
+	addresses := append(slices.Clone(r.options.Bootstrap), *r.joinAddresses.Load()...)
+	for _, m := range r.Status().Members {
+		addresses = append(addresses, m.Address)
+	}
+	slices.Sort(addresses)
+	return r.withoutSelf(slices.Compact(addresses))
+}
+
+// rejoinWhenRemoved asks to be added again while no leader is in contact with this member.
+// A member that was replaced during an absence learns nothing of it from its own log, and
+// the others ignore its elections. It becomes a learner, ready to replace another voter.
+func (r *Replica) rejoinWhenRemoved() {
+	lastContact := time.Now()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-time.After(joinRetryInterval):
+		}
+		s := r.Status()
+		if s.QuorumContact || len(s.Members) == 0 {
+			lastContact = time.Now()
+			continue
+		}
+		if time.Since(lastContact) >= rejoinDelay {
+			r.requestJoin()
+		}
+	}
+}
+
 func (r *Replica) withoutSelf(addresses []string) []string {
 	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == r.options.Address })
 }
@@ -154,8 +187,12 @@
 	if request.clusterID != 0 && request.clusterID != clusterID {
 		return ErrOtherCluster
 	}
-	if payload[0] == payloadJoinRequest && clusterID != 0 {
+	switch {
+	case clusterID == 0:
+	case payload[0] == payloadJoinRequest:
 		r.addLearner(ctx, request)
+	case payload[0] == payloadStopNotice:
+		r.runInLoop(ctx, func() { r.loop.markStopping(request.memberID) })
 	}
 	response := identityMessage{memberID: r.id, clusterID: clusterID}
 	if leader, ok := r.leader(); ok {
@@ -167,7 +204,7 @@
 // addLearner adds a joining member to the configuration if this member leads. A learner
 // with the same address lost its data before it was promoted; it is removed at once, so
 // that repeated data loss does not accumulate learners. A voter with the same address
-// is removed by promoteOrReplace.
+// is removed as planMemberChange decides.
 func (r *Replica) addLearner(ctx context.Context, request identityMessage) {
 	s := r.Status()
 	isMember := slices.ContainsFunc(s.Members, func(m Member) bool { return m.ID == request.memberID })
--- a/internal/coordination/replica/loop.go
+++ b/internal/coordination/replica/loop.go
@@ -34,6 +34,11 @@
 	// learnedAddresses holds the addresses of senders that are not in the configuration,
 	// by member ID.
 	learnedAddresses map[uint64]string
+	// stoppingMembers holds the members that have announced their stop, with the ticks for
+	// which the notice holds.
+	stoppingMembers map[uint64]int
+	// silentVoters is the number of silent voters at the last tick as leader.
+	silentVoters int
 	// publishedMembers is publishedConfiguration in the form of Status.
 	publishedMembers       []Member
 	publishedConfiguration []raft.Member
@@ -48,6 +53,7 @@
 		pendingReads:     map[uint64]*readRequest{},
 		peers:            map[uint64]*peer{},
 		learnedAddresses: map[uint64]string{},
+		stoppingMembers:  map[uint64]int{},
 	}
 }
 
@@ -287,6 +293,7 @@
 		Applied:       s.Applied,
 		Members:       l.publishedMembers,
 		QuorumContact: s.HasLeaderContact,
+		SilentVoters:  l.silentVoters,
 	}
 	previous := l.r.status.Swap(current)
 	if previous != nil && (previous.Leader != current.Leader || previous.Term != current.Term) {
--- a/internal/coordination/replica/members.go
+++ b/internal/coordination/replica/members.go
@@ -54,45 +54,66 @@
 	}
 }
 
-// maintainMembers runs on each tick. On the leader it promotes a learner that has
-// caught up. If the learner has the address of an older member, the older member has
-// lost its data. It is removed first, so that no member that cannot respond adds to the
-// number of voters. The learner really owns the address, because otherwise it could not
-// have caught up.
+// maintainMembers runs on each tick. On the leader it proposes the next change of
+// planMemberChange.
 func (l *loop) maintainMembers() {
 	s := l.core.Status()
 	l.stopUnusedPeers()
+	l.expireStoppingMembers()
 	if s.Role != raft.Leader {
+		l.silentVoters = 0
 		return
 	}
-	for _, m := range s.Configuration.Members {
-		if m.Learner && l.core.CaughtUp(m.ID) {
-			l.promoteOrReplace(s.Configuration, m)
-			return
-		}
+	members := l.memberStates(s.Configuration)
+	l.logSilentVoters(members)
+	change, ok := planMemberChange(members, l.r.options.TargetVoters)
+	if !ok {
+		return
+	}
+	_, err := l.core.ProposeChange(change)
+	if err == nil {
+		_ = level.Info(l.r.logger).Log("msg", "proposed a change of the members", "change", change.Kind.String(), "member", change.ID,
+			"voters", s.Configuration.VoterCount(), "silent_voters", l.silentVoters, "target_voters", l.r.options.TargetVoters)
 	}
+	// On an error, such as an earlier change that is not committed yet, the next tick tries again.
 }
 
-// promoteOrReplace proposes to promote the learner or, if an older member has its
-// address, to remove the older member.
-func (l *loop) promoteOrReplace(configuration raft.Configuration, learner raft.Member) {
-	change := raft.Change{Kind: raft.Promote, ID: learner.ID}
+func (l *loop) memberStates(configuration raft.Configuration) []memberState {
+	states := make([]memberState, 0, len(configuration.Members))
 	for _, m := range configuration.Members {
-		if m.ID == learner.ID || m.Address != learner.Address {
-			continue
-		}
-		if l.core.IsActive(m.ID) {
-			// The older member responded within the shortest election timeout; wait until it
-			// is inactive.
-			return
-		}
-		change = raft.Change{Kind: raft.Remove, ID: m.ID}
+		_, stopping := l.stoppingMembers[m.ID]
+		states = append(states, memberState{
+			Member:      m,
+			silentTicks: l.core.SilentTicks(m.ID),
+			caughtUp:    m.Learner && l.core.CaughtUp(m.ID),
+			stopping:    stopping,
+		})
 	}
-	_, err := l.core.ProposeChange(change)
-	if err == nil {
-		_ = level.Info(l.r.logger).Log("msg", "proposed promotion of a learner or removal of the member that it replaces", "member", change.ID, "learner", learner.ID)
+	return states
+}
+
+// logSilentVoters logs each change of the number of silent voters, with the number of
+// further losses after which the cluster still has a quorum.
+func (l *loop) logSilentVoters(members []memberState) {
+	voters, silent := countVoters(members)
+	if silent == l.silentVoters {
+		return
+	}
+	l.silentVoters = silent
+	_ = level.Warn(l.r.logger).Log("msg", "number of silent voters changed", "voters", voters, "silent_voters", silent,
+		"tolerated_losses", toleratedLosses(voters, silent))
+}
+
+// markStopping records that a member has announced its stop.
+func (l *loop) markStopping(id uint64) { l.stoppingMembers[id] = stoppingNoticeTicks }
+
+func (l *loop) expireStoppingMembers() {
+	for id := range l.stoppingMembers {
+		l.stoppingMembers[id]--
+		if l.stoppingMembers[id] <= 0 {
+			delete(l.stoppingMembers, id)
+		}
 	}
-	// On an error, such as an earlier change that is not committed yet, the next tick tries again.
 }
 
 // runInLoop runs f in the event loop, which owns the core. It returns false if the
--- a/internal/coordination/replica/open.go
+++ b/internal/coordination/replica/open.go
@@ -126,6 +126,7 @@
 	if len(r.Status().Members) == 0 {
 		r.startGoroutine(r.formCluster)
 	}
+	r.startGoroutine(r.rejoinWhenRemoved)
 	return r, nil
 }
 
--- a/internal/coordination/replica/options.go
+++ b/internal/coordination/replica/options.go
@@ -72,6 +72,9 @@
 	// joinRequestTimeout bounds one request to another member while this one creates or
 	// joins a cluster, and the membership changes that a join request causes on the leader.
 	joinRequestTimeout = time.Second
+	// rejoinDelay is the time without contact to a leader after which a member asks to be
+	// added again. An election takes less.
+	rejoinDelay = 2 * time.Second
 )
 
 var (
@@ -97,6 +100,9 @@
 	// JoinAddresses lists mesh addresses of running members that this member asks to be
 	// added to their cluster.
 	JoinAddresses []string
+	// TargetVoters is the number of voters that the cluster keeps, an odd number; further
+	// members are learners that replace silent voters. Default 5.
+	TargetVoters int
 	// StateMachine is the replicated state machine.
 	StateMachine StateMachine
 	// Mesh opens streams to the other members.
@@ -123,7 +129,12 @@
 	if o.SnapshotIntervalEntries == 0 {
 		o.SnapshotIntervalEntries = defaultSnapshotIntervalEntries
 	}
+	if o.TargetVoters == 0 {
+		o.TargetVoters = defaultTargetVoters
+	}
 	switch {
+	case o.TargetVoters < 0 || !isOdd(o.TargetVoters):
+		return errors.WithMessage(ErrInvalidOptions, "TargetVoters is not a positive odd number")
 	case o.DataDir == "":
 		return errors.WithMessage(ErrInvalidOptions, "DataDir is empty")
 	case o.Address == "":
--- a/internal/coordination/replica/payload.go
+++ b/internal/coordination/replica/payload.go
@@ -18,13 +18,16 @@
 	// payloadPart is a part of an encoded raft.Message that continues in the next payload.
 	payloadPart = 2
 	// payloadIdentityRequest asks for the receiver's identity, payloadJoinRequest asks it
-	// to add the sender to its cluster. payloadIdentityResponse responds to both.
+	// to add the sender to its cluster. payloadIdentityResponse responds to both and to
+	// payloadStopNotice.
 	payloadIdentityRequest  = 3
 	payloadJoinRequest      = 4
 	payloadIdentityResponse = 5
 	// payloadHello begins a stream of messages with the sender's address, for a receiver
 	// whose log does not hold the configuration yet.
 	payloadHello = 6
+	// payloadStopNotice announces to the leader that the sender stops.
+	payloadStopNotice = 7
 
 	// maxPartBytes bounds the size of one part of a message.
 	maxPartBytes = 1 << 20
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -58,6 +58,19 @@
 	Members []Member `json:"members"`
 	// QuorumContact is true while this member leads with a quorum or hears from such a leader.
 	QuorumContact bool `json:"quorum_contact"`
+	// SilentVoters is the number of voters that do not respond; only the leader knows it.
+	SilentVoters int `json:"silent_voters,omitempty"`
+}
+
+// VoterCount returns the number of voters.
+func (s Status) VoterCount() int {
+	voters := 0
+	for _, m := range s.Members {
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters
 }
 
 // Member is a voter or learner of the cluster.
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"sync"
 	"testing"
 
@@ -58,6 +59,86 @@
 	c.requireApplied(accepted, unknown)
 }
 
+// TestReplacedAtNewAddress guards against members that stay voters after they were replaced
+// by members at new addresses. After two replacements the cluster would have seven voters,
+// of which two are gone, and a loss of two more disks would leave it without a quorum.
+func TestReplacedAtNewAddress(t *testing.T) {
+	c := newCluster(t, 5, 0, 0)
+	c.waitForVoters(5)
+	accepted, unknown := c.members[0].propose("x", 50, 8)
+	for lost := range 2 {
+		c.kill(lost)
+		added := c.addMember()
+		c.waitForVoters(5)
+		a, u := c.members[added].propose(string(rune('a'+lost)), 20, 4)
+		accepted, unknown = append(accepted, a...), append(unknown, u...)
+	}
+	// All power goes, and two of the members lose their disks with it.
+	for i := range c.members {
+		c.kill(i)
+	}
+	for i := 2; i < len(c.members); i++ {
+		if i < 4 {
+			assert.NilError(t, os.RemoveAll(c.dataDir(i)))
+		}
+		c.restart(i)
+	}
+	c.waitForVoters(5)
+	c.requireApplied(accepted, unknown)
+}
+
+// TestPlannedReplacement guards against a replaced member that stays a voter when its
+// successor was there before it stopped, and against two members replaced at once.
+func TestPlannedReplacement(t *testing.T) {
+	c := newCluster(t, 5, 0, 0)
+	c.waitForVoters(5)
+	accepted, unknown := c.members[0].propose("x", 20, 4)
+	first, second := c.addMember(), c.addMember()
+	c.waitFor("two learners", func() bool {
+		s := c.members[c.leaderIndex()].Status()
+		return len(s.Members) == 7 && s.VoterCount() == 5
+	})
+	stopped := []int{c.leaderIndex()}
+	stopped = append(stopped, (stopped[0]+1)%5)
+	for _, i := range stopped {
+		member := c.members[i]
+		c.members[i] = nil
+		assert.NilError(t, member.Close())
+		member.closeTransport()
+	}
+	c.waitForVoters(5)
+	for _, i := range []int{first, second} {
+		assert.Assert(t, c.members[i].hasMember(c.members[i].ID()))
+	}
+	c.requireApplied(accepted, unknown)
+}
+
+// TestReplacedMemberReturns guards against a member that was replaced during an absence and
+// never learns of it: it has to join again, without disturbing the leader, and replaces the
+// next member that is lost.
+func TestReplacedMemberReturns(t *testing.T) {
+	c := newCluster(t, 5, 0, 0)
+	c.waitForVoters(5)
+	absent := 0
+	absentID := c.members[absent].ID()
+	c.kill(absent)
+	c.addMember()
+	c.waitForVoters(5)
+	leader := c.leaderIndex()
+	term := c.members[leader].Status().Term
+	c.restart(absent)
+	c.waitFor("the returned member as a learner", func() bool { return c.members[leader].hasMember(absentID) })
+	assert.Equal(t, c.members[leader].Status().Term, term)
+	assert.Equal(t, c.members[leader].Status().VoterCount(), 5)
+	lost := (leader + 1) % 5
+	if lost == absent {
+		lost++
+	}
+	c.kill(lost)
+	c.waitForVoters(5)
+	assert.Equal(t, c.members[absent].ID(), absentID)
+}
+
 // TestRestartAfterCompaction guards against the loss of state along with the compacted
 // part of the log.
 func TestRestartAfterCompaction(t *testing.T) {
--- a/internal/coordination/replica/stream.go
+++ b/internal/coordination/replica/stream.go
@@ -33,7 +33,7 @@
 
 func (r *Replica) serveRaft(ctx context.Context, envelope *wire.Envelope, conn *frame.Conn) error {
 	payload := envelope.GetRaft().GetPayload()
-	if len(payload) > 0 && (payload[0] == payloadIdentityRequest || payload[0] == payloadJoinRequest) {
+	if len(payload) > 0 && isIdentityExchange(payload[0]) {
 		return r.serveIdentityExchange(ctx, payload, conn)
 	}
 	parts := &assembler{}
@@ -51,6 +51,10 @@
 	}
 }
 
+func isIdentityExchange(kind byte) bool {
+	return kind == payloadIdentityRequest || kind == payloadJoinRequest || kind == payloadStopNotice
+}
+
 // handleEnvelope passes a complete message to the event loop. It drops messages to another
 // member ID, such as that of an earlier member at this address that lost its data.
 func (r *Replica) handleEnvelope(ctx context.Context, envelope *wire.Envelope, parts *assembler) error {
--- a/internal/ctl/cluster.go
+++ b/internal/ctl/cluster.go
@@ -64,6 +64,9 @@
 	_, _ = fmt.Fprintf(w, "revision %d, answered by member %d, leader %d, term %d, quorum %t, list of nodes stale %t\n",
 		status.Revision, cluster.ID, cluster.Leader, cluster.Term, cluster.QuorumContact, status.Fleet.Stale)
 	printMembers(w, cluster)
+	if cluster.SilentVoters > 0 {
+		_, _ = fmt.Fprintf(w, "%d of %d voters do not respond\n", cluster.SilentVoters, cluster.VoterCount())
+	}
 	writeTable(w, func(w io.Writer) {
 		writeRow(w, "NODE", "ZONE", "REVISION", "LAGGING")
 		for _, n := range status.Fleet.Nodes {
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -1,5 +1,13 @@
 package settings
 
+import "fmt"
+
+const (
+	// defaultToleratedLosses gives a cluster of up to five voters.
+	defaultToleratedLosses = 2
+	maxToleratedLosses     = 4
+)
+
 // Control holds the settings of chicorylever-control.
 type Control struct {
 	// ID names the member in logs; its durable identity is stored in DataDir.
@@ -27,6 +35,10 @@
 	// Join lists the mesh addresses of members of the running cluster that this member
 	// joins.
 	Join []string `json:"join,omitempty"`
+	// ToleratedLosses is the number of members that may be lost at once while the cluster
+	// keeps its quorum. The cluster keeps 2*ToleratedLosses+1 voters; further members stand
+	// by to replace one that is lost. Default 2; a cluster of three members sets 1.
+	ToleratedLosses int `json:"tolerated_losses,omitempty"`
 	// TLSCert, TLSKey and TLSCA are paths of PEM files. When they are set, nodes and
 	// members use mutual TLS; the certificate's common name or DNS name is ID and
 	// its organizational unit is mesh.ControlUnit. Without them any process that
@@ -54,6 +66,9 @@
 	if s.MeshAddress == "" {
 		s.MeshAddress = s.MeshListen
 	}
+	if s.ToleratedLosses == 0 {
+		s.ToleratedLosses = defaultToleratedLosses
+	}
 	if s.StopTimeoutMs == 0 {
 		s.StopTimeoutMs = 10000
 	}
@@ -73,6 +88,7 @@
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("api_listen", s.APIListen),
 		checkNotNegative("member_port", s.MemberPort),
+		checkToleratedLosses(s.ToleratedLosses),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
 		s.checkMemberAddresses(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
@@ -81,6 +97,15 @@
 	)
 }
 
+// checkToleratedLosses bounds the number of voters: each further one makes every commit
+// wait for more disks.
+func checkToleratedLosses(losses int) *Error {
+	if losses < 0 || losses > maxToleratedLosses {
+		return &Error{Field: "tolerated_losses", Problem: fmt.Sprintf("must be between 0 and %d", maxToleratedLosses)}
+	}
+	return nil
+}
+
 func (s *Control) checkAPITLS() *Error {
 	if (s.APITLSCert == "") != (s.APITLSKey == "") {
 		return &Error{Field: "api_tls_cert", Problem: "api_tls_cert and api_tls_key must be set together"}
