--- a/internal/node/egress/conn.go
+++ b/internal/node/egress/conn.go
@@ -22,7 +22,13 @@
 	maxHeadBytes = 256 << 10
 )
 
-var errHeadTooLarge = errors.New("response head exceeds the size limit")
+// responsePrefix begins each HTTP/1.x response.
+const responsePrefix = "HTTP/1."
+
+var (
+	errHeadTooLarge = errors.New("response head exceeds the size limit")
+	errNotHTTP      = errors.New("the upstream sent bytes that are no HTTP response")
+)
 
 // conn is one connection to the upstream.
 type conn struct {
@@ -84,6 +90,22 @@
 	return w.netConn.Write(p)
 }
 
+// awaitResponse waits for the beginning of a response. It returns errNotHTTP at the first byte
+// that no response can have there, so that an upstream which sends other bytes slowly does not
+// occupy the request until its deadline.
+func (c *conn) awaitResponse() error {
+	for i := range len(responsePrefix) {
+		received, err := c.reader.Peek(i + 1)
+		if err != nil {
+			return err
+		}
+		if received[i] != responsePrefix[i] {
+			return errNotHTTP
+		}
+	}
+	return nil
+}
+
 // abort makes all pending and later reads and writes fail.
 func (c *conn) abort() {
 	c.aborted.Store(true)
--- a/internal/node/egress/exchange.go
+++ b/internal/node/egress/exchange.go
@@ -92,6 +92,9 @@
 	x.conn.headBytesLeft = maxHeadBytes
 	defer func() { x.conn.headBytesLeft = -1 }()
 	for range maxResponseHeads {
+		if err := x.conn.awaitResponse(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(x.conn.reader, x.request)
 		if err != nil {
 			return nil, err
--- a/internal/node/egress/pool.go
+++ b/internal/node/egress/pool.go
@@ -23,6 +23,8 @@
 	// maxIdleLimit bounds how long a connection may be idle, whatever timeout the upstream
 	// states.
 	maxIdleLimit = time.Minute
+	// sweepInterval is the interval at which idle connections are checked.
+	sweepInterval = time.Second
 	// defaultMaxConnections is the connection limit of an upstream that announced none.
 	defaultMaxConnections = 256
 )
@@ -65,6 +67,8 @@
 	openCount int
 	idle      []*conn // the most recently used connection is last
 	closed    bool
+	// sweeping is set while a sweep of the idle connections is scheduled.
+	sweeping bool
 }
 
 // NewPool returns a pool without connections.
@@ -156,39 +160,53 @@
 	return newConn(netConn), nil
 }
 
-// release returns a connection to the pool, or closes it when the pool is closed. It also
-// closes connections that have been idle too long.
+// release returns a connection to the pool, or closes it when the pool is closed.
 func (p *Pool) release(c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
-	expired := p.removeExpiredLocked(c.idleSince)
 	keep := !p.closed
 	if keep {
 		p.idle = append(p.idle, c)
+		p.scheduleSweepLocked()
 	}
 	p.mu.Unlock()
 	if !keep {
 		p.discard(c)
 	}
-	for _, expiredConn := range expired {
-		p.discard(expiredConn)
+}
+
+// scheduleSweepLocked schedules a sweep unless one is scheduled already. The caller must hold
+// p.mu.
+func (p *Pool) scheduleSweepLocked() {
+	if p.sweeping || len(p.idle) == 0 {
+		return
 	}
+	p.sweeping = true
+	time.AfterFunc(sweepInterval, p.sweep)
 }
 
-// removeExpiredLocked removes the connections that have been idle too long from the pool and
-// returns them. The caller must hold p.mu.
-func (p *Pool) removeExpiredLocked(now time.Time) []*conn {
-	var expired []*conn
+// sweep closes the idle connections that have been idle too long, were closed by the upstream
+// or have received bytes that belong to no request. Without it an upstream could keep sending
+// on a connection that no request needs.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	now := time.Now()
+	var unusable []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if now.Sub(c.idleSince) >= c.maxIdleTime {
-			expired = append(expired, c)
-		} else {
+		if now.Sub(c.idleSince) < c.maxIdleTime && c.isReusable() {
 			kept = append(kept, c)
+		} else {
+			unusable = append(unusable, c)
 		}
 	}
 	p.idle = kept
-	return expired
+	p.sweeping = false
+	p.scheduleSweepLocked()
+	p.mu.Unlock()
+	for _, c := range unusable {
+		p.discard(c)
+	}
 }
 
 // discard closes a connection and stops counting it as open.
--- a/internal/transport/callerhttp/conn.go
+++ b/internal/transport/callerhttp/conn.go
@@ -17,6 +17,9 @@
 // response.
 const ioBufferBytes = 4 << 10
 
+// maxRejectedBytes bounds what is read from a caller after a head that could not be read.
+const maxRejectedBytes = 256 << 10
+
 // conn is a connection from a caller. Its goroutine reads requests; a goroutine for each
 // request runs the handler and writes the response after those of earlier requests.
 type conn struct {
@@ -38,6 +41,8 @@
 	lastExchange *exchange
 	// closing is set when no further exchange may be started.
 	closing bool
+	// rejected is set once a request head could not be read; what follows it is not HTTP.
+	rejected bool
 	// aborted is set by abort.
 	aborted bool
 	// responsesDone is closed when closing is set and no request is outstanding.
@@ -77,6 +82,7 @@
 		if rejectStatus != 0 {
 			x = newExchange(c, placeholderRequest(), previousDone)
 			x.rejectStatus, x.closeAfter = rejectStatus, true
+			c.rejected = true
 		}
 		if x == nil || !c.startExchange(x) {
 			return
@@ -247,8 +253,17 @@
 	if halfCloser, ok := c.netConn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 		_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.netConn)
+		_, _ = io.Copy(io.Discard, c.lingeringReader())
+	}
+}
+
+// lingeringReader reads what the caller still sends after the last response. After a head that
+// could not be read its bytes are bounded, since they may never end.
+func (c *conn) lingeringReader() io.Reader {
+	if c.rejected {
+		return io.LimitReader(c.netConn, maxRejectedBytes)
 	}
+	return c.netConn
 }
 
 // discardUntilResponsesDone discards what the caller sends after its last request. It
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -47,6 +47,7 @@
 // a read error.
 func readHead(reader *bufio.Reader, limit int) ([]byte, error) {
 	var head []byte
+	skippedBytes := 0
 	atLineStart := true
 	for {
 		part, err := reader.ReadSlice('\n')
@@ -55,7 +56,11 @@
 		}
 		isEmpty := atLineStart && len(bytes.TrimRight(part, "\r\n")) == 0
 		if isEmpty && len(head) == 0 {
-			continue // empty lines before a request are ignored (RFC 9112, section 2.2)
+			// Empty lines before a request are ignored (RFC 9112, section 2.2).
+			if skippedBytes += len(part); skippedBytes > limit {
+				return nil, errFieldsTooLarge
+			}
+			continue
 		}
 		head = append(head, part...)
 		if len(head) > limit {
