--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -202,9 +202,7 @@
 		w.overdue = now.After(w.latestStart)
 	}
 	ahead := m.countAhead(&w)
-	// A nested request may overtake queued requests, since it takes a slot that they cannot
-	// use.
-	if (ahead == 0 || w.urgency == overload.Nested) && m.tryStart(now, &w) {
+	if (ahead == 0 || m.mayOvertake(&w)) && m.tryStart(now, &w) {
 		m.running[ticket] = m.epoch
 		return ticket, Admitted, notRefused
 	}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -156,7 +156,7 @@
 // the rate limit of a cold upstream allows it.
 func (m *Machine) slotWait(now time.Time, w *waiter, ahead int) time.Duration {
 	wait := m.rateWait(now, ahead)
-	limit := m.limitFor(w)
+	limit := m.limit()
 	overLimit := len(m.running) - limit
 	if overLimit+ahead < 0 {
 		return wait
@@ -206,15 +206,15 @@
 }
 
 // takeStartable returns the index of the queued request that starts now, or -1, and counts
-// the request against the rate limit of a cold upstream. When the next request has no slot,
-// a nested one may use the slots that are reserved for nested requests.
+// the request against the rate limit of a cold upstream. While the next request waits for the
+// end of a transient slowdown, a short nested one may start.
 func (m *Machine) takeStartable(now time.Time) int {
 	if len(m.queue) == 0 {
 		return -1
 	}
 	next := m.nextWaiter()
 	if !m.hasCapacity(now, &m.queue[next]) {
-		next = slices.IndexFunc(m.queue, func(w waiter) bool { return w.urgency == overload.Nested && m.hasCapacity(now, &w) })
+		next = slices.IndexFunc(m.queue, func(w waiter) bool { return m.mayOvertake(&w) && m.hasCapacity(now, &w) })
 	}
 	if next < 0 || !m.tryStart(now, &m.queue[next]) {
 		return -1
@@ -222,6 +222,20 @@
 	return next
 }
 
+// mayOvertake reports whether a request may start before those ahead of it in the queue. A
+// nested request may, unless a request of a higher priority waits that can still meet its
+// objective.
+func (m *Machine) mayOvertake(w *waiter) bool {
+	if w.urgency != overload.Nested {
+		return false
+	}
+	if len(m.queue) == 0 {
+		return true
+	}
+	first := &m.queue[0]
+	return first.isLate() || first.priority >= w.priority
+}
+
 // refuseQueued refuses the queued requests that must not wait any longer.
 func (m *Machine) refuseQueued(now time.Time) {
 	kept := m.queue[:0]
--- a/internal/coordination/admission/warmup.go
+++ b/internal/coordination/admission/warmup.go
@@ -98,20 +98,12 @@
 	return m.events
 }
 
-// limit is the concurrency limit for requests that are not nested.
+// limit is the concurrency limit. It leaves slots free, because an upstream whose slots are
+// nearly all taken works slower. Nested requests have no slots beyond it: under a lasting
+// overload the upstream would always be slow, and serve fewer nested requests than without.
 func (m *Machine) limit() int {
 	if !m.warmup.isConfigured() {
 		return m.ramp.limit
 	}
 	return max(min(1, m.slots), int(maxUtilization*float64(m.slots)))
 }
-
-// nestedLimit is the concurrency limit for nested requests. They may also use the slots that
-// others leave free to keep the upstream fast, because refusing a nested request wastes the
-// work done for its parent.
-func (m *Machine) nestedLimit() int {
-	if !m.warmup.isConfigured() {
-		return m.ramp.limit
-	}
-	return m.slots
-}
