Serve nested calls first in a third of the limit

Change: up to a third of the limit, rounded up, running requests that are nested go before all others; not at a cold upstream, whose rate is bounded.

--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -94,12 +94,14 @@
 	stopping   bool
 	epoch      uint64 // number of cold starts
 	lastTicket Ticket
-	running    map[Ticket]uint64 // epoch in which each running request was admitted
-	queue      []waiter
-	events     []Event
-	ramp       ramp
-	warmup     warmup
-	speed      speed
+	running    map[Ticket]runningRequest
+	// nestedRunning is the number of running requests that are nested.
+	nestedRunning int
+	queue         []waiter
+	events        []Event
+	ramp          ramp
+	warmup        warmup
+	speed         speed
 	// updatedAt is the time of the last transition or, with a Gate, of the last report.
 	updatedAt time.Time
 	// reassessQueue is set at a cold start until the queued requests have been checked
@@ -107,6 +109,13 @@
 	reassessQueue bool
 }
 
+// runningRequest is a request that holds a permit.
+type runningRequest struct {
+	// epoch is the one in which the request was admitted.
+	epoch  uint64
+	nested bool
+}
+
 // waiter is a queued request.
 type waiter struct {
 	ticket   Ticket
@@ -129,7 +138,7 @@
 // NewMachine returns a machine without an upstream; it refuses all requests until Start.
 func NewMachine(config Config) *Machine {
 	config = config.withDefaults()
-	return &Machine{config: config, running: map[Ticket]uint64{}, warmup: warmup{coldTolerance: config.ColdTolerance}}
+	return &Machine{config: config, running: map[Ticket]runningRequest{}, warmup: warmup{coldTolerance: config.ColdTolerance}}
 }
 
 // Start announces the upstream. A new start ID begins a cold start; a known start ID only
@@ -203,7 +212,7 @@
 	}
 	ahead := m.countAhead(&w)
 	if (ahead == 0 || m.mayOvertake(&w)) && m.tryStart(now, &w) {
-		m.running[ticket] = m.epoch
+		m.admit(&w)
 		return ticket, Admitted, notRefused
 	}
 	if reason := m.checkQueueWait(now, &w, ahead, req); reason != notRefused {
@@ -213,15 +222,27 @@
 	return ticket, Queued, notRefused
 }
 
+// admit counts a request as running.
+func (m *Machine) admit(w *waiter) {
+	nested := w.urgency == overload.Nested
+	m.running[w.ticket] = runningRequest{epoch: m.epoch, nested: nested}
+	if nested {
+		m.nestedRunning++
+	}
+}
+
 // Release ends an admitted request and admits queued ones.
 func (m *Machine) Release(now time.Time, ticket Ticket, outcome Outcome) []Event {
 	m.events = m.events[:0]
-	epoch, admitted := m.running[ticket]
+	request, admitted := m.running[ticket]
 	if !admitted {
 		return m.events
 	}
 	delete(m.running, ticket)
-	m.observe(now, epoch, outcome)
+	if request.nested {
+		m.nestedRunning--
+	}
+	m.observe(now, request.epoch, outcome)
 	m.processQueue(now)
 	return m.events
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -15,6 +15,9 @@
 	// maxQueuedPerSlot bounds the queue length where service times are so short that many
 	// requests would be served within the queue timeout.
 	maxQueuedPerSlot = 2
+	// nestedShareDivisor divides the limit; the result is the number of running requests up to
+	// which nested ones go first.
+	nestedShareDivisor = 3
 	// coldSlowdown is how many times longer processing takes at a cold upstream.
 	coldSlowdown = 2.0
 	// serviceTimeMargin times the mean service time is the time reserved for a request.
@@ -162,9 +165,25 @@
 		return wait
 	}
 	serviceTimes := float64(ahead+1+max(0, overLimit)) / float64(max(1, limit))
+	if w.urgency == overload.Nested && !w.overdue && !m.isCold() {
+		serviceTimes = min(serviceTimes, m.nestedShareWait())
+	}
 	return max(wait, time.Duration(serviceTimes*float64(m.ramp.serviceTime())))
 }
 
+// nestedShareWait is the expected wait, in service times, until a nested request that arrives
+// now starts within the share of nested requests.
+func (m *Machine) nestedShareWait() float64 {
+	share := m.nestedShare()
+	ahead := m.nestedRunning - share
+	for i := range m.queue {
+		if m.queue[i].urgency == overload.Nested && !m.queue[i].overdue {
+			ahead++
+		}
+	}
+	return float64(max(0, ahead)+1) / float64(max(1, share))
+}
+
 // rateWait is the time until the rate limit of a cold upstream allows the request.
 func (m *Machine) rateWait(now time.Time, ahead int) time.Duration {
 	if !m.warmup.isCold(now) {
@@ -200,19 +219,21 @@
 	for i := m.takeStartable(now); i >= 0; i = m.takeStartable(now) {
 		w := m.queue[i]
 		m.queue = slices.Delete(m.queue, i, i+1)
-		m.running[w.ticket] = m.epoch
+		m.admit(&w)
 		m.events = append(m.events, Event{Ticket: w.ticket, Admitted: true})
 	}
 }
 
 // takeStartable returns the index of the queued request that starts now, or -1, and counts
-// the request against the rate limit of a cold upstream. While the next request waits for the
-// end of a transient slowdown, a short nested one may start.
+// the request against the rate limit of a cold upstream.
 func (m *Machine) takeStartable(now time.Time) int {
 	if len(m.queue) == 0 {
 		return -1
 	}
-	next := m.nextWaiter()
+	next := slices.IndexFunc(m.queue, func(w waiter) bool { return m.isBelowNestedShare(&w) && m.hasCapacity(now, &w) })
+	if next < 0 {
+		next = m.nextWaiter()
+	}
 	if !m.hasCapacity(now, &m.queue[next]) {
 		next = slices.IndexFunc(m.queue, func(w waiter) bool { return m.mayOvertake(&w) && m.hasCapacity(now, &w) })
 	}
@@ -222,14 +243,27 @@
 	return next
 }
 
+// nestedShare is the number of running requests up to which nested ones go before all others.
+// Within it the work done for their parents counts, whatever the priority of these; beyond it
+// nested requests must not take the slots of callers with a higher priority.
+func (m *Machine) nestedShare() int {
+	return (m.limit() + nestedShareDivisor - 1) / nestedShareDivisor
+}
+
+// isBelowNestedShare reports whether a request is nested, can meet its objective, and fits into
+// the share of nested requests. A cold upstream, whose rate is limited, has no such share.
+func (m *Machine) isBelowNestedShare(w *waiter) bool {
+	return w.urgency == overload.Nested && !w.overdue && m.nestedRunning < m.nestedShare() && !m.isCold()
+}
+
 // mayOvertake reports whether a request may start before those ahead of it in the queue. A
-// nested request may, unless a request of a higher priority waits that can still meet its
-// objective.
+// nested request may, if it is within the share of nested requests, or unless a request of a
+// higher priority waits that can still meet its objective.
 func (m *Machine) mayOvertake(w *waiter) bool {
 	if w.urgency != overload.Nested {
 		return false
 	}
-	if len(m.queue) == 0 {
+	if len(m.queue) == 0 || m.isBelowNestedShare(w) {
 		return true
 	}
 	first := &m.queue[0]
