--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -35,17 +35,6 @@
 	Reason wire.RefusalReason
 }
 
-// Order is the order in which queued requests are admitted.
-type Order uint8
-
-const (
-	// FIFO admits the request at the front of the queue first.
-	FIFO Order = iota
-	// LIFO admits the request at the back of the queue first.
-	LIFO
-)
-
-// Defaults of Config.
 const (
 	// defaultBaseQueueTimeout is the round-trip time to another zone.
 	defaultBaseQueueTimeout = 3 * time.Millisecond
@@ -60,8 +49,6 @@
 	// service time, the estimated queue wait there. The sum is at most maxBaseQueueTimeout
 	// and is multiplied by the attempt number.
 	BaseQueueTimeout time.Duration
-	// Order is the order of the queue.
-	Order Order
 	// StepInterval is the shortest time between two increases of the limit of a cold
 	// upstream.
 	StepInterval time.Duration
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -15,9 +15,6 @@
 	// maxQueuedPerSlot bounds the queue length where service times are so short that many
 	// requests would be served within the queue timeout.
 	maxQueuedPerSlot = 2
-	// nestedShareDivisor divides the limit; the result is the number of running requests up to
-	// which nested ones go first.
-	nestedShareDivisor = 3
 	// coldSlowdown is how many times longer processing takes at a cold upstream.
 	coldSlowdown = 2.0
 	// serviceTimeMargin times the mean service time is the time reserved for a request.
@@ -171,19 +168,6 @@
 	return max(wait, time.Duration(serviceTimes*float64(m.ramp.serviceTime())))
 }
 
-// nestedShareWait is the expected wait, in service times, until a nested request that arrives
-// now starts within the share of nested requests.
-func (m *Machine) nestedShareWait() float64 {
-	share := m.nestedShare()
-	ahead := m.nestedRunning - share
-	for i := range m.queue {
-		if m.queue[i].urgency == overload.Nested && !m.queue[i].overdue {
-			ahead++
-		}
-	}
-	return float64(max(0, ahead)+1) / float64(max(1, share))
-}
-
 // rateWait is the time until the rate limit of a cold upstream allows the request.
 func (m *Machine) rateWait(now time.Time, ahead int) time.Duration {
 	if !m.warmup.isCold(now) {
@@ -196,7 +180,7 @@
 // start. It returns false when the queue is empty, or when that request waits for something
 // other than the rate limit.
 func (m *Machine) NextStart(now time.Time) (time.Time, bool) {
-	if len(m.queue) == 0 || !m.warmup.isCold(now) || !m.hasCapacity(now, &m.queue[m.nextWaiter()]) {
+	if len(m.queue) == 0 || !m.warmup.isCold(now) || !m.hasCapacity(now, &m.queue[0]) {
 		return time.Time{}, false
 	}
 	return now.Add(m.warmup.wait(now, 0)), true
@@ -232,7 +216,7 @@
 	}
 	next := slices.IndexFunc(m.queue, func(w waiter) bool { return m.isBelowNestedShare(&w) && m.hasCapacity(now, &w) })
 	if next < 0 {
-		next = m.nextWaiter()
+		next = 0
 	}
 	if !m.hasCapacity(now, &m.queue[next]) {
 		next = slices.IndexFunc(m.queue, func(w waiter) bool { return m.mayOvertake(&w) && m.hasCapacity(now, &w) })
@@ -243,33 +227,6 @@
 	return next
 }
 
-// nestedShare is the number of running requests up to which nested ones go before all others.
-// Within it the work done for their parents counts, whatever the priority of these; beyond it
-// nested requests must not take the slots of callers with a higher priority.
-func (m *Machine) nestedShare() int {
-	return (m.limit() + nestedShareDivisor - 1) / nestedShareDivisor
-}
-
-// isBelowNestedShare reports whether a request is nested, can meet its objective, and fits into
-// the share of nested requests. A cold upstream, whose rate is limited, has no such share.
-func (m *Machine) isBelowNestedShare(w *waiter) bool {
-	return w.urgency == overload.Nested && !w.overdue && m.nestedRunning < m.nestedShare() && !m.isCold()
-}
-
-// mayOvertake reports whether a request may start before those ahead of it in the queue. A
-// nested request may, if it is within the share of nested requests, or unless a request of a
-// higher priority waits that can still meet its objective.
-func (m *Machine) mayOvertake(w *waiter) bool {
-	if w.urgency != overload.Nested {
-		return false
-	}
-	if len(m.queue) == 0 || m.isBelowNestedShare(w) {
-		return true
-	}
-	first := &m.queue[0]
-	return first.isLate() || first.priority >= w.priority
-}
-
 // refuseQueued refuses the queued requests that must not wait any longer.
 func (m *Machine) refuseQueued(now time.Time) {
 	kept := m.queue[:0]
@@ -308,11 +265,3 @@
 	}
 	return m.fullReason()
 }
-
-// nextWaiter returns the index of the queued request that is admitted next.
-func (m *Machine) nextWaiter() int {
-	if m.config.Order == LIFO {
-		return len(m.queue) - 1
-	}
-	return 0
-}
