Tell entries how many requests an upstream fails

Cause: with quotes, an upstream that fails requests fast has few of them and looks like the best choice; no entry sees enough of its requests to eject it (195 entries by 94 upstreams).

Change: the node beside the upstream estimates the share of requests that the upstream fails by itself (resets, bytes that are no answer, rejections, server errors), not counting those whose nested calls failed, and states it in its load report. A quote counts it as ten service times for each failed request.

Tests: TestFailingUpstreamsAvoided, virtual time, 28 of 94 upstreams fail 45 %: 17 % of the requests fail by load alone, 0.8 % now. TestFailureTracker.

--- a/internal/coordination/balance/quote.go
+++ b/internal/coordination/balance/quote.go
@@ -14,6 +14,11 @@
 	// utilizationCost is the penalty of a fully utilized upstream as a multiple of the
 	// service time. It spreads requests over upstreams that could all start them at once.
 	utilizationCost = 0.2
+	// failureCost is the penalty of a failed request as a multiple of the service time. An
+	// upstream that fails requests fast has few of them and would seem the best choice.
+	failureCost = 10.0
+	// idealFailureShare is the share of failures up to which an upstream may be ideal.
+	idealFailureShare = 0.05
 )
 
 // Quote is the current state of an upstream as the node beside it reports it on request.
@@ -29,6 +34,8 @@
 	// ServiceTime is the mean service time of a request at the usual speed, 0 when
 	// unknown.
 	ServiceTime time.Duration
+	// FailureShare is the recent share of the requests that the upstream failed by itself.
+	FailureShare float64
 	// Cold is set while the upstream is in its cold start.
 	Cold bool
 	// QueueWait is the expected time that a new request is queued. It does not include the
@@ -39,14 +46,15 @@
 	NetworkCost time.Duration
 }
 
-// Expected estimates the time until the response to a request that is sent now, plus a
-// penalty for utilization. The given mean service time of the service is used when that of
+// Expected estimates the time until the response to a request that is sent now, plus
+// penalties for utilization and for failures. The given mean service time of the service is used when that of
 // the upstream is unknown.
 func (q *Quote) Expected(serviceTime time.Duration) time.Duration {
 	if q.ServiceTime > 0 {
 		serviceTime = q.ServiceTime
 	}
 	total := q.NetworkCost + q.QueueWait + q.expectedServiceTime(serviceTime)
+	total += time.Duration(failureCost * q.FailureShare * float64(serviceTime))
 	if q.Limit <= 0 {
 		return total
 	}
@@ -55,7 +63,7 @@
 
 // IsIdeal reports whether no other upstream can be expected to respond much sooner.
 func (q *Quote) IsIdeal() bool {
-	return q.Open && !q.Cold && q.QueueWait == 0 && q.Slowdown > 0 && q.Slowdown <= 1 && 2*(q.Running+q.Queued) < q.Limit
+	return q.Open && !q.Cold && q.FailureShare <= idealFailureShare && q.QueueWait == 0 && q.Slowdown > 0 && q.Slowdown <= 1 && 2*(q.Running+q.Queued) < q.Limit
 }
 
 // expectedServiceTime returns the time that a request with the given service time at the
--- a/internal/coordination/balance/quote_test.go
+++ b/internal/coordination/balance/quote_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
 )
 
@@ -159,3 +160,75 @@
 	assert.Equal(t, balance.Best(nil, time.Second), -1)
 	assert.Assert(t, fast.IsIdeal() && !slow.IsIdeal() && !closed.IsIdeal())
 }
+
+// Parameters of the simulation of failing upstreams: a part of many upstreams fails some
+// requests at once, without a sign in its load or its health.
+const (
+	greyUpstreamCount     = 94
+	greyFailingCount      = 28
+	greyFailingShare      = 0.45 // share of the requests that a failing upstream fails
+	greyLimit             = 6
+	greyRequestsPerSecond = 486.0
+	greyServiceTime       = 300 * time.Millisecond
+	greySampleSize        = 4
+	greyWarmUp            = 4 * time.Second // until the nodes beside the upstreams have observed failures
+	greyDuration          = 20 * time.Second
+)
+
+// failedShare runs the simulation and returns the share of the requests after greyWarmUp that
+// fail. With observed set, quotes contain the failures that the node beside the upstream saw.
+func failedShare(seed uint64, observed bool) float64 {
+	random := rand.New(rand.NewPCG(seed, 11))
+	now := time.Unix(1000, 0)
+	start := now
+	trackers := make([]admission.FailureTracker, greyUpstreamCount)
+	ends := make([][]time.Time, greyUpstreamCount)
+	running := func(i int) int {
+		unfinished := ends[i][:0]
+		for _, end := range ends[i] {
+			if end.After(now) {
+				unfinished = append(unfinished, end)
+			}
+		}
+		ends[i] = unfinished
+		return len(unfinished)
+	}
+	requests, failed := 0, 0
+	for now.Sub(start) < greyDuration {
+		now = now.Add(time.Duration(random.ExpFloat64() / greyRequestsPerSecond * float64(time.Second)))
+		sample := random.Perm(greyUpstreamCount)[:greySampleSize]
+		quotes := make([]*balance.Quote, greySampleSize)
+		for k, i := range sample {
+			quotes[k] = &balance.Quote{Open: true, Running: running(i), Limit: greyLimit, Slowdown: 1, ServiceTime: greyServiceTime}
+			quotes[k].QueueWait = greyServiceTime * time.Duration(max(0, running(i)+1-greyLimit)) / greyLimit
+			if observed {
+				quotes[k].FailureShare = trackers[i].Share(now)
+			}
+		}
+		chosen := sample[balance.Best(quotes, greyServiceTime)]
+		fails := chosen < greyFailingCount && random.Float64() < greyFailingShare
+		trackers[chosen].Observe(now, fails)
+		if !fails {
+			ends[chosen] = append(ends[chosen], now.Add(time.Duration((0.5+random.Float64())*float64(greyServiceTime))))
+		}
+		if now.Sub(start) < greyWarmUp {
+			continue
+		}
+		requests++
+		if fails {
+			failed++
+		}
+	}
+	return float64(failed) / float64(requests)
+}
+
+// TestFailingUpstreamsAvoided guards against a failing upstream that gets more requests than
+// others because failed requests leave it idle. No entry node sees enough of its requests to
+// notice by itself.
+func TestFailingUpstreamsAvoided(t *testing.T) {
+	for seed := range uint64(3) {
+		without, with := failedShare(seed, false), failedShare(seed, true)
+		t.Logf("seed %d: share of requests that fail: %.3f by load alone, %.3f with observed failures", seed, without, with)
+		assert.Assert(t, with < without/4, "%.3f of the requests fail, %.3f by load alone", with, without)
+	}
+}
--- a/internal/coordination/overload/request_tracker.go
+++ b/internal/coordination/overload/request_tracker.go
@@ -38,6 +38,8 @@
 	openCalls  int
 	callsSince time.Time
 	nestedWait time.Duration
+	// nestedFailed is set once one of its nested calls has failed.
+	nestedFailed bool
 }
 
 // NewRequestTracker returns a tracker without requests.
@@ -117,6 +119,25 @@
 	}
 }
 
+// CallFailed records that a nested call fails, before its caller learns of it. It has no effect
+// once the parent has ended.
+func (t *RequestTracker) CallFailed(parentID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if tracked, isRunning := t.requests[parentID]; isRunning {
+		tracked.nestedFailed = true
+	}
+}
+
+// NestedFailed reports whether a nested call of the request has failed or is still in
+// progress. A failure of such a request is not one of its upstream.
+func (t *RequestTracker) NestedFailed(requestID string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked, isRunning := t.requests[requestID]
+	return isRunning && (tracked.nestedFailed || tracked.openCalls > 0)
+}
+
 // NestedWait returns how long a running request has waited for its nested calls, up to the
 // last time that all of them had ended. Time in which several calls were in progress counts
 // once.
--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -31,10 +31,12 @@
 	if err != nil {
 		r.settleClaim(nil)
 		outcome.Result = r.interruptedResult(ctx, err)
+		r.recordUpstreamOutcome(outcome.Result)
 		return outcome
 	}
 	r.state.Store(int32(stateAnswered))
 	outcome.Result = admissionResultForStatus(response.StatusCode)
+	r.recordUpstreamOutcome(outcome.Result)
 	if outcome.Result == admission.ResultSuccess {
 		r.node.upstream.observeWork(r.head.GetRoute(), r.requestID(), outcome.ServiceTime, r.slowdownPercent)
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -37,6 +37,9 @@
 	a := result.attempt
 	outcome := balance.Outcome{Result: balance.ResultError}
 	defer func() { a.finish(outcome) }()
+	if result.head.GetStatus() >= http.StatusInternalServerError {
+		n.recordNestedFailure(c)
+	}
 	writer := &responseWriter{w: w, controller: http.NewResponseController(w), call: c, head: result.head}
 	end, err := writer.copyFrom(a.stream)
 	if err != nil {
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -159,14 +159,15 @@
 	n.directory.ObserveRevision(candidate.instance.GetNodeAddress(), quote.GetRevision())
 	load := quote.GetLoad()
 	decoded := &balance.Quote{
-		Open:        quote.GetOpen(),
-		Running:     int(load.GetInFlight()),
-		Queued:      int(load.GetQueued()),
-		Limit:       int(load.GetLimit()),
-		Slowdown:    float64(load.GetSlowdownPercent()) / 100,
-		ServiceTime: time.Duration(load.GetWorkUs()) * time.Microsecond,                                            //nolint:gosec // an estimate
-		QueueWait:   time.Duration(min(quote.GetWaitUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond, //nolint:gosec // bounded
-		Cold:        load.GetState() == wire.InstanceState_INSTANCE_COLD,
+		Open:         quote.GetOpen(),
+		Running:      int(load.GetInFlight()),
+		Queued:       int(load.GetQueued()),
+		Limit:        int(load.GetLimit()),
+		Slowdown:     float64(load.GetSlowdownPercent()) / 100,
+		ServiceTime:  time.Duration(load.GetWorkUs()) * time.Microsecond,                                            //nolint:gosec // an estimate
+		QueueWait:    time.Duration(min(quote.GetWaitUs(), uint64(maxTimeout/time.Microsecond))) * time.Microsecond, //nolint:gosec // bounded
+		FailureShare: float64(load.GetFailurePercent()) / 100,
+		Cold:         load.GetState() == wire.InstanceState_INSTANCE_COLD,
 	}
 	if candidate.instance.GetZone() != n.settings.Zone {
 		decoded.NetworkCost = crossZoneRoundTrip + c.crossZoneCost()
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -249,6 +249,7 @@
 		outcome.Result = admission.ResultCancelled
 		reason = wire.RefusalReason_REFUSAL_WRONG_INSTANCE
 	}
+	r.recordUpstreamOutcome(outcome.Result)
 	r.permit.Release(outcome)
 	r.declined = true
 	r.refuse(reason, "declined by the upstream")
@@ -269,11 +270,24 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
 		reason = wire.RefusalReason_REFUSAL_DEADLINE
 	}
+	r.recordUpstreamOutcome(outcome.Result)
 	r.permit.Release(outcome)
 	r.refuse(reason, "")
 	return outcome
 }
 
+// recordUpstreamOutcome records for quotes whether the upstream itself failed the attempt. A
+// cancelled attempt tells nothing, nor does one that failed with a nested call.
+func (r *receivedAttempt) recordUpstreamOutcome(result admission.Result) {
+	switch {
+	case result == admission.ResultCancelled:
+	case result == admission.ResultSuccess:
+		r.node.upstream.recordOutcome(false)
+	case !r.node.upstream.requestTracker.NestedFailed(r.requestID()):
+		r.node.upstream.recordOutcome(true)
+	}
+}
+
 func (r *receivedAttempt) failureResult(ctx context.Context, err error) admission.Result {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -42,6 +42,7 @@
 	reportedLoad   int
 	reportedLoadAt time.Time
 	workEstimates  admission.WorkEstimator
+	failures       admission.FailureTracker
 	// requestTracker holds the requests at the upstream by the request IDs of the callers.
 	requestTracker *overload.RequestTracker
 	// watchingSlowdown is set while a slow upstream is probed repeatedly.
@@ -91,6 +92,7 @@
 	}
 	if previous == nil || previous.StartID != a.StartID {
 		u.reportedLoad, u.reportedLoadAt, u.workEstimates, u.unreachableAt = 0, time.Time{}, admission.WorkEstimator{}, time.Time{}
+		u.failures = admission.FailureTracker{}
 	}
 	slots := a.Slots
 	if a.Connections > 0 {
@@ -204,6 +206,13 @@
 	u.gate.SetSlowdown(float64(u.slowdownPercent) / normalSlowdownPercent)
 }
 
+// recordOutcome records whether the upstream itself failed a request.
+func (u *upstream) recordOutcome(failed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failures.Observe(time.Now(), failed)
+}
+
 func (u *upstream) isCurrentStart(startID string) bool {
 	return u.announcement != nil && u.announcement.StartID == startID
 }
@@ -233,6 +242,7 @@
 	if time.Since(u.reportedLoadAt) < maxReportedLoadAge {
 		report.SlowdownPercent = u.slowdownPercent
 	}
+	report.FailurePercent = uint32(100 * u.failures.Share(time.Now()))
 	report.WorkUs = uint64(u.workEstimates.Estimate(route, prior).OwnTime.Microseconds()) //nolint:gosec // not negative
 	if reported := u.reportedLoad; reported > int(report.GetInFlight()) && time.Since(u.reportedLoadAt) < maxReportedLoadAge {
 		report.InFlight = uint32(min(reported, maxReportedLoad)) //nolint:gosec // bounded
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -44,6 +44,13 @@
 	return overload.InTime
 }
 
+// recordNestedFailure records the failure of a nested call before the upstream learns of it.
+func (n *Node) recordNestedFailure(c *call) {
+	if c.urgency == overload.Nested {
+		n.upstream.requestTracker.CallFailed(c.parentRequestID)
+	}
+}
+
 func urgencyToWire(urgency overload.Urgency) wire.Urgency {
 	switch urgency {
 	case overload.Nested:
