Let a starting node ask its upstream who it is

Change: setting upstream_address. Until the upstream has announced itself, for 2 s at most, the node asks its health path each 50 ms. A response with status 200, the instance and its slots makes a provisional announcement; one that is leaving has to announce itself. Control is asked about departures as for any start. The first announcement of the upstream continues the start.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -33,6 +33,11 @@
 	g.apply(func(now time.Time) []Event { return g.machine.Start(now, startID, slots) })
 }
 
+// RenameStart replaces the start ID of the upstream without a cold start.
+func (g *Gate) RenameStart(startID string) {
+	g.apply(func(time.Time) []Event { return g.machine.RenameStart(startID) })
+}
+
 // Withdraw removes the upstream; see Machine.Withdraw.
 func (g *Gate) Withdraw() {
 	g.apply(g.machine.Withdraw)
--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -143,6 +143,13 @@
 	return m.events
 }
 
+// RenameStart replaces the start ID of the upstream without a cold start. It is for an upstream
+// whose start ID was not known before.
+func (m *Machine) RenameStart(startID string) []Event {
+	m.startID = startID
+	return nil
+}
+
 // Withdraw removes the upstream: all queued requests are refused.
 func (m *Machine) Withdraw(now time.Time) []Event {
 	m.events = m.events[:0]
--- /dev/null
+++ b/internal/node/discover.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chicorylever/chicorylever/internal/node/egress"
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+)
+
+const (
+	// discoveryTime is how long after its start a node asks for its upstream. By then an
+	// upstream that runs has announced itself.
+	discoveryTime = 2 * time.Second
+	// discoveryInterval is the interval between two attempts.
+	discoveryInterval = 50 * time.Millisecond
+	// discoveryTimeout bounds one attempt.
+	discoveryTimeout = 300 * time.Millisecond
+	// provisionalStartID is the start ID of a discovered upstream until it announces itself.
+	provisionalStartID = "provisional"
+	// provisionalSequence marks the start as one whose first announcement this node has not
+	// received, so that control is asked whether the upstream is departing.
+	provisionalSequence = 2
+)
+
+// discoverUpstream asks the health path of the configured upstream who it is, until it has
+// answered or announced itself. A node that restarts beside a running upstream would otherwise
+// wait for the next announcement, and all requests would meanwhile go to the few upstreams
+// whose announcement came first.
+func (n *Node) discoverUpstream(ctx context.Context) {
+	address := n.settings.UpstreamAddress
+	if address == "" || n.dialect.InstanceID == "" {
+		return
+	}
+	pool := egress.NewPool(egress.Config{Address: address})
+	defer pool.Close()
+	deadline := time.Now().Add(discoveryTime)
+	for time.Now().Before(deadline) && n.upstream.currentAnnouncement() == nil {
+		if a := n.askUpstream(ctx, pool, address); a != nil {
+			if err := n.Announce(a); err != nil {
+				_ = level.Warn(n.logger).Log("msg", "health response of the upstream can't be used", "err", err)
+			}
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(discoveryInterval):
+		}
+	}
+}
+
+// askUpstream returns the announcement that follows from a health response of the upstream, or
+// nil without one. An upstream that does not say that it is healthy may be leaving, which a
+// restarted node has forgotten; it has to announce itself.
+func (n *Node) askUpstream(ctx context.Context, pool *egress.Pool, address string) *httpapi.Announcement {
+	service := n.liveSettings.Load().Service
+	configured, known := n.directory.View().Doc.Services[service]
+	if !known || configured.HealthPath == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream"+configured.HealthPath, http.NoBody)
+	if err != nil {
+		return nil
+	}
+	request.Header["User-Agent"] = nil
+	response, err := pool.Do(ctx, request, false, func() error { return nil })
+	if err != nil {
+		return nil
+	}
+	defer response.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxProbeBytes)); err != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	load, ok := n.dialect.ParseLoad(response.Header.Get(n.dialect.Load))
+	if !ok || load.Slots <= 0 {
+		return nil
+	}
+	coldMs, err := strconv.ParseFloat(response.Header.Get(n.dialect.ColdMs), 64)
+	if err != nil || coldMs < 0 || coldMs > maxColdMs {
+		coldMs = 0
+	}
+	return &httpapi.Announcement{
+		Service:     service,
+		Address:     address,
+		Instance:    response.Header.Get(n.dialect.InstanceID),
+		StartID:     provisionalStartID,
+		Slots:       load.Slots,
+		ColdMs:      int64(coldMs),
+		Sequence:    provisionalSequence,
+		Provisional: true,
+	}
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -161,11 +161,14 @@
 }
 
 func (c *fakeControl) startNode(t testing.TB, id, zone, meshAddress string) *testNode {
-	s := &settings.Node{
-		ID: id, Zone: zone, EntryListen: "127.0.0.1:0", LocalListen: "127.0.0.1:0", MeshListen: "127.0.0.1:0",
-		AdminListen: "127.0.0.1:0", Control: []string{c.address}, StopTimeoutMs: 5000,
-	}
-	n, err := New(s, c.logger, Options{})
+	return c.startNodeWith(t, &settings.Node{ID: id, Zone: zone}, meshAddress, Options{})
+}
+
+// startNodeWith starts a node with the given settings and options and loopback listeners.
+func (c *fakeControl) startNodeWith(t testing.TB, s *settings.Node, meshAddress string, options Options) *testNode {
+	s.EntryListen, s.LocalListen, s.MeshListen, s.AdminListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Control, s.StopTimeoutMs = []string{c.address}, 5000
+	n, err := New(s, c.logger, options)
 	assert.NilError(t, err)
 	s.MeshAddress = meshAddress
 	if meshAddress == "" {
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -57,6 +57,8 @@
 		return errors.New(problem)
 	}
 	previous := n.upstream.currentAnnouncement()
+	// The first announcement after a provisional one counts as new here: what control reports
+	// of the start is looked up by its ID.
 	isNewStart := previous == nil || previous.StartID != a.StartID
 	if isNewStart {
 		// No acknowledgement may confirm the new start before a heartbeat has reported it.
@@ -77,7 +79,7 @@
 	if isNewStart || previous.Leaving != a.Leaving {
 		n.directory.RequestHeartbeat()
 		_ = level.Info(n.logger).Log("msg", "upstream announced", "service", a.Service, "instance", a.Instance,
-			"start_id", a.StartID, "sequence", a.Sequence, "cold_ms", a.ColdMs, "leaving", a.Leaving)
+			"start_id", a.StartID, "sequence", a.Sequence, "cold_ms", a.ColdMs, "leaving", a.Leaving, "provisional", a.Provisional)
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,6 +219,7 @@
 	}
 	group.Go(func() error { n.watchState(backgroundCtx); return nil })
 	group.Go(func() error { n.suspension.run(backgroundCtx); return nil })
+	group.Go(func() error { n.discoverUpstream(controlCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
 		defer stopBackground()
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -38,7 +38,12 @@
 		return
 	}
 	for _, instance := range instances {
-		if instance.GetDeparting() && instance.GetId() == a.Instance && s.upstream.leave(instance.GetStartId()) {
+		startID := instance.GetStartId()
+		if a.Provisional {
+			// The start ID is not known yet; until it is, a departure of any start counts.
+			startID = a.StartID
+		}
+		if instance.GetDeparting() && instance.GetId() == a.Instance && s.upstream.leave(startID) {
 			_ = level.Debug(s.logger).Log("msg", "registry lists the upstream as departing", "instance", a.Instance)
 		}
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -69,12 +69,30 @@
 	if current == nil {
 		return false
 	}
+	if a.Provisional {
+		return true
+	}
 	if a.StartedMs != 0 && a.StartedMs < current.StartedMs {
 		return true
 	}
 	return a.StartID == current.StartID && a.Sequence != 0 && a.Sequence <= current.Sequence
 }
 
+// continuesStart reports whether an announcement is of the start that the current one
+// describes: it has the same start ID, or is the first one of the upstream itself after a
+// provisional one.
+func (u *upstream) continuesStart(a *httpapi.Announcement) bool {
+	current := u.announcement
+	if current == nil {
+		return false
+	}
+	if current.StartID == a.StartID {
+		return true
+	}
+	return current.Provisional && !u.departing &&
+		current.Instance == a.Instance && current.Service == a.Service && current.Address == a.Address
+}
+
 // announce applies an announcement. It returns false for an outdated one, which has no
 // effect. A new start ID begins a cold start with new connections.
 func (u *upstream) announce(a *httpapi.Announcement) bool {
@@ -84,13 +102,14 @@
 	if isOutdated(a, previous) {
 		return false
 	}
-	if previous == nil || previous.StartID != a.StartID || previous.Address != a.Address {
+	continuesStart := u.continuesStart(a)
+	if !continuesStart || previous.Address != a.Address {
 		if u.pool != nil {
 			u.pool.Close()
 		}
 		u.pool = u.newPool(a)
 	}
-	if previous == nil || previous.StartID != a.StartID {
+	if !continuesStart {
 		u.reportedLoad, u.reportedLoadAt, u.workEstimates, u.unreachableAt = 0, time.Time{}, admission.WorkEstimator{}, time.Time{}
 		u.failures = admission.FailureTracker{}
 	}
@@ -98,9 +117,12 @@
 	if a.Connections > 0 {
 		slots = min(slots, a.Connections)
 	}
+	if continuesStart {
+		u.gate.RenameStart(a.StartID)
+	}
 	u.gate.Start(a.StartID, slots)
 	u.gate.SetWarmup(u.warmupPerSecond, time.Now().Add(time.Duration(a.ColdMs)*time.Millisecond))
-	if previous == nil || previous.StartID != a.StartID {
+	if !continuesStart {
 		u.departing = false
 		u.unconfirmed = a.Sequence > 1
 	}
--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -77,6 +77,9 @@
 	// Leaving is set when the upstream accepts no new requests. It remains in effect until
 	// the upstream starts again, even if a later announcement omits it.
 	Leaving bool `json:"leaving,omitempty"`
+	// Provisional is set when the node has made the announcement itself, from a health
+	// response. Its StartID is not that of the upstream.
+	Provisional bool `json:"-"`
 }
 
 // Load is the body of POST /v1/load, with which the upstream reports its own load.
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -53,6 +53,9 @@
 	// callers' requests while it reports that it is not ready, so that callers switch to
 	// other nodes before it closes its listener; default 0.
 	StopDelayMs int `json:"stop_delay_ms,omitempty"`
+	// UpstreamAddress is the address of the upstream beside the node. With it a node that
+	// starts asks the health path of the upstream, and need not wait for its announcement.
+	UpstreamAddress string `json:"upstream_address,omitempty"`
 	// StopTimeoutMs is the timeout of a graceful stop in milliseconds; default 30000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
 }
@@ -82,6 +85,7 @@
 		checkNotEmpty("zone", s.Zone),
 		checkAddress("entry_listen", s.EntryListen),
 		checkAddress("local_listen", s.LocalListen),
+		s.checkUpstreamAddress(),
 		s.checkLocalListen(),
 		checkNotNegative("control_port", s.ControlPort),
 		checkNotNegative("stop_delay_ms", s.StopDelayMs),
@@ -97,6 +101,13 @@
 	)
 }
 
+func (s *Node) checkUpstreamAddress() *Error {
+	if s.UpstreamAddress == "" {
+		return nil
+	}
+	return checkAddress("upstream_address", s.UpstreamAddress)
+}
+
 func (s *Node) checkRetryLimit() *Error {
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindowS < 0 {
 		return &Error{Field: "retry_ratio", Problem: "retry_ratio, retry_slack and retry_window_s must not be negative"}
