--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -35,6 +35,7 @@
 	Reason wire.RefusalReason
 }
 
+// Defaults of Config.
 const (
 	// defaultBaseQueueTimeout is the round-trip time to another zone.
 	defaultBaseQueueTimeout = 3 * time.Millisecond
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -195,6 +195,8 @@
 	// valid once hasState is set, which the first state with a registry does.
 	registryVersion uint64
 	hasState        bool
+	// startedAt is when the client began to connect, connectedAt when a member accepted.
+	startedAt, connectedAt time.Time
 	// lastReceived is the time of the last received message, unansweredSince that of the
 	// first heartbeat sent after it; zero when none was sent.
 	lastReceived, unansweredSince time.Time
@@ -205,6 +207,7 @@
 // session runs one session with the first of the members to accept a connection. It
 // returns the address of that member and whether it sent a state with a registry.
 func (c *Client) session(ctx context.Context, addresses []string) (address string, receivedState bool, err error) {
+	startedAt := time.Now()
 	address, stream, err := c.connect(ctx, addresses)
 	if err != nil {
 		return address, false, err
@@ -216,6 +219,8 @@
 		conn:        frame.NewConn(stream),
 		incoming:    make(chan *wire.Envelope, receiveBufferMessages),
 		receiveDone: make(chan struct{}),
+		startedAt:   startedAt,
+		connectedAt: time.Now(),
 	}
 	readCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -327,10 +332,15 @@
 	switch {
 	case message.GetStateFull() != nil:
 		state := message.GetStateFull()
+		isFirst := false
 		if !state.GetDocumentOnly() {
+			isFirst = !s.hasState
 			s.registryVersion, s.hasState = state.GetRegistryVersion(), true
 		}
 		s.client.sink.Apply(state)
+		if isFirst {
+			s.logFirstState()
+		}
 	case message.GetStateDiff() != nil:
 		diff := message.GetStateDiff()
 		if diff.GetRegistryVersion() != 0 {
@@ -357,6 +367,14 @@
 	return nil
 }
 
+// logFirstState logs that the node has the state of a member, with the time that connecting
+// and the state itself took.
+func (s *session) logFirstState() {
+	_ = level.Info(s.client.logger).Log("msg", "subscribed to control member", "member", s.address,
+		"revision", s.client.sink.Revision(),
+		"connect_ms", s.connectedAt.Sub(s.startedAt).Milliseconds(), "state_ms", time.Since(s.connectedAt).Milliseconds())
+}
+
 // deregister tells control that the node is stopping and waits for the acknowledgement.
 func (s *session) deregister() {
 	heartbeat := s.client.sink.Heartbeat()
--- a/internal/coordination/raft/status.go
+++ b/internal/coordination/raft/status.go
@@ -43,9 +43,3 @@
 	}
 	return c.ticks - p.lastResponseTick
 }
-
-// IsActive reports whether this member leads and received a response from the member with
-// the given ID within the shortest election timeout.
-func (c *Core) IsActive(id uint64) bool {
-	return c.role == Leader && c.isActive(id)
-}
--- a/internal/coordination/replica/voters.go
+++ b/internal/coordination/replica/voters.go
@@ -1,14 +1,12 @@
 package replica
 
-import (
-	"github.com/chicorylever/chicorylever/internal/coordination/raft"
-)
+import "github.com/chicorylever/chicorylever/internal/coordination/raft"
 
 const (
 	// defaultTargetVoters lets a cluster lose two members and keep a quorum.
 	defaultTargetVoters = 5
 	// voterSilenceTicks is the time, 1.5 s, after which a voter that does not respond may be
-	// replaced by a learner. It is longer than a restart of the process takes.
+	// replaced by a learner. A voter whose process restarts is back before it.
 	voterSilenceTicks = 30
 	// learnerSilenceTicks is the time, 30 s, after which a learner that does not respond is
 	// removed. It asks to join again when it returns.
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -17,7 +17,8 @@
 	// discoveryTime is how long after its start a node asks for its upstream. By then an
 	// upstream that runs has announced itself.
 	discoveryTime = 2 * time.Second
-	// discoveryInterval is the interval between two attempts.
+	// discoveryInterval is the interval between two attempts. It keeps their number below the
+	// default budget for probes, which is not configured yet when a node starts.
 	discoveryInterval = 50 * time.Millisecond
 	// discoveryTimeout bounds one attempt.
 	discoveryTimeout = 300 * time.Millisecond
--- a/internal/node/egress/exchange_fuzz_test.go
+++ b/internal/node/egress/exchange_fuzz_test.go
@@ -14,9 +14,8 @@
 )
 
 // FuzzExchange guards against a panic or an endless read on any bytes of an upstream, over a
-// connection with a peer, and
-// against a response that counts as complete although its body is shorter or longer than its
-// head states.
+// connection with a peer, and against a response that counts as complete although its body is
+// shorter or longer than its head states.
 func FuzzExchange(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=y\r\na\r\n0\r\nX-A: b\r\n\r\n"))
