Let the test of the log writer wait for all lines

Flush gives up after 0.5 s, as it says, and the test took the lines still queued for lost. Trial: with 0.2 ms for each line the old test fails the same way in every run; it now waits until nothing is queued, and passes in the same build.

--- a/internal/obs/asyncwriter_test.go
+++ b/internal/obs/asyncwriter_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -37,7 +38,10 @@
 	}
 	assert.Assert(t, w.Dropped() >= maxQueuedLines)
 	close(out.unblocked)
-	w.Flush()
+	// Flush gives up after flushTimeout, in which a busy machine may not write all lines.
+	for deadline := time.Now().Add(20 * time.Second); w.hasUnwritten() && time.Now().Before(deadline); {
+		w.Flush()
+	}
 	out.mu.Lock()
 	written := out.written.Len() / len(line)
 	out.mu.Unlock()
