--- a/internal/coordination/admission/order_test.go
+++ b/internal/coordination/admission/order_test.go
@@ -191,20 +191,20 @@
 	m := admission.NewMachine(admission.Config{})
 	m.Start(now, "1", 5)
 	m.SetWarmup(now, 8.2, now.Add(10*time.Second))
-	for {
-		_, verdict, _ := m.Offer(now, admission.Request{Objective: now.Add(time.Second)})
-		if verdict != admission.Admitted {
-			break
-		}
-		m.Release(now, 0, admission.Outcome{})
+	var caller admission.Ticket
+	verdict := admission.Admitted
+	for verdict == admission.Admitted {
+		caller, verdict, _ = m.Offer(now, admission.Request{Objective: now.Add(time.Second)})
+		m.Release(now, caller, admission.Outcome{Result: admission.ResultCancelled})
 	}
-	nested, verdict, _ := m.Offer(now, admission.Request{Priority: 2, Urgency: overload.Nested, Deadline: now.Add(time.Second)})
+	assert.Equal(t, verdict, admission.Queued)
+	_, verdict, _ = m.Offer(now, admission.Request{Priority: 2, Urgency: overload.Nested, Deadline: now.Add(time.Second)})
 	assert.Equal(t, verdict, admission.Queued)
 	next, found := m.NextStart(now)
 	assert.Assert(t, found)
-	for _, event := range m.Expire(next) {
-		assert.Assert(t, event.Ticket != nested, "the nested request went before the caller")
-	}
+	events := m.Expire(next)
+	assert.Equal(t, len(events), 1)
+	assert.Assert(t, events[0].Ticket == caller && events[0].Admitted, "the nested request went before the caller")
 }
 
 // TestOverdueNestedGoesLast guards against an overload of nested requests in which each waits
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,6 +33,7 @@
 		{"no control", `["10.0.0.2:7100"]`, `[]`, "control: must name at least one address"},
 		{"log level", `"id":"n"`, `"id":"n","log_level":"loud"`, "log_level: must be debug, info, warn or error"},
 		{"negative", `"id":"n"`, `"id":"n","stop_timeout_ms":-1`, "stop_timeout_ms: must be at least 1"},
+		{"upstream address", `"id":"n"`, `"id":"n","upstream_address":"example.org:80"`, "upstream_address: host must be an IP address"},
 		{"trailing data", `"id":"n"`, `"id":"n"} {"id":"n"`, "data after"},
 	}
 	for _, test := range tests {
@@ -50,6 +51,27 @@
 	}
 }
 
+// TestToleratedLosses guards against a number of voters that no cluster should have, and against a
+// cluster that tolerates no loss because the setting is omitted.
+func TestToleratedLosses(t *testing.T) {
+	for losses, problem := range map[int]string{-1: "must be between 0 and 4", 0: "", 1: "", 4: "", 5: "must be between 0 and 4"} {
+		s := &Control{
+			ID: "c", Zone: "z", DataDir: "d", MeshListen: "10.0.0.1:1", APIListen: "10.0.0.1:2", Bootstrap: []string{"10.0.0.1:1"},
+			ToleratedLosses: losses,
+		}
+		s.setDefaults()
+		assert.Assert(t, losses != 0 || s.ToleratedLosses == defaultToleratedLosses)
+		invalid := s.check()
+		if problem == "" {
+			assert.Assert(t, invalid == nil, "%v", invalid)
+			continue
+		}
+		assert.Assert(t, invalid != nil)
+		assert.Equal(t, invalid.Field, "tolerated_losses")
+		assert.Equal(t, invalid.Problem, problem)
+	}
+}
+
 // TestExamples guards against example files that the programs reject.
 func TestExamples(t *testing.T) {
 	for _, deployment := range []string{"moreton", "kingfisher"} {
