Log and count what upstreams state about themselves in their responses

Cause: an upstream in need states in its responses the rate that it accepts, and one that leaves states that.

Change: Dialect has the names of both headers, Dialect.Signals decodes them, and the node beside the upstream logs each change. chicorylever_upstream_stated_rate_limit and chicorylever_upstream_requests_total are new. Nothing is decided by them yet.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -25,6 +25,7 @@
 // response gets no ResponseEnd.
 func (r *receivedAttempt) forwardResponse(ctx context.Context, response *egress.Response) admission.Outcome {
 	r.node.upstream.setLoadFromHeader(response.Header.Get(r.node.dialect.Load))
+	r.node.upstream.observeSignals(r.pool, r.dispatchedAt, response.Header)
 	recorder := newRecorder(r.claim, response, r.node.upstreamOnlyHeaders)
 	sent, err := r.sendResponse(response, recorder)
 	outcome := admission.Outcome{ServiceTime: time.Since(r.dispatchedAt)}
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -72,7 +72,7 @@
 	_ = level.Info(r.node.logger).Log("msg", "attempt refused", "request", r.requestID(), "instance", r.head.GetInstance(),
 		"reason", httpapi.ReasonName(reason), "not_run", !r.isDispatched() || r.declined, "declined", r.declined,
 		"urgency", urgencyFromWire(r.head.GetUrgency()), "slowdown_percent", load.GetSlowdownPercent(),
-		"running", load.GetInFlight(), "queued", load.GetQueued(), "limit", load.GetLimit(), "state", stateName(load.GetState()),
+		"running", load.GetInFlight(), "queued", load.GetQueued(), "limit", load.GetLimit(), "state", stateName(load.GetState()), "stated_rate_limit", r.node.upstream.statedRateLimit(),
 		"left_ms", time.Until(r.deadline).Milliseconds(), "revision", r.node.directory.View().Revision)
 }
 
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
@@ -62,7 +63,7 @@
 // TestConfirmationOfEarlierStart guards against using an upstream because of a confirmation
 // of control, or of its timeout, that applies to an earlier start.
 func TestConfirmationOfEarlierStart(t *testing.T) {
-	u := newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{})
+	u := newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())
 	for _, startID := range []string{"1", "2"} {
 		a := &httpapi.Announcement{Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: startID, Slots: 1, Sequence: 7}
 		assert.Assert(t, u.announce(a))
--- a/internal/node/discover_test.go
+++ b/internal/node/discover_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
@@ -81,12 +82,12 @@
 		Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: provisionalStartID, Slots: 1, Sequence: provisionalSequence, Provisional: true,
 	}
 	announced := &httpapi.Announcement{Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: "1", Slots: 1, Sequence: 7}
-	u := newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{})
+	u := newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())
 	assert.Assert(t, u.announce(announced))
 	assert.Assert(t, !u.announce(provisional))
 	assert.Equal(t, u.currentAnnouncement(), announced)
 
-	u = newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{})
+	u = newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())
 	assert.Assert(t, u.announce(provisional))
 	assert.Assert(t, !u.isOpen("i"), "control has not reported whether the upstream is departing")
 	assert.Assert(t, u.leave(provisionalStartID))
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -31,7 +32,7 @@
 		Doc:   &document.Document{Services: map[string]document.Service{"drafts": {}}},
 		Hosts: map[string]string{"host": "drafts"},
 	}
-	n := &Node{settings: &settings.Node{}, dialect: httpapi.DefaultDialect(), splitter: newTrafficSplitter(), upstream: newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{})}
+	n := &Node{settings: &settings.Node{}, dialect: httpapi.DefaultDialect(), splitter: newTrafficSplitter(), upstream: newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())}
 	n.liveSettings.Store(n.settings)
 	f.Fuzz(func(t *testing.T, timeout, depth, key, host, id, value string) {
 		r := httptest.NewRequest(http.MethodPost, "/svc/drafts/x?y", nil)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -42,6 +42,9 @@
 	set     *metrics.Set
 	retries *metrics.Counter
 	hedges  *metrics.Counter
+	// upstreamRequests counts the requests sent to the upstream beside this node, without
+	// probes.
+	upstreamRequests *metrics.Counter
 	// ejections counts the ejections of failing instances by this entry node.
 	ejections    *metrics.Counter
 	addedLatency *metrics.PrometheusHistogram
@@ -64,13 +67,14 @@
 func newNodeMetrics() *nodeMetrics {
 	set := metrics.NewSet()
 	m := &nodeMetrics{
-		set:          set,
-		retries:      set.NewCounter("chicorylever_retries_total"),
-		hedges:       set.NewCounter("chicorylever_hedges_total"),
-		ejections:    set.NewCounter("chicorylever_ejections_total"),
-		addedLatency: set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
-		refusals:     map[wire.RefusalReason]*metrics.Counter{},
-		services:     map[string]*serviceMetrics{},
+		set:              set,
+		retries:          set.NewCounter("chicorylever_retries_total"),
+		hedges:           set.NewCounter("chicorylever_hedges_total"),
+		upstreamRequests: set.NewCounter("chicorylever_upstream_requests_total"),
+		ejections:        set.NewCounter("chicorylever_ejections_total"),
+		addedLatency:     set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
+		refusals:         map[wire.RefusalReason]*metrics.Counter{},
+		services:         map[string]*serviceMetrics{},
 	}
 	for number := range wire.RefusalReason_name {
 		reason := wire.RefusalReason(number)
@@ -160,6 +164,7 @@
 	set.NewGauge("chicorylever_upstream_service_time_seconds", loadGauge(func(r *wire.LoadReport) float64 {
 		return (time.Duration(r.GetServiceTimeUs()) * time.Microsecond).Seconds() //nolint:gosec // an estimate
 	}))
+	set.NewGauge("chicorylever_upstream_stated_rate_limit", n.upstream.statedRateLimit)
 	set.NewGauge("chicorylever_measurement_budget_total", func() float64 { return n.upstream.measurementBudget.Counters().Budget })
 	set.NewGauge("chicorylever_measurement_spent_total", func() float64 { return float64(n.upstream.measurementBudget.Counters().Spent) })
 	set.NewGauge("chicorylever_measurement_denied_total", func() float64 { return float64(n.upstream.measurementBudget.Counters().Denied) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,10 +122,10 @@
 		splitter:             newTrafficSplitter(),
 		logger:               log.With(logger, "node", s.ID),
 		startedAtNs:          uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
-		upstream:             newUpstream(options.Dialect, admission.ColdTolerance{Factor: s.ColdFactor, Slack: s.ColdSlack}),
 		metrics:              newNodeMetrics(),
 		client:               mesh.NewClient(config),
 	}
+	n.upstream = newUpstream(n.dialect, admission.ColdTolerance{Factor: s.ColdFactor, Slack: s.ColdSlack}, n.logger)
 	n.directory = directory.New(n.fetchRevision)
 	n.liveSettings.Store(s)
 	n.subscription = distribute.NewClient(s.ID, s.Control, n.dialControl, (*controlSink)(n), n.logger)
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -84,6 +84,7 @@
 		return err
 	}
 	request.Header["User-Agent"] = nil
+	sentAt := time.Now()
 	response, err := pool.Do(ctx, request, false, func() error { return nil })
 	if err != nil {
 		return err
@@ -94,9 +95,22 @@
 	}
 	u.setLoadFromHeader(response.Header.Get(u.dialect.Load))
 	u.setColdRemaining(response.Header.Get(u.dialect.ColdMs))
+	if u.isFromInstance(response.Header) {
+		u.observeSignals(pool, sentAt, response.Header)
+	}
 	return nil
 }
 
+// isFromInstance reports whether a health response is of the announced instance, as far as the
+// dialect lets upstreams name themselves: the address may have been taken over by another one.
+func (u *upstream) isFromInstance(header http.Header) bool {
+	if u.dialect.InstanceID == "" {
+		return true
+	}
+	a := u.currentAnnouncement()
+	return a != nil && header.Get(u.dialect.InstanceID) == a.Instance
+}
+
 // setColdRemaining sets how long the upstream stays cold, in milliseconds. An invalid
 // value has no effect.
 func (u *upstream) setColdRemaining(value string) {
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -194,6 +194,7 @@
 	}
 	r.dispatchedAt = now
 	r.slowdownPercent = r.node.upstream.currentSlowdownPercent()
+	r.node.metrics.upstreamRequests.Inc()
 	r.state.Store(int32(stateDispatched))
 	return nil
 }
@@ -248,6 +249,8 @@
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		outcome.Result = admission.ResultCancelled
 		reason = wire.RefusalReason_REFUSAL_WRONG_INSTANCE
+	} else {
+		r.node.upstream.observeSignals(r.pool, r.dispatchedAt, response.Header)
 	}
 	r.recordUpstreamOutcome(outcome.Result)
 	r.permit.Release(outcome)
--- /dev/null
+++ b/internal/node/signals.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chicorylever/chicorylever/internal/node/egress"
+)
+
+// signalLogInterval is the shortest interval between two log lines about the rate limit that
+// the upstream states, since it may state another one in each response.
+const signalLogInterval = time.Second
+
+// noStatedRateLimit is the value of the metric while the upstream states no rate limit.
+const noStatedRateLimit = -1
+
+// statedLimit is the rate limit that the upstream beside this node states in its responses.
+type statedLimit struct {
+	active bool
+	// perSecond is in requests per second.
+	perSecond float64
+	// statedAt is when the last response with the limit arrived.
+	statedAt time.Time
+}
+
+// observe applies a response to a request that was sent at sentAt and reports whether the limit
+// has changed. A response raises or ends the limit only if its request was sent after the last
+// response with the limit had arrived: responses on different connections may arrive in another
+// order than the upstream sent them.
+func (l *statedLimit) observe(now, sentAt time.Time, limited bool, perSecond float64) bool {
+	isRelaxed := l.active && (!limited || perSecond > l.perSecond)
+	if !l.active && !limited || isRelaxed && !sentAt.After(l.statedAt) {
+		return false
+	}
+	changed := l.active != limited || l.perSecond != perSecond
+	l.active, l.perSecond = limited, perSecond
+	if limited {
+		l.statedAt = now
+	}
+	return changed
+}
+
+// observeSignals applies what the headers of a response state about the upstream itself. The
+// pool is the one over which the request was sent at sentAt; responses of an earlier start of
+// the upstream have no effect.
+func (u *upstream) observeSignals(pool *egress.Pool, sentAt time.Time, header http.Header) {
+	signals, err := u.dialect.Signals(header)
+	if signals.Leaving && u.recordLeavingSignal(pool) {
+		_ = level.Info(u.logger).Log("msg", "upstream states that it is leaving")
+	}
+	switch {
+	case err != nil:
+		_ = u.signalLogger.Log("msg", "rate limit of the upstream can't be read", "err", err)
+	case !u.observeRateLimit(pool, sentAt, signals.IsRateLimited, signals.RateLimit):
+	case signals.IsRateLimited:
+		_ = u.signalLogger.Log("msg", "upstream states a rate limit", "per_second", signals.RateLimit)
+	default:
+		_ = level.Info(u.logger).Log("msg", "upstream no longer states a rate limit")
+	}
+}
+
+// observeRateLimit applies the rate limit of a response and reports whether it has changed.
+func (u *upstream) observeRateLimit(pool *egress.Pool, sentAt time.Time, limited bool, perSecond float64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.pool == pool && u.rateLimit.observe(time.Now(), sentAt, limited, perSecond)
+}
+
+// recordLeavingSignal reports whether this is the first response of the current start that
+// states that the upstream is leaving.
+func (u *upstream) recordLeavingSignal(pool *egress.Pool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.pool != pool || u.statedLeaving {
+		return false
+	}
+	u.statedLeaving = true
+	return true
+}
+
+// statedRateLimit returns the requests per second that the upstream states it accepts, or
+// noStatedRateLimit.
+func (u *upstream) statedRateLimit() float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.rateLimit.active {
+		return noStatedRateLimit
+	}
+	return u.rateLimit.perSecond
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -5,9 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
+	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -21,6 +25,8 @@
 // upstream is the state of the upstream beside this node.
 type upstream struct {
 	dialect           *httpapi.Dialect
+	logger            log.Logger
+	signalLogger      log.Logger // rate-limited, for what the upstream states about itself
 	gate              *admission.Gate
 	measurementBudget *admission.MeasurementBudget
 
@@ -43,6 +49,10 @@
 	reportedLoadAt time.Time
 	workEstimates  admission.WorkEstimator
 	failures       admission.FailureTracker
+	// rateLimit is what the upstream states in its responses; statedLeaving is set once one of
+	// them has stated that it is leaving. Both are those of the announced start.
+	rateLimit     statedLimit
+	statedLeaving bool
 	// requestTracker holds the requests at the upstream by the request IDs of the callers.
 	requestTracker *overload.RequestTracker
 	// watchingSlowdown is set while a slow upstream is probed repeatedly.
@@ -54,9 +64,11 @@
 	probeCallbacks []func()
 }
 
-func newUpstream(dialect *httpapi.Dialect, coldTolerance admission.ColdTolerance) *upstream {
+func newUpstream(dialect *httpapi.Dialect, coldTolerance admission.ColdTolerance, logger log.Logger) *upstream {
 	return &upstream{
 		dialect:           dialect,
+		logger:            logger,
+		signalLogger:      obs.RateLimit(level.Info(logger), signalLogInterval),
 		gate:              admission.NewGate(admission.Config{ColdTolerance: coldTolerance}, time.Now),
 		measurementBudget: admission.NewMeasurementBudget(time.Now(), 0),
 		requestTracker:    overload.NewRequestTracker(),
@@ -112,6 +124,7 @@
 	if !continuesStart {
 		u.reportedLoad, u.reportedLoadAt, u.workEstimates, u.unreachableAt = 0, time.Time{}, admission.WorkEstimator{}, time.Time{}
 		u.failures = admission.FailureTracker{}
+		u.rateLimit, u.statedLeaving = statedLimit{}, false
 	}
 	slots := a.Slots
 	if a.Connections > 0 {
--- a/internal/node/urgency_test.go
+++ b/internal/node/urgency_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
@@ -27,7 +28,7 @@
 // the objective of its own route instead of its parent's, or that loses its urgency when
 // its parent is late.
 func TestNestedCallInheritsParentObjective(t *testing.T) {
-	n := &Node{upstream: newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{})}
+	n := &Node{upstream: newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())}
 	now := time.Now()
 	newCall := func() *call {
 		c := &call{requestID: "parent.1", started: now, route: &routing.Route{Route: document.Route{Priority: 1, ObjectiveMs: 120}}}
--- a/internal/protocol/httpapi/dialect.go
+++ b/internal/protocol/httpapi/dialect.go
@@ -41,6 +41,13 @@
 	// ColdMs carries, in a health check response, the remaining time of the upstream's
 	// cold start in milliseconds.
 	ColdMs string
+	// RateLimit carries, in a response of an upstream in need, the requests per second that the
+	// upstream accepts from all nodes together, as a decimal number. A response without it ends
+	// the need.
+	RateLimit string
+	// Leaving is set by an upstream on each response once it is leaving; its value is
+	// LeavingValue.
+	Leaving string
 	// FractionalRetryAfter is set when callers accept fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 }
@@ -63,6 +70,8 @@
 		Depth:     HeaderDepth,
 		Load:      HeaderLoad,
 		ParseLoad: parseInFlight,
+		RateLimit: HeaderRateLimit,
+		Leaving:   HeaderLeaving,
 	}
 }
 
--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -29,6 +29,13 @@
 	RecordedStatusOnly = "status-only"
 	// HeaderLoad carries, in a response, the number of requests in progress at the upstream.
 	HeaderLoad = "Chicory-Load"
+	// HeaderRateLimit carries, in a response, the requests per second that an upstream in need
+	// accepts from all nodes together.
+	HeaderRateLimit = "Chicory-Rate-Limit"
+	// HeaderLeaving is set to LeavingValue on each response of an upstream that is leaving.
+	HeaderLeaving = "Chicory-Leaving"
+	// LeavingValue is the value of HeaderLeaving.
+	LeavingValue = "1"
 	// HeaderIdempotencyKey carries the key that all submissions of one request share.
 	HeaderIdempotencyKey = "Idempotency-Key"
 
