Test that the rate that an upstream states is kept, known red

The test fails on this commit: of 300 requests through three entries 288 reach in 2 s an upstream that states 5 a second, where 20 are allowed.

--- /dev/null
+++ b/internal/node/signals_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+)
+
+// signallingUpstream responds with the headers that it is given and records when requests
+// arrive.
+type signallingUpstream struct {
+	mu       sync.Mutex
+	headers  map[string]string
+	arrivals []time.Time
+}
+
+func (u *signallingUpstream) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	u.arrivals = append(u.arrivals, time.Now())
+	for name, value := range u.headers {
+		w.Header().Set(name, value)
+	}
+	u.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+}
+
+func (u *signallingUpstream) state(headers map[string]string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.headers = headers
+}
+
+func (u *signallingUpstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.arrivals)
+}
+
+// sendEach sends count requests through each of the entries, with an interval between two
+// requests, and returns how many were answered by the upstream.
+func sendEach(t *testing.T, entries []*testNode, count int, interval time.Duration) (answered int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, entry := range entries {
+		for i := range count {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * interval)
+				response := send(t, http.MethodGet, entry.url("/p"), nil, httpapi.HeaderTimeout, "300")
+				if response.StatusCode == http.StatusOK {
+					mu.Lock()
+					answered++
+					mu.Unlock()
+					return
+				}
+				assert.Check(t, response.outcome() == httpapi.OutcomeNotRun, "status %d, outcome %q", response.StatusCode, response.outcome())
+			})
+		}
+	}
+	wg.Wait()
+	return answered
+}
+
+// TestStatedRateLimitIsKept guards against an upstream in need that gets more requests than the
+// rate that it states in its responses allows, summed over all entries, and against one that
+// gets none although it states a rate.
+func TestStatedRateLimitIsKept(t *testing.T) {
+	const perSecond = 5.0
+	const seconds = 2
+	control := newFakeControl(t)
+	upstream := &signallingUpstream{headers: map[string]string{httpapi.HeaderRateLimit: fmt.Sprint(perSecond)}}
+	beside := control.startNode(t, "beside", "a", "")
+	beside.serve(t, upstream.ServeHTTP)
+	entries := []*testNode{beside, control.startNode(t, "entry-1", "a", ""), control.startNode(t, "entry-2", "b", "")}
+	for _, entry := range entries {
+		entry.waitForInstances(t, 1)
+	}
+	assert.Equal(t, sendEach(t, entries[:1], 1, 0), 1)
+	told := upstream.count()
+
+	sendEach(t, entries, 100, seconds*time.Second/100)
+	arrived := upstream.count() - told
+	assert.Assert(t, float64(arrived) <= 1.5*perSecond*seconds+5, "%d requests in %d s", arrived, seconds)
+	assert.Assert(t, float64(arrived) >= 0.8*perSecond*seconds, "%d requests in %d s", arrived, seconds)
+
+	upstream.state(nil)
+	eventually(t, func() bool { return sendEach(t, entries, 10, 0) == 30 })
+}
