Keep the rate that an upstream in need states

What callers saw: nothing.

Cause: the rate is in the headers of all responses and no process acted on it. Class: a statement of the upstream that is forwarded and not obeyed.

Change: the node beside the upstream is the only sender of work to it, so it keeps the sum over all entries with a token bucket at exactly the stated rate and bursts of two. The bucket of the cold start is now the same type. Requests that the rate cannot serve before their objective are refused at once, as not run, with the reason rate-limited; others wait by priority, and nested calls have that of their parent. Quotes carry the wait and load reports the number of requests that the rate can keep in progress, so that entries, hedges included, choose other upstreams. A response tightens the limit at once and loosens it only if its request was sent after the last response with the limit. Probes are at most half of the stated rate. The start timer of the gate is replaced when a higher rate allows an earlier start.

Price: the sum of the limits is what the service has.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -15,9 +15,10 @@
 	machine       *Machine
 	eventChannels map[Ticket]chan Event // channels for the events of queued requests
 	now           func() time.Time
-	// startTimer fires when the rate limit of a cold upstream allows the next queued request
-	// to start; nil while no timer is running.
-	startTimer *time.Timer
+	// startTimer fires when a rate limit allows the next queued request to start; nil while no
+	// timer is running.
+	startTimer   *time.Timer
+	startTimerAt time.Time
 }
 
 var _ Limiter = (*Gate)(nil)
@@ -59,6 +60,16 @@
 	g.apply(func(now time.Time) []Event { return g.machine.SetWarmup(now, perSecond, coldUntil) })
 }
 
+// SetStatedRate sets the rate that the upstream states it accepts; see Machine.SetStatedRate.
+func (g *Gate) SetStatedRate(perSecond float64) {
+	g.apply(func(now time.Time) []Event { return g.machine.SetStatedRate(now, perSecond) })
+}
+
+// ClearStatedRate ends the bound that SetStatedRate has set.
+func (g *Gate) ClearStatedRate() {
+	g.apply(g.machine.ClearStatedRate)
+}
+
 // SetSlowdown sets the current slowdown of the upstream; see Machine.SetSlowdown.
 func (g *Gate) SetSlowdown(slowdown float64) {
 	g.apply(func(now time.Time) []Event { return g.machine.SetSlowdown(now, slowdown) })
@@ -192,20 +203,28 @@
 // rounded.
 const startTimerMargin = time.Millisecond
 
-// scheduleLocked sets the start timer when the next queued request waits only for the rate
-// limit of a cold upstream. The caller holds the lock.
+// scheduleLocked sets the start timer when the next queued request waits only for a rate
+// limit. An earlier start replaces the timer, since the limit may have been raised. The caller
+// holds the lock.
 func (g *Gate) scheduleLocked() {
 	now := g.now()
 	startAt, startsByTimer := g.machine.NextStart(now)
-	if !startsByTimer || g.startTimer != nil {
+	if !startsByTimer || g.startTimer != nil && !startAt.Before(g.startTimerAt) {
 		return
 	}
-	g.startTimer = time.AfterFunc(startAt.Sub(now)+startTimerMargin, func() {
+	if g.startTimer != nil {
+		g.startTimer.Stop()
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(startAt.Sub(now)+startTimerMargin, func() {
 		g.mu.Lock()
-		g.startTimer = nil
+		if g.startTimer == timer {
+			g.startTimer = nil
+		}
 		g.mu.Unlock()
 		g.apply(g.machine.Expire)
 	})
+	g.startTimer, g.startTimerAt = timer, startAt
 }
 
 func (g *Gate) release(ticket Ticket, outcome Outcome) {
--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -89,11 +89,12 @@
 	events        []Event
 	ramp          ramp
 	warmup        warmup
+	stated        statedRate
 	speed         speed
 	// updatedAt is the time of the last transition or, with a Gate, of the last report.
 	updatedAt time.Time
-	// reassessQueue is set at a cold start until the queued requests have been checked
-	// against the lower limit.
+	// reassessQueue is set at a cold start, or when the upstream states a lower rate, until
+	// the queued requests have been checked against the lower limit.
 	reassessQueue bool
 }
 
@@ -137,6 +138,7 @@
 	if startID != m.startID {
 		m.startID = startID
 		m.leaving = false
+		m.stated.active = false
 		m.startCold(now)
 	}
 	m.ramp.limit = max(1, min(m.ramp.limit, m.slots))
@@ -290,7 +292,7 @@
 	return &wire.LoadReport{
 		InFlight:      uint32(len(m.running)),
 		Queued:        uint32(len(m.queue)),
-		Limit:         uint32(max(0, m.limit())),
+		Limit:         uint32(m.effectiveLimit()),
 		State:         m.state(),
 		ServiceTimeUs: uint64(m.ramp.recentSeconds / float64(time.Microsecond.Seconds())),
 	}
--- a/internal/coordination/admission/nested.go
+++ b/internal/coordination/admission/nested.go
@@ -14,9 +14,10 @@
 }
 
 // isBelowNestedShare reports whether a request is nested, can meet its objective, and fits into
-// the share of nested requests. A cold upstream, whose rate is limited, has no such share.
+// the share of nested requests. An upstream whose rate is limited has no such share: the few requests
+// that it gets go by priority, and nested requests have the priority of their parents.
 func (m *Machine) isBelowNestedShare(w *waiter) bool {
-	return w.urgency == overload.Nested && !w.overdue && m.nestedRunning < m.nestedShare() && !m.isCold()
+	return w.urgency == overload.Nested && !w.overdue && m.nestedRunning < m.nestedShare() && !m.isRateLimited()
 }
 
 // mayOvertake reports whether a request may start before those ahead of it in the queue. A
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -162,36 +162,31 @@
 		return wait
 	}
 	serviceTimes := float64(ahead+1+max(0, overLimit)) / float64(max(1, limit))
-	if w.urgency == overload.Nested && !w.overdue && !m.isCold() {
+	if w.urgency == overload.Nested && !w.overdue && !m.isRateLimited() {
 		serviceTimes = min(serviceTimes, m.nestedShareWait())
 	}
 	return max(wait, time.Duration(serviceTimes*float64(m.ramp.serviceTime())))
 }
 
-// rateWait is the time until the rate limit of a cold upstream allows the request.
-func (m *Machine) rateWait(now time.Time, ahead int) time.Duration {
-	if !m.warmup.isCold(now) {
-		return 0
-	}
-	return m.warmup.wait(now, ahead)
-}
-
-// NextStart returns when the rate limit of a cold upstream allows the next queued request to
-// start. It returns false when the queue is empty, or when that request waits for something
-// other than the rate limit.
+// NextStart returns when a rate limit allows the next queued request to start. It returns false
+// when the queue is empty, or when that request waits for something other than a rate limit.
 func (m *Machine) NextStart(now time.Time) (time.Time, bool) {
-	if len(m.queue) == 0 || !m.warmup.isCold(now) || !m.hasCapacity(now, &m.queue[0]) {
+	if len(m.queue) == 0 || !m.isRateLimited() || !m.hasCapacity(now, &m.queue[0]) {
 		return time.Time{}, false
 	}
-	return now.Add(m.warmup.wait(now, 0)), true
+	return now.Add(m.rateWait(now, 0)), true
 }
 
 // fullReason is the refusal reason of a request whose queue wait would be too long.
 func (m *Machine) fullReason() wire.RefusalReason {
-	if m.isCold() {
+	switch {
+	case m.isCold():
 		return wire.RefusalReason_REFUSAL_COLD
+	case m.stated.active:
+		return wire.RefusalReason_REFUSAL_RATE_LIMITED
+	default:
+		return wire.RefusalReason_REFUSAL_QUEUE_FULL
 	}
-	return wire.RefusalReason_REFUSAL_QUEUE_FULL
 }
 
 // processQueue refuses queued requests that have expired or may no longer run, then admits
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -56,17 +56,18 @@
 	return s.isTransientlySlow(now) && extraTime > meanRemainingSlowdownTime
 }
 
-// tryStart reports whether a request may be sent now, and counts it against the rate limit
-// of a cold upstream.
+// tryStart reports whether a request may be sent now, and counts it against the rates that
+// bound the requests to the upstream.
 func (m *Machine) tryStart(now time.Time, w *waiter) bool {
-	if !m.hasCapacity(now, w) {
+	if !m.hasCapacity(now, w) || m.rateWait(now, 0) > 0 {
 		return false
 	}
-	return !m.warmup.isCold(now) || m.warmup.take(now)
+	m.takeRate(now)
+	return true
 }
 
 // hasCapacity reports whether the concurrency limit and the current speed allow a request
-// to be sent now. It leaves out the rate limit of a cold upstream.
+// to be sent now. It leaves out rate limits.
 func (m *Machine) hasCapacity(now time.Time, w *waiter) bool {
 	return len(m.running) < m.limit() && !m.speed.shouldDelay(now, w.ownTime)
 }
--- a/internal/coordination/admission/warmup.go
+++ b/internal/coordination/admission/warmup.go
@@ -9,8 +9,6 @@
 	// restartSlack is the part of ColdTolerance.Slack that is left for a node that restarts
 	// and has lost its record of the requests it sent.
 	restartSlack = 2.0
-	// roundingTolerance covers the rounding error of summed fractions.
-	roundingTolerance = 1e-6
 	// maxUtilization is the fraction of its slots up to which an upstream with a configured
 	// rate is filled. Servers slow down when they are nearly full, and then serve less.
 	maxUtilization = 0.8
@@ -36,42 +34,25 @@
 // burst returns the number of requests that may be sent to a cold upstream at once.
 func (t ColdTolerance) burst() float64 { return max(1, t.Slack-restartSlack) }
 
-// warmup is a token bucket that bounds the requests to a cold upstream whose sustainable
-// rate is configured. With a configured rate, the concurrency limit does not depend on the
-// ramp: how long the upstream stays cold is known, and slow responses are caused by noisy
-// neighbours.
+// warmup bounds the rate of requests to a cold upstream whose sustainable rate is
+// configured. With a configured rate, the concurrency limit does not depend on the ramp: how
+// long the upstream stays cold is known, and slow responses are caused by noisy neighbours.
 type warmup struct {
 	coldTolerance ColdTolerance
 	// perSecond is the configured rate in requests per second, 0 for none.
 	perSecond float64
 	// coldUntil is the time at which the upstream becomes warm.
-	coldUntil  time.Time
-	tokens     float64
-	refilledAt time.Time
+	coldUntil time.Time
+	bucket    tokenBucket
 }
 
 func (w *warmup) isConfigured() bool { return w.perSecond > 0 }
 
 func (w *warmup) isCold(now time.Time) bool { return w.isConfigured() && now.Before(w.coldUntil) }
 
-// wait is the time until the rate allows one request more than those ahead.
-func (w *warmup) wait(now time.Time, ahead int) time.Duration {
-	sendRate := w.coldTolerance.sendRate(w.perSecond)
-	available := min(w.coldTolerance.burst(), w.tokens+max(0, now.Sub(w.refilledAt).Seconds())*sendRate)
-	return max(0, fromSeconds((float64(ahead+1)-available)/sendRate))
-}
-
-// take takes the token for one request, or returns false when there is none.
-func (w *warmup) take(now time.Time) bool {
-	if elapsed := now.Sub(w.refilledAt); elapsed > 0 {
-		w.tokens = min(w.coldTolerance.burst(), w.tokens+elapsed.Seconds()*w.coldTolerance.sendRate(w.perSecond))
-		w.refilledAt = now
-	}
-	if w.tokens < 1-roundingTolerance {
-		return false
-	}
-	w.tokens = max(0, w.tokens-1)
-	return true
+// rate returns the rate and the burst that bound the requests while the upstream is cold.
+func (w *warmup) rate() rate {
+	return rate{perSecond: w.coldTolerance.sendRate(w.perSecond), burst: w.coldTolerance.burst()}
 }
 
 // SetWarmup sets the requests per second that the upstream sustains while it is cold, and
@@ -80,7 +61,7 @@
 func (m *Machine) SetWarmup(now time.Time, perSecond float64, coldUntil time.Time) []Event {
 	m.events = m.events[:0]
 	if !m.warmup.isConfigured() {
-		m.warmup.tokens, m.warmup.refilledAt = 1, now
+		m.warmup.bucket = newTokenBucket(now)
 	}
 	m.warmup.perSecond, m.warmup.coldUntil = perSecond, coldUntil
 	m.processQueue(now)
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -33,11 +33,12 @@
 )
 
 // refreshLoad calls done once the upstream's load report is as recent as possible. It
-// probes the upstream when the last report is older than freshLoadAge and the measurement
-// budget allows it. The callback may run before refreshLoad returns; it must not block.
+// probes the upstream when the last report is older than freshLoadAge, longer ago when it
+// states a rate limit, and the measurement budget allows it. The callback may run before refreshLoad returns; it must not block.
 func (u *upstream) refreshLoad(path string, done func()) {
 	u.mu.Lock()
-	if path == "" || u.pool == nil || time.Since(u.reportedLoadAt) < freshLoadAge || time.Since(u.unreachableAt) < unreachableDuration {
+	if path == "" || u.pool == nil || time.Since(u.reportedLoadAt) < freshLoadAge ||
+		time.Since(u.unreachableAt) < unreachableDuration || u.rateLimit.needsNoProbe(time.Now()) {
 		u.mu.Unlock()
 		done()
 		return
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -13,6 +13,16 @@
 // the upstream states, since it may state another one in each response.
 const signalLogInterval = time.Second
 
+const (
+	// minLimitedProbeInterval and maxLimitedProbeInterval bound the interval of the probes of an
+	// upstream that states a rate limit. In between the probes are half of the stated rate: an
+	// upstream in need is not to spend its capacity on health responses, but the end of the need
+	// has to be noticed.
+	minLimitedProbeInterval = 500 * time.Millisecond
+	maxLimitedProbeInterval = 2 * time.Second
+	limitedProbeShare       = 0.5
+)
+
 // noStatedRateLimit is the value of the metric while the upstream states no rate limit.
 const noStatedRateLimit = -1
 
@@ -42,6 +52,19 @@
 	return changed
 }
 
+// needsNoProbe reports whether a response has stated the limit so recently that the upstream is
+// not to be probed.
+func (l *statedLimit) needsNoProbe(now time.Time) bool {
+	if !l.active {
+		return false
+	}
+	interval := maxLimitedProbeInterval
+	if probesPerSecond := limitedProbeShare * l.perSecond; probesPerSecond*maxLimitedProbeInterval.Seconds() > 1 {
+		interval = max(minLimitedProbeInterval, time.Duration(float64(time.Second)/probesPerSecond))
+	}
+	return now.Sub(l.statedAt) < interval
+}
+
 // observeSignals applies what the headers of a response state about the upstream itself. The
 // pool is the one over which the request was sent at sentAt; responses of an earlier start of
 // the upstream have no effect.
@@ -65,7 +88,15 @@
 func (u *upstream) observeRateLimit(pool *egress.Pool, sentAt time.Time, limited bool, perSecond float64) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.pool == pool && u.rateLimit.observe(time.Now(), sentAt, limited, perSecond)
+	if u.pool != pool || !u.rateLimit.observe(time.Now(), sentAt, limited, perSecond) {
+		return false
+	}
+	if limited {
+		u.gate.SetStatedRate(perSecond)
+	} else {
+		u.gate.ClearStatedRate()
+	}
+	return true
 }
 
 // recordLeavingSignal reports whether this is the first response of the current start that
--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -121,6 +121,7 @@
 	wire.RefusalReason_REFUSAL_KEY_MISMATCH:      "key-mismatch",
 	wire.RefusalReason_REFUSAL_STOPPING:          "stopping",
 	wire.RefusalReason_REFUSAL_CONNECT:           "connect",
+	wire.RefusalReason_REFUSAL_RATE_LIMITED:      "rate-limited",
 }
 
 // ReasonName returns the stable name of a refusal reason for headers, logs and metrics.
