Stop new work for an upstream once a response states that it is leaving

Cause: the header was forwarded and not obeyed, the same class as the stated rate. The only way to say it was the announcement, which may be late or find control out of reach.

Change: the node beside the upstream treats the first response that states it, to a request or a probe, like an announced departure, before the response is forwarded: it refuses with leaving from then on, and its next heartbeat, sent at once, tells control.

Evidence: TestStatedLeavingIsObeyed fails before (200 instead of 503 for the next request, and the probe changes nothing) and passes now. All entries pass this node, so control need not be reachable.

--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -135,6 +135,13 @@
 	c.changed = make(chan struct{})
 }
 
+// isDeparting reports whether a heartbeat has listed the instance as departing.
+func (c *fakeControl) isDeparting(instance string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.instances[instance].GetDeparting()
+}
+
 func (c *fakeControl) withholdsState(node string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -67,11 +67,13 @@
 
 // observeSignals applies what the headers of a response state about the upstream itself. The
 // pool is the one over which the request was sent at sentAt; responses of an earlier start of
-// the upstream have no effect.
+// the upstream have no effect. Once it has returned for a leaving upstream, no further request
+// is sent to the upstream.
 func (u *upstream) observeSignals(pool *egress.Pool, sentAt time.Time, header http.Header) {
 	signals, err := u.dialect.Signals(header)
-	if signals.Leaving && u.recordLeavingSignal(pool) {
+	if signals.Leaving && u.leaveBySignal(pool) {
 		_ = level.Info(u.logger).Log("msg", "upstream states that it is leaving")
+		u.onDeparture()
 	}
 	switch {
 	case err != nil:
@@ -99,15 +101,15 @@
 	return true
 }
 
-// recordLeavingSignal reports whether this is the first response of the current start that
-// states that the upstream is leaving.
-func (u *upstream) recordLeavingSignal(pool *egress.Pool) bool {
+// leaveBySignal stops new work for the upstream. It returns false for a response of an earlier
+// start, and when the upstream is known to be leaving.
+func (u *upstream) leaveBySignal(pool *egress.Pool) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.pool != pool || u.statedLeaving {
+	if u.pool != pool || u.departing {
 		return false
 	}
-	u.statedLeaving = true
+	u.markDeparting()
 	return true
 }
 
--- a/internal/node/signals_test.go
+++ b/internal/node/signals_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
 // signallingUpstream responds with the headers that it is given and records when requests
@@ -91,3 +92,55 @@
 	upstream.state(nil)
 	eventually(t, func() bool { return sendEach(t, entries[:1], 20, 20*time.Millisecond) == 20 })
 }
+
+// newSignallingPair starts an entry node and a node beside an upstream with a health path.
+func newSignallingPair(t *testing.T, upstream *signallingUpstream) (control *fakeControl, entry, beside *testNode) {
+	control = newFakeControl(t)
+	control.document = discoveryDocument
+	entry = control.startNode(t, "entry", "a", "")
+	beside = control.startNode(t, "beside", "a", "")
+	beside.serve(t, upstream.ServeHTTP)
+	entry.waitForInstances(t, 1)
+	return control, entry, beside
+}
+
+// TestStatedLeavingIsObeyed guards against requests to an upstream that has stated in a
+// response that it is leaving and has not announced it.
+func TestStatedLeavingIsObeyed(t *testing.T) {
+	leaving := map[string]string{httpapi.HeaderLeaving: httpapi.LeavingValue}
+	cases := []struct {
+		name string
+		// respond lets the upstream respond once with its headers.
+		respond func(t *testing.T, entry, beside *testNode)
+	}{
+		{name: "response to a request", respond: func(t *testing.T, entry, _ *testNode) {
+			response := send(t, http.MethodPost, entry.url("/p"), nil)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, response.Header.Get(httpapi.HeaderLeaving), httpapi.LeavingValue, "the header is forwarded")
+		}},
+		{name: "health response", respond: func(t *testing.T, _, beside *testNode) {
+			probed := make(chan struct{}, 1)
+			beside.Node.upstream.measurementBudget.SetRate(time.Now(), defaultProbesPerSecond)
+			eventually(t, func() bool {
+				beside.Node.upstream.refreshLoad("/health", func() { probed <- struct{}{} })
+				<-probed
+				return beside.Node.upstream.gate.Report().GetState() == wire.InstanceState_INSTANCE_LEAVING
+			})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			upstream := &signallingUpstream{headers: leaving}
+			control, entry, beside := newSignallingPair(t, upstream)
+			c.respond(t, entry, beside)
+			reached := upstream.count()
+			for range 3 {
+				response := send(t, http.MethodPost, entry.url("/p"), nil)
+				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+				assert.Equal(t, response.outcome(), httpapi.OutcomeNotRun)
+			}
+			assert.Equal(t, upstream.count(), reached)
+			eventually(t, func() bool { return control.isDeparting("i-beside") })
+		})
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -36,8 +36,11 @@
 	version         uint64             // version of the registry entry
 	registeredState wire.InstanceState // state in the last registry entry
 	zoneOut         bool
-	// departing is set once the upstream has announced that it is leaving.
+	// departing is set once the upstream has announced, or stated in a response, that it is
+	// leaving.
 	departing bool
+	// onDeparture is called without mu once a response has stated that the upstream is leaving.
+	onDeparture func()
 	// unconfirmed is set for an upstream whose first announcement this node has not
 	// received, until control has reported whether the upstream is departing or
 	// confirmTimeout has passed.
@@ -49,10 +52,8 @@
 	reportedLoadAt time.Time
 	workEstimates  admission.WorkEstimator
 	failures       admission.FailureTracker
-	// rateLimit is what the upstream states in its responses; statedLeaving is set once one of
-	// them has stated that it is leaving. Both are those of the announced start.
-	rateLimit     statedLimit
-	statedLeaving bool
+	// rateLimit is the one that the announced start states in its responses.
+	rateLimit statedLimit
 	// requestTracker holds the requests at the upstream by the request IDs of the callers.
 	requestTracker *overload.RequestTracker
 	// watchingSlowdown is set while a slow upstream is probed repeatedly.
@@ -72,6 +73,7 @@
 		gate:              admission.NewGate(admission.Config{ColdTolerance: coldTolerance}, time.Now),
 		measurementBudget: admission.NewMeasurementBudget(time.Now(), 0),
 		requestTracker:    overload.NewRequestTracker(),
+		onDeparture:       func() {},
 	}
 }
 
@@ -124,7 +126,7 @@
 	if !continuesStart {
 		u.reportedLoad, u.reportedLoadAt, u.workEstimates, u.unreachableAt = 0, time.Time{}, admission.WorkEstimator{}, time.Time{}
 		u.failures = admission.FailureTracker{}
-		u.rateLimit, u.statedLeaving = statedLimit{}, false
+		u.rateLimit = statedLimit{}
 	}
 	slots := a.Slots
 	if a.Connections > 0 {
