Ask a running upstream what it states before a restarted node uses it

Cause: what an upstream states lives in the memory of the node beside it. Class: state of a node that a restart forgets and nobody else holds; a departure that was announced is asked of control for the same reason.

Change: for an upstream that the node has not seen starting (sequence above 1), requests wait until a probe has been answered, for 2 s at most, beside the wait for control. Discovery leaves out an upstream that states that it leaves.

Evidence: TestRestartedNodeAsksForSignals fails before (5 of 5 requests reach the leaving upstream, 30 of 30 the one that states 1 a second) and passes now. TestUpstreamThatDoesNotAnswerIsUsed guards the bound of the wait. TestConfirmationOfEarlierStart now also ends the new wait, for the later start only; what it checks is the same.

--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -68,6 +68,7 @@
 		a := &httpapi.Announcement{Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: startID, Slots: 1, Sequence: 7}
 		assert.Assert(t, u.announce(a))
 	}
+	u.endSignalWait("2")
 	u.confirmStart("1")
 	assert.Assert(t, !u.isOpen("i"))
 	u.confirmStart("2")
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -57,8 +57,8 @@
 }
 
 // askUpstream returns the announcement that follows from a health response of the upstream, or
-// nil without one. An upstream that does not say that it is healthy may be leaving, which a
-// restarted node has forgotten; it has to announce itself.
+// nil without one. An upstream that states that it is leaving, or does not say that it is
+// healthy and so may be leaving, has to announce itself: a restarted node has forgotten it.
 func (n *Node) askUpstream(ctx context.Context, pool *egress.Pool, address string) *httpapi.Announcement {
 	service := n.liveSettings.Load().Service
 	configured, known := n.directory.View().Doc.Services[service]
@@ -80,6 +80,9 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxProbeBytes)); err != nil || response.StatusCode != http.StatusOK {
 		return nil
 	}
+	if signals, _ := n.dialect.Signals(response.Header); signals.Leaving {
+		return nil
+	}
 	load, ok := n.dialect.ParseLoad(response.Header.Get(n.dialect.Load))
 	if !ok || load.Slots <= 0 {
 		return nil
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -75,6 +75,7 @@
 	n.upstream.setWarmup(a.Service, n.directory.View().Doc.Services[a.Service].WarmupPerSecond)
 	if isNewStart {
 		time.AfterFunc(confirmTimeout, func() { n.upstream.confirmStart(a.StartID) })
+		go n.askForSignals(a.StartID)
 	}
 	if isNewStart || previous.Leaving != a.Leaving {
 		n.directory.RequestHeartbeat()
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -142,7 +142,7 @@
 func (u *upstream) isOpen(instance string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.announcement != nil && u.announcement.Instance == instance && !u.unconfirmed &&
+	return u.announcement != nil && u.announcement.Instance == instance && !u.unconfirmed && !u.awaitingSignals &&
 		time.Since(u.unreachableAt) >= unreachableDuration
 }
 
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -23,6 +23,14 @@
 	limitedProbeShare       = 0.5
 )
 
+const (
+	// signalTimeout bounds the wait for the first response of an upstream that this node has not
+	// seen starting. After it the upstream is used.
+	signalTimeout = 2 * time.Second
+	// askInterval is the interval between two probes of such an upstream.
+	askInterval = 50 * time.Millisecond
+)
+
 // noStatedRateLimit is the value of the metric while the upstream states no rate limit.
 const noStatedRateLimit = -1
 
@@ -123,3 +131,43 @@
 	}
 	return u.rateLimit.perSecond
 }
+
+// askForSignals probes an upstream that this node has not seen starting, until a response has
+// told what it states about itself. A restarted node has forgotten what that was, and control
+// need not know it. Without a health path the upstream is used at once.
+func (n *Node) askForSignals(startID string) {
+	deadline := time.Now().Add(signalTimeout)
+	for n.upstream.awaitsSignals(startID) && time.Now().Before(deadline) {
+		path := n.healthPath()
+		hasConfiguration := n.directory.View().Revision > 0
+		if path == "" && hasConfiguration || path != "" && n.upstream.ask(path) {
+			break
+		}
+		time.Sleep(askInterval)
+	}
+	n.upstream.endSignalWait(startID)
+}
+
+// ask probes the upstream and reports whether it has responded.
+func (u *upstream) ask(path string) bool {
+	u.mu.Lock()
+	pool := u.pool
+	u.mu.Unlock()
+	return pool != nil && u.requestHealth(pool, path) == nil
+}
+
+func (u *upstream) awaitsSignals(startID string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.isCurrentStart(startID) && u.awaitingSignals
+}
+
+// endSignalWait lets requests be sent to the upstream of this start. It has no effect once
+// another start is announced.
+func (u *upstream) endSignalWait(startID string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.isCurrentStart(startID) {
+		u.awaitingSignals = false
+	}
+}
--- a/internal/node/signals_test.go
+++ b/internal/node/signals_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,16 +16,18 @@
 )
 
 // signallingUpstream responds with the headers that it is given and records when requests
-// arrive.
+// arrive, health checks not included.
 type signallingUpstream struct {
 	mu       sync.Mutex
 	headers  map[string]string
 	arrivals []time.Time
 }
 
-func (u *signallingUpstream) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (u *signallingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
-	u.arrivals = append(u.arrivals, time.Now())
+	if r.URL.Path != "/health" {
+		u.arrivals = append(u.arrivals, time.Now())
+	}
 	for name, value := range u.headers {
 		w.Header().Set(name, value)
 	}
@@ -144,3 +148,61 @@
 		})
 	}
 }
+
+// TestRestartedNodeAsksForSignals guards against a restarted node that has forgotten what its
+// upstream stated and sends it requests before a response has stated it again: all of them to
+// one that is leaving, which control does not know, or as many as it has slots to one in need.
+func TestRestartedNodeAsksForSignals(t *testing.T) {
+	const slots = 64
+	cases := []struct {
+		name     string
+		headers  map[string]string
+		maximum  int // requests that may reach the upstream
+		requests int
+	}{
+		{name: "leaving", headers: map[string]string{httpapi.HeaderLeaving: httpapi.LeavingValue}, requests: 5},
+		{name: "in need", headers: map[string]string{httpapi.HeaderRateLimit: "1"}, maximum: 2, requests: 30},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			upstream := &signallingUpstream{headers: c.headers}
+			control := newFakeControl(t)
+			control.document = strings.Replace(discoveryDocument, `"health_path"`, `"warmup_per_second": 1000, "health_path"`, 1)
+			entry := control.startNode(t, "entry", "a", "")
+			restarted := control.startNode(t, "beside", "a", "")
+			server := httptest.NewServer(upstream)
+			t.Cleanup(server.Close)
+			restarted.upstream = server
+			eventually(t, restarted.isReady)
+
+			a := newAnnouncement(restarted, 17) // an upstream that runs for longer than its node
+			a.Slots = slots
+			assert.NilError(t, restarted.Announce(a))
+			entry.waitForInstances(t, 1)
+			eventually(t, func() bool { return restarted.Node.upstream.isOpen("i-beside") })
+			sendEach(t, []*testNode{entry}, c.requests, 0)
+			assert.Assert(t, upstream.count() <= c.maximum, "%d requests", upstream.count())
+		})
+	}
+}
+
+// TestUpstreamThatDoesNotAnswerIsUsed guards against a restarted node that waits for good for
+// what its upstream states, because its health path does not respond.
+func TestUpstreamThatDoesNotAnswerIsUsed(t *testing.T) {
+	control := newFakeControl(t)
+	control.document = discoveryDocument
+	restarted := control.startNode(t, "beside", "a", "")
+	healthEnded := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			<-healthEnded
+		}
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(healthEnded) })
+	restarted.upstream = server
+	eventually(t, restarted.isReady)
+	assert.NilError(t, restarted.Announce(newAnnouncement(restarted, 17)))
+	restarted.waitForInstances(t, 1)
+	eventually(t, func() bool { return send(t, http.MethodPost, restarted.url("/p"), nil).StatusCode == http.StatusOK })
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -44,7 +44,10 @@
 	// unconfirmed is set for an upstream whose first announcement this node has not
 	// received, until control has reported whether the upstream is departing or
 	// confirmTimeout has passed.
-	unconfirmed     bool
+	unconfirmed bool
+	// awaitingSignals is set for such an upstream until one of its responses has told what it
+	// states about itself, or signalTimeout has passed.
+	awaitingSignals bool
 	warmupPerSecond float64 // rate limit of requests while the upstream is cold
 	slowdownPercent uint32  // last reported by the upstream, 0 when unknown
 	// reportedLoad is the number of requests that the upstream reported at reportedLoadAt.
@@ -140,6 +143,7 @@
 	if !continuesStart {
 		u.departing = false
 		u.unconfirmed = a.Sequence > 1
+		u.awaitingSignals = u.unconfirmed
 	}
 	if a.Leaving {
 		u.markDeparting()
@@ -299,7 +303,7 @@
 	switch {
 	case u.announcement == nil:
 		return nil, wire.RefusalReason_REFUSAL_NO_UPSTREAM
-	case u.unconfirmed:
+	case u.unconfirmed || u.awaitingSignals:
 		return nil, wire.RefusalReason_REFUSAL_NO_UPSTREAM
 	case u.announcement.Instance != instance || u.announcement.Service != service:
 		return nil, wire.RefusalReason_REFUSAL_WRONG_INSTANCE
