Let upstreams of the soak state rates and leave by their responses

From the first response that a caller gets, arrivals are held against LIMIT (any 4 s, restarts of the node not excused) and DRAIN (requests sent over 2 s later). The service has a health path.

--- a/test/e2e/soak_upstream_test.go
+++ b/test/e2e/soak_upstream_test.go
@@ -70,6 +70,7 @@
 	sequence    uint64
 	// departureAckedAt is when the node acknowledged the departure, zero before.
 	departureAckedAt time.Time
+	signals          upstreamSignals
 	stopAnnouncing   chan struct{}
 }
 
@@ -87,6 +88,7 @@
 	u.startNumber++
 	u.sequence, u.departureAckedAt, u.stopAnnouncing = 0, time.Time{}, make(chan struct{})
 	startNumber := u.startNumber
+	u.signals = upstreamSignals{start: u.instance + "/" + strconv.Itoa(startNumber)}
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.serve(startNumber, w, r) }))
 	go u.announce(u.stopAnnouncing)
 }
@@ -95,6 +97,10 @@
 // parameter delay_ms asks for.
 func (u *soakUpstream) serve(startNumber int, w http.ResponseWriter, r *http.Request) {
 	receivedAt := time.Now()
+	if r.URL.Path == soakHealthPath {
+		u.writeSignals(w.Header())
+		return
+	}
 	u.recorder.addRun(r.URL.Path)
 	u.mu.Lock()
 	departureAckedAt, isCurrentStart := u.departureAckedAt, startNumber == u.startNumber
@@ -102,6 +108,10 @@
 	if isCurrentStart && !departureAckedAt.IsZero() && receivedAt.Sub(departureAckedAt) > departureGrace {
 		u.recorder.addProblem("request %s reached upstream %s %v after its departure was acknowledged", r.URL.Path, u.instance, receivedAt.Sub(departureAckedAt))
 	}
+	if isCurrentStart {
+		sentAtNs, _ := strconv.ParseInt(r.URL.Query().Get("sent_ns"), 10, 64)
+		u.checkArrival(r.URL.Path, time.Unix(0, sentAtNs), receivedAt)
+	}
 	digest := sha256.New()
 	if _, err := io.Copy(digest, r.Body); err != nil {
 		return
@@ -112,6 +122,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	u.writeSignals(w.Header())
 	_, _ = io.WriteString(w, soakResponse(r.Method, r.URL.Path, digest.Sum(nil)))
 }
 
