--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -67,34 +66,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream"+configured.HealthPath, http.NoBody)
-	if err != nil {
+	response, err := getHealth(ctx, pool, configured.HealthPath)
+	if err != nil || response.status != http.StatusOK {
 		return nil
 	}
-	request.Header["User-Agent"] = nil
-	response, err := pool.Do(ctx, request, false, func() error { return nil })
-	if err != nil {
+	if signals, _ := n.dialect.Signals(response.header); signals.Leaving {
 		return nil
 	}
-	defer response.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxProbeBytes)); err != nil || response.StatusCode != http.StatusOK {
-		return nil
-	}
-	if signals, _ := n.dialect.Signals(response.Header); signals.Leaving {
-		return nil
-	}
-	load, ok := n.dialect.ParseLoad(response.Header.Get(n.dialect.Load))
+	load, ok := n.dialect.ParseLoad(response.header.Get(n.dialect.Load))
 	if !ok || load.Slots <= 0 {
 		return nil
 	}
-	coldMs, err := strconv.ParseFloat(response.Header.Get(n.dialect.ColdMs), 64)
+	coldMs, err := strconv.ParseFloat(response.header.Get(n.dialect.ColdMs), 64)
 	if err != nil || coldMs < 0 || coldMs > maxColdMs {
 		coldMs = 0
 	}
 	return &httpapi.Announcement{
 		Service:     service,
 		Address:     address,
-		Instance:    response.Header.Get(n.dialect.InstanceID),
+		Instance:    response.header.Get(n.dialect.InstanceID),
 		StartID:     provisionalStartID,
 		Slots:       load.Slots,
 		ColdMs:      int64(coldMs),
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
 )
 
@@ -74,30 +73,47 @@
 	}
 }
 
-// requestHealth reads the load and the remaining cold time from the headers of a health
-// response. The status is ignored: it may be wrong both for a healthy and for an unhealthy
-// upstream.
-func (u *upstream) requestHealth(pool *egress.Pool, path string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
+// healthResponse is the head of a health response whose body was read and discarded.
+type healthResponse struct {
+	status int
+	header http.Header
+	// sentAt is when the request was sent.
+	sentAt time.Time
+}
+
+// getHealth requests the health path of an upstream over the pool.
+func getHealth(ctx context.Context, pool *egress.Pool, path string) (*healthResponse, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream"+path, http.NoBody)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	request.Header["User-Agent"] = nil
+	request.Header["User-Agent"] = nil // keeps net/http from adding its own
 	sentAt := time.Now()
 	response, err := pool.Do(ctx, request, false, func() error { return nil })
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer response.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxProbeBytes)); err != nil {
+		return nil, err
+	}
+	return &healthResponse{status: response.StatusCode, header: response.Header, sentAt: sentAt}, nil
+}
+
+// requestHealth reads from the headers of a health response the load, the remaining cold time
+// and what the upstream states about itself. The status is ignored: it may be wrong both for a
+// healthy and for an unhealthy upstream.
+func (u *upstream) requestHealth(pool *egress.Pool, path string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	response, err := getHealth(ctx, pool, path)
+	if err != nil {
 		return err
 	}
-	u.setLoadFromHeader(response.Header.Get(u.dialect.Load))
-	u.setColdRemaining(response.Header.Get(u.dialect.ColdMs))
-	if u.isFromInstance(response.Header) {
-		u.observeSignals(pool, sentAt, response.Header)
+	u.setLoadFromHeader(response.header.Get(u.dialect.Load))
+	u.setColdRemaining(response.header.Get(u.dialect.ColdMs))
+	if u.isFromInstance(response.header) {
+		u.observeSignals(pool, response.sentAt, response.header)
 	}
 	return nil
 }
@@ -145,41 +161,3 @@
 	return u.announcement != nil && u.announcement.Instance == instance && !u.unconfirmed && !u.awaitingSignals &&
 		time.Since(u.unreachableAt) >= unreachableDuration
 }
-
-// observeWork records the service time of a request, and the slowdown at its start, which
-// applies to the whole request.
-func (u *upstream) observeWork(route, requestID string, serviceTime time.Duration, slowdownPercent uint32) {
-	nestedWait := u.requestTracker.NestedWait(requestID)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.workEstimates.Observe(route, serviceTime, nestedWait, float64(slowdownPercent)/normalSlowdownPercent)
-}
-
-// priorWorkDivisor divides a route's objective; the result is the work that is assumed for
-// its requests until one has been observed. Without this assumption a node that has just
-// started would admit all requests and answer them late.
-const priorWorkDivisor = 4
-
-// expectedWork returns the mean work of a route's requests, or priorWork until one has
-// been observed.
-func (n *Node) expectedWork(route string) admission.Work {
-	prior := n.priorWork(route)
-	u := n.upstream
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.workEstimates.Estimate(route, prior)
-}
-
-// priorWork returns the work that is assumed for a route's requests until one has been
-// observed.
-func (n *Node) priorWork(route string) time.Duration {
-	configured := n.directory.View().Doc.Routes[route]
-	return configured.Objective() / priorWorkDivisor
-}
-
-// currentSlowdownPercent returns the last reported slowdown, 0 when unknown.
-func (u *upstream) currentSlowdownPercent() uint32 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.slowdownPercent
-}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -16,12 +16,6 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
-// normalSlowdownPercent is the slowdown of an upstream at its usual speed.
-const normalSlowdownPercent = 100
-
-// maxReportedLoadAge is the age up to which the upstream's own report of its load is used.
-const maxReportedLoadAge = time.Second
-
 // upstream is the state of the upstream beside this node.
 type upstream struct {
 	dialect           *httpapi.Dialect
@@ -218,42 +212,6 @@
 	}
 }
 
-// setReportedLoad records the upstream's own report of its requests in flight. It returns
-// false when the start ID is not the announced one.
-func (u *upstream) setReportedLoad(startID string, inFlight int) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.isCurrentStart(startID) {
-		return false
-	}
-	u.reportedLoad, u.reportedLoadAt = inFlight, time.Now()
-	return true
-}
-
-// setLoadFromHeader records the load in a response header. An empty or invalid value has
-// no effect.
-func (u *upstream) setLoadFromHeader(value string) {
-	if value == "" || u.dialect.ParseLoad == nil {
-		return
-	}
-	load, ok := u.dialect.ParseLoad(value)
-	if !ok {
-		return
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.reportedLoad, u.reportedLoadAt = load.InFlight+load.Queued, time.Now()
-	u.slowdownPercent = uint32(min(max(0, load.SlowdownPercent), maxReportedLoad)) //nolint:gosec // bounded
-	u.gate.SetSlowdown(float64(u.slowdownPercent) / normalSlowdownPercent)
-}
-
-// recordOutcome records whether the upstream itself failed a request.
-func (u *upstream) recordOutcome(failed bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.failures.Observe(time.Now(), failed)
-}
-
 func (u *upstream) isCurrentStart(startID string) bool {
 	return u.announcement != nil && u.announcement.StartID == startID
 }
@@ -270,31 +228,6 @@
 	return true
 }
 
-// loadReport returns the load that the admission gate has counted, or the upstream's own
-// report when that is higher: it may have work that did not come through this node.
-func (u *upstream) loadReport() *wire.LoadReport { return u.loadReportForRoute("", 0) }
-
-// loadReportForRoute returns the load report with the expected work of a route's requests,
-// which is prior until one has been observed.
-func (u *upstream) loadReportForRoute(route string, prior time.Duration) *wire.LoadReport {
-	report := u.gate.Report()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if time.Since(u.reportedLoadAt) < maxReportedLoadAge {
-		report.SlowdownPercent = u.slowdownPercent
-	}
-	report.FailurePercent = uint32(100 * u.failures.Share(time.Now()))
-	report.WorkUs = uint64(u.workEstimates.Estimate(route, prior).OwnTime.Microseconds()) //nolint:gosec // not negative
-	if reported := u.reportedLoad; reported > int(report.GetInFlight()) && time.Since(u.reportedLoadAt) < maxReportedLoadAge {
-		report.InFlight = uint32(min(reported, maxReportedLoad)) //nolint:gosec // bounded
-	}
-	return report
-}
-
-// maxReportedLoad is the upper bound of the load and the slowdown in percent that an
-// upstream may report.
-const maxReportedLoad = 1 << 20
-
 // poolFor returns the connection pool of the upstream if it is the given instance of the
 // service, and otherwise the reason of the refusal.
 func (u *upstream) poolFor(service, instance string) (*egress.Pool, wire.RefusalReason) {
