--- a/cmd/chicorylever-upstream/main.go
+++ b/cmd/chicorylever-upstream/main.go
@@ -32,6 +32,7 @@
 			&cli.StringFlag{Name: "node", Required: true, Usage: "local_listen `ADDRESS` of the node"},
 			&cli.IntFlag{Name: "slots", Value: defaultSlots, Usage: "requests worked on at once"},
 			&cli.IntFlag{Name: "connections", Value: defaultConnections, Usage: "accepted connections"},
+			&cli.FloatFlag{Name: "rate-limit", Usage: "state in each response that the upstream accepts `NUMBER` requests a second"},
 			&cli.StringFlag{Name: "log", Usage: "append the path of each request to `FILE`"},
 		},
 		Action: run,
@@ -49,12 +50,14 @@
 		requestLog = file
 	}
 	upstream, err := emulator.New(emulator.Options{
-		Service:     command.String("service"),
-		Instance:    command.String("instance"),
-		Node:        command.String("node"),
-		Slots:       command.Int("slots"),
-		Connections: command.Int("connections"),
-		Handler:     emulator.Echo(command.String("instance"), requestLog),
+		Service:       command.String("service"),
+		Instance:      command.String("instance"),
+		Node:          command.String("node"),
+		Slots:         command.Int("slots"),
+		Connections:   command.Int("connections"),
+		Handler:       emulator.Echo(command.String("instance"), requestLog),
+		IsRateLimited: command.IsSet("rate-limit"),
+		RateLimit:     command.Float("rate-limit"),
 	})
 	if err != nil {
 		return err
--- a/internal/emulator/upstream.go
+++ b/internal/emulator/upstream.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -43,6 +45,10 @@
 	Connections int
 	// Handler serves the requests.
 	Handler http.Handler
+	// IsRateLimited lets the upstream state in its responses that it accepts RateLimit requests
+	// per second from all nodes together.
+	IsRateLimited bool
+	RateLimit     float64
 }
 
 // Upstream is an HTTP server on a loopback port that announces itself to a node.
@@ -51,6 +57,7 @@
 	startID  string
 	listener net.Listener
 	server   *http.Server
+	leaving  atomic.Bool
 }
 
 // New returns an upstream that listens but does not accept requests before Run.
@@ -59,12 +66,21 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "emulator")
 	}
-	return &Upstream{
-		options:  options,
-		startID:  uuid.NewString(),
-		listener: listener,
-		server:   &http.Server{Handler: options.Handler, ReadHeaderTimeout: headerTimeout},
-	}, nil
+	u := &Upstream{options: options, startID: uuid.NewString(), listener: listener}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: headerTimeout}
+	return u, nil
+}
+
+// serve states in the headers of each response what the upstream needs, and lets the handler of
+// the options respond.
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	if u.options.IsRateLimited {
+		w.Header().Set(httpapi.HeaderRateLimit, strconv.FormatFloat(u.options.RateLimit, 'g', -1, 64))
+	}
+	if u.leaving.Load() {
+		w.Header().Set(httpapi.HeaderLeaving, httpapi.LeavingValue)
+	}
+	u.options.Handler.ServeHTTP(w, r)
 }
 
 // Run serves requests until ctx ends. It first repeats the announcement until the node
@@ -102,8 +118,10 @@
 	}
 }
 
-// Leave announces to the node that the upstream is leaving.
+// Leave announces to the node that the upstream is leaving. From the call on its responses state
+// it too, whether or not the announcement arrives.
 func (u *Upstream) Leave(ctx context.Context) error {
+	u.leaving.Store(true)
 	return u.post(ctx, "/v1/leave", httpapi.Leave{StartID: u.startID})
 }
 
