Refuse proposals from the start of a leader's planned stop

Cause: a stopping leader waited until no proposal was pending and transferred its leadership in a later step of the event loop. A forwarded request that had passed the check for a stop before could be appended in between, and its outcome was unknown once the leadership was lost.

Change: the event loop refuses proposals from the first step of the stop, so that nothing is appended any more, and starts the transfer again when the core has given it up.

--- a/internal/coordination/replica/close.go
+++ b/internal/coordination/replica/close.go
@@ -50,26 +50,30 @@
 	}
 }
 
-// transferLeadership waits for the pending proposals, then transfers the leadership to
-// the best successor, each for at most drainTimeout. It does nothing on a follower.
+// transferLeadership refuses further proposals, waits for the pending ones, then transfers the
+// leadership to the best successor, each for at most drainTimeout. Without the refusal, a
+// request that had passed the check for a stop before could still be appended, and its outcome
+// would be unknown once the leadership is lost. It does nothing on a follower.
 func (r *Replica) transferLeadership() {
 	if r.Status().Leader != r.id {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, 2*drainTimeout)
 	defer cancel()
-	r.pollInLoop(ctx, func(l *loop) bool { return len(l.pendingProposals) == 0 && len(r.proposals) == 0 })
-	transferStarted := false
 	r.pollInLoop(ctx, func(l *loop) bool {
-		if l.core.Status().Role != raft.Leader {
+		l.refusesProposals = true
+		return len(l.pendingProposals) == 0
+	})
+	r.pollInLoop(ctx, func(l *loop) bool {
+		status := l.core.Status()
+		if status.Role != raft.Leader {
 			return true
 		}
-		if !transferStarted {
-			successor := l.core.BestSuccessor()
-			transferStarted = successor != 0
-			return l.core.TransferLeader(successor) != nil
+		if status.Transferring {
+			return false
 		}
-		return false
+		successor := l.core.BestSuccessor()
+		return successor != 0 && l.core.TransferLeader(successor) != nil
 	})
 }
 
--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -30,13 +30,17 @@
 
 var errInjectedSync = errors.New("injected sync failure")
 
-// countingMachine is a state machine that counts how often each command was applied.
+// countingMachine is a state machine that counts how often each command was applied. Each
+// command takes applyDelay in nanoseconds.
 type countingMachine struct {
+	applyDelay atomic.Int64
+
 	mu     sync.Mutex
 	counts map[string]int
 }
 
 func (c *countingMachine) Apply(index uint64, command []byte) []byte {
+	time.Sleep(time.Duration(c.applyDelay.Load()))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[string(command)]++
--- a/internal/coordination/replica/loop.go
+++ b/internal/coordination/replica/loop.go
@@ -27,6 +27,8 @@
 	pendingTerm      uint64
 	// pendingCommandBytes is the total size of the commands in pendingProposals.
 	pendingCommandBytes int
+	// refusesProposals is set once the member stops: further proposals are not appended.
+	refusesProposals bool
 	// pendingReads holds the reads that wait for a quorum by read ID.
 	pendingReads map[uint64]*readRequest
 	lastReadID   uint64
--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -197,6 +197,9 @@
 }
 
 func (l *loop) appendProposal(p *proposal) (uint64, error) {
+	if l.refusesProposals {
+		return 0, raft.ErrNotLeader
+	}
 	if p.change != nil {
 		return l.core.ProposeChange(*p.change)
 	}
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/state/wal"
@@ -225,3 +228,40 @@
 	accepted, unknown := follower.propose("x", 10, 2)
 	c.requireApplied(accepted, append(unknown, "lost"))
 }
+
+// TestStopRefusesLateProposals guards against proposals with an unknown outcome at a graceful
+// stop of the leader: a request that has passed the check for a stop just before it began
+// reaches the event loop while the pending proposals are waited for, or after that.
+func TestStopRefusesLateProposals(t *testing.T) {
+	c := newCluster(t, 3, 0, slowTickInterval)
+	c.waitForVoters(3)
+	leader := c.members[c.leaderIndex()]
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var accepted, unknown atomic.Int32
+	for range 4 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				o := leader.proposeLocally(context.Background(), &proposal{command: []byte("late")})
+				switch {
+				case o.err == nil:
+					accepted.Add(1)
+				case !errors.Is(o.err, ErrNotLeader):
+					unknown.Add(1)
+				}
+			}
+		})
+	}
+	c.waitFor("some commands to be accepted", func() bool { return accepted.Load() > 20 })
+	leader.machine.applyDelay.Store(int64(20 * time.Millisecond)) // as on a busy VM
+	leader.transferLeadership()
+	close(stop)
+	group.Wait()
+	assert.Assert(t, leader.Status().Leader != leader.ID(), "leadership was not transferred")
+	assert.Equal(t, unknown.Load(), int32(0))
+}
