Let a stopped leader answer requests that still arrive

Cause: a leader that stops closed its connections once no forwarded request was pending. Members that had not learned of the new leader yet still sent requests over them, and had to take the closed stream for an unknown outcome: an edit that nobody had read.

Change: after giving up leadership a member answers with not-leader until no request has arrived for 100 ms, within the second that the step has.

TestStoppedLeaderAnswersLateForwards fails without the quiet period and passes with it.

--- a/internal/coordination/replica/close.go
+++ b/internal/coordination/replica/close.go
@@ -26,9 +26,10 @@
 func (r *Replica) Close() error {
 	r.closing.Store(true)
 	r.closeOnce.Do(func() {
+		wasLeader := r.Status().Leader == r.id
 		r.transferLeadership()
 		r.announceStop()
-		r.waitForForwards()
+		r.waitForForwards(wasLeader)
 		r.closeErr = r.shutDown()
 	})
 	return r.closeErr
@@ -42,10 +43,18 @@
 }
 
 // waitForForwards waits until all forwarded requests have a response, for at most
-// drainTimeout, because the caller of Close closes their streams once it has returned.
-func (r *Replica) waitForForwards() {
-	deadline := time.Now().Add(drainTimeout)
-	for r.pendingForwards.Load() > 0 && time.Now().Before(deadline) {
+// drainTimeout, because the caller of Close closes their streams once it has returned. With
+// untilQuiet it also waits until none has arrived for forwardQuietPeriod: members that have not
+// learned of the new leader yet still send requests here, and would have to take a closed stream
+// for an unknown outcome.
+func (r *Replica) waitForForwards(untilQuiet bool) {
+	startedAt := time.Now()
+	for time.Since(startedAt) < drainTimeout {
+		lastForward := time.Unix(0, max(startedAt.UnixNano(), r.lastForward.Load()))
+		isQuiet := !untilQuiet || time.Since(lastForward) >= forwardQuietPeriod
+		if isQuiet && r.pendingForwards.Load() == 0 {
+			return
+		}
 		time.Sleep(drainPollInterval)
 	}
 }
--- a/internal/coordination/replica/open.go
+++ b/internal/coordination/replica/open.go
@@ -62,8 +62,10 @@
 	closing    atomic.Bool
 	// pendingForwards counts the forwarded requests that have no response yet.
 	pendingForwards atomic.Int64
-	closeOnce       sync.Once
-	closeErr        error
+	// lastForward is when the last forwarded request arrived, in Unix nanoseconds.
+	lastForward atomic.Int64
+	closeOnce   sync.Once
+	closeErr    error
 
 	failOnce sync.Once
 	failErr  error
--- a/internal/coordination/replica/options.go
+++ b/internal/coordination/replica/options.go
@@ -65,6 +65,9 @@
 	forwardTimeout = 10 * time.Second
 	// drainTimeout bounds each step of a graceful stop.
 	drainTimeout = time.Second
+	// forwardQuietPeriod is the time without a forwarded request after which a stopped leader
+	// assumes that all members know the new one.
+	forwardQuietPeriod = 100 * time.Millisecond
 	// drainPollInterval is the interval at which a graceful stop checks for progress.
 	drainPollInterval = 5 * time.Millisecond
 	// joinRetryInterval is the delay between attempts to create or join a cluster.
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -265,3 +265,31 @@
 	assert.Assert(t, leader.Status().Leader != leader.ID(), "leadership was not transferred")
 	assert.Equal(t, unknown.Load(), int32(0))
 }
+
+// TestStoppedLeaderAnswersLateForwards guards against an unknown outcome of requests that members
+// still forward to a stopped leader, because they have not learned of the new one yet.
+func TestStoppedLeaderAnswersLateForwards(t *testing.T) {
+	const interval = forwardQuietPeriod / 4
+	c := newCluster(t, 3, 0, slowTickInterval)
+	c.waitForVoters(3)
+	leader := c.leaderIndex()
+	oldLeader, follower := c.members[leader], c.members[(leader+1)%3]
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		assert.Check(t, oldLeader.Close())
+	}()
+	c.waitFor("the transfer", func() bool { return oldLeader.Status().Leader != oldLeader.ID() })
+	for range 8 {
+		o := follower.forward(context.Background(), c.addresses[leader], []byte("late"), false)
+		assert.ErrorIs(t, o.err, ErrNotLeader)
+		select {
+		case <-closed:
+			t.Fatal("the leader has stopped although requests arrive")
+		case <-time.After(interval):
+		}
+	}
+	<-closed
+	oldLeader.closeTransport()
+	c.members[leader] = nil
+}
--- a/internal/coordination/replica/stream.go
+++ b/internal/coordination/replica/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
@@ -126,6 +127,7 @@
 	if !ok || clusterID != r.clusterID() || clusterID == 0 {
 		return ErrOtherCluster
 	}
+	r.lastForward.Store(time.Now().UnixNano())
 	r.pendingForwards.Add(1)
 	defer r.pendingForwards.Add(-1)
 	conn.BindAttempt(first.GetAttemptId())
