--- a/internal/coordination/admission/nested.go
+++ b/internal/coordination/admission/nested.go
@@ -14,8 +14,8 @@
 }
 
 // isBelowNestedShare reports whether a request is nested, can meet its objective, and fits into
-// the share of nested requests. An upstream whose rate is limited has no such share: the few requests
-// that it gets go by priority, and nested requests have the priority of their parents.
+// the share of nested requests. An upstream whose rate is limited has no such share: the few
+// requests that it gets go by priority, and nested requests have the priority of their parents.
 func (m *Machine) isBelowNestedShare(w *waiter) bool {
 	return w.urgency == overload.Nested && !w.overdue && m.nestedRunning < m.nestedShare() && !m.isRateLimited()
 }
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -31,9 +31,10 @@
 	defaultProbesPerSecond = 40.0
 )
 
-// refreshLoad calls done once the upstream's load report is as recent as possible. It
-// probes the upstream when the last report is older than freshLoadAge, longer ago when it
-// states a rate limit, and the measurement budget allows it. The callback may run before refreshLoad returns; it must not block.
+// refreshLoad calls done once the upstream's load report is as recent as possible. It probes the
+// upstream when the last report is older than freshLoadAge, or older still when the upstream
+// states a rate limit, and the measurement budget allows it. The callback may run before
+// refreshLoad returns; it must not block.
 func (u *upstream) refreshLoad(path string, done func()) {
 	u.mu.Lock()
 	if path == "" || u.pool == nil || time.Since(u.reportedLoadAt) < freshLoadAge ||
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -148,7 +148,7 @@
 	n.upstream.endSignalWait(startID)
 }
 
-// ask probes the upstream and reports whether it has responded.
+// ask probes the upstream, which applies what it states, and reports whether it has responded.
 func (u *upstream) ask(path string) bool {
 	u.mu.Lock()
 	pool := u.pool
