--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -43,6 +43,7 @@
 	born     int64
 	sequence atomic.Uint64
 	running  atomic.Int64
+	leaving  atomic.Bool
 	slots    chan struct{}
 	server   *http.Server
 	cancel   context.CancelFunc
@@ -87,9 +88,15 @@
 	header.Set("X-Chicorylever-Request-Id", r.Header.Get("X-Chicorylever-Request-Id"))
 	header.Set("X-Chicorylever-Server-Load", fmt.Sprintf("%d,0,%d,100", i.running.Load(), instanceSlots))
 	header.Set("X-Chicorylever-Response-Stamp", i.ID)
+	if i.leaving.Load() {
+		header.Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/healthz" {
 		header.Set("X-Chicorylever-Instance-Id", i.ID)
 		header.Set("X-Chicorylever-Cold-Ms", "0")
+		if i.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if expected := r.Header.Get("X-Chicorylever-Expect-Instance"); expected != "" && expected != i.ID {
@@ -122,7 +129,11 @@
 func (i *Instance) sendHeartbeats(ctx context.Context) {
 	defer close(i.done)
 	for {
-		err := i.Heartbeat(ctx, "ready")
+		state := "ready"
+		if i.leaving.Load() {
+			state = "draining"
+		}
+		err := i.Heartbeat(ctx, state)
 		pause := heartbeatInterval
 		if err != nil {
 			pause = heartbeatInterval / 10
@@ -140,10 +151,27 @@
 	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},`+
 		`"status":{"state":%q,"sequence":%d,"cold-remaining-ms":0}}`,
 		i.Machine.Address(i.Machine.fleet.Ports.App), i.born, i.Machine.Service, i.Machine.Zone, instanceSlots, state, i.sequence.Add(1))
-	url := "http://" + i.Machine.Address(i.Machine.fleet.Ports.Control) + "/instances/" + i.ID + "/heartbeat"
+	return i.Machine.PostHeartbeat(ctx, i.ID, []byte(body))
+}
+
+// Drain tells the node that the instance is leaving, until that is acknowledged, and returns
+// the time of the acknowledgement. The instance keeps serving.
+func (i *Instance) Drain() time.Time {
+	i.leaving.Store(true)
+	for i.Heartbeat(context.Background(), "draining") != nil {
+		time.Sleep(heartbeatInterval / 10)
+	}
+	i.Machine.fleet.Record.Logf("%s (%s) is draining; acknowledged", i.ID, i.Machine.Name)
+	return time.Now()
+}
+
+// PostHeartbeat sends the body of a heartbeat for an instance to the node of the machine. It
+// returns nil if the node acknowledges it.
+func (m *Machine) PostHeartbeat(ctx context.Context, id string, body []byte) error {
+	url := "http://" + m.Address(m.fleet.Ports.Control) + "/instances/" + id + "/heartbeat"
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
