--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxRun is the longest time that a case runs before its processes are ended.
+const maxRun = 108 * time.Second
+
 // Exit codes of a case.
 const (
 	ExitHeld      = 0
@@ -48,15 +54,38 @@
 		record.Logf("the case can't run: %v", err)
 		return ExitCannotRun
 	}
-	broken, err := run(&Case{Fleet: fleet, Record: record, Trouble: os.Getenv("TROUBLE") != "0"})
-	switch {
-	case err != nil:
-		record.Logf("the case can't run: %v", err)
-		return ExitCannotRun
-	case broken:
-		record.Logf("result: the rule was broken")
-		return ExitBroken
+	return awaitResult(record, func() (bool, error) {
+		return run(&Case{Fleet: fleet, Record: record, Trouble: os.Getenv("TROUBLE") != "0"})
+	})
+}
+
+// awaitResult returns the exit code of a run. A run that takes too long, or is interrupted, is
+// given up, so that its processes are ended in time.
+func awaitResult(record *Record, run func() (bool, error)) int {
+	result := make(chan int, 1)
+	go func() {
+		broken, err := run()
+		switch {
+		case err != nil:
+			record.Logf("the case can't run: %v", err)
+			result <- ExitCannotRun
+		case broken:
+			record.Logf("result: the rule was broken")
+			result <- ExitBroken
+		default:
+			record.Logf("result: the rule held")
+			result <- ExitHeld
+		}
+	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	select {
+	case code := <-result:
+		return code
+	case <-time.After(maxRun):
+		record.Logf("the case can't run: it takes longer than %v", maxRun)
+	case <-interrupted:
+		record.Logf("the case can't run: it was interrupted")
 	}
-	record.Logf("result: the rule held")
-	return ExitHeld
+	return ExitCannotRun
 }
