--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,39 +1,36 @@
-// Command 2 is case 2 of the review: an order to take a zone back, which a frozen core machine
-// holds, takes effect after a later evacuation of the zone was acknowledged.
+// Command 2 is case 2 of the review: requests on a dropped route still run, with another path,
+// when the path begins with /svc/ and the name of a service.
 package main
 
 import (
 	"fmt"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/chicorylever/chicorylever/review/standin"
 )
 
 const (
-	host   = "jepu9.example"
-	prefix = "/lepu270/"
-	// zone is the one that is evacuated.
-	zone = "mid-c"
-	// rounds is the number of core machines that are frozen, one after the other.
-	rounds = 5
-	// catchUp is the time after which all core machines that have just started count again.
-	catchUp = 4 * time.Second
-	// contact, evacuate and outer are the bounds contact-ms, evacuate-ms and outer-ms.
-	contact  = 3 * time.Second
-	evacuate = 5 * time.Second
-	outer    = 5 * time.Second
-	// settle is the time for which a machine has been frozen when it gets an order.
-	settle = 100 * time.Millisecond
-	// probes is the number of requests that are sent once all bounds have passed.
-	probes = 30
+	host    = "hulo84.example"
+	service = "bookings"
+	// prefix is the path prefix of the route.
+	prefix = "/svc/" + service + "/"
+	// apply is the bound config-apply-ms, contact the bound contact-ms.
+	apply   = 2 * time.Second
+	contact = 3 * time.Second
+	// settle is the time that all machines have run before the route is dropped.
+	settle = 4 * time.Second
+	// perMachine is the number of requests from each machine before and after.
+	perMachine = 5
 )
 
+// dropRoute is the call of the operator that drops the route.
+const dropRoute = `{"upsert":{},"remove":{"routes":[{"name":"r-one","version":"00000009"}]}}`
+
 func main() {
 	var side []standin.SidePlacement
 	for _, z := range []string{"mid-a", "mid-b", "mid-c"} {
-		side = append(side, standin.SidePlacement{Service: "fleet", Zone: z}, standin.SidePlacement{Service: "fleet", Zone: z})
+		side = append(side, standin.SidePlacement{Service: service, Zone: z})
 	}
 	standin.Main(standin.Placement{Zones: []string{"mid-a", "mid-b", "mid-c"}, Core: 5, Tolerated: 2, Side: side}, run)
 }
@@ -41,89 +38,70 @@
 func run(c *standin.Case) (bool, error) {
 	var instances []*standin.Instance
 	for i, m := range c.Fleet.Side {
-		instance, err := standin.StartInstance(m, fmt.Sprintf("i-%d", i+1), 10*time.Millisecond)
+		instance, err := standin.StartInstance(m, fmt.Sprintf("i-%d", i+1), 20*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
 		defer instance.Close()
 		instances = append(instances, instance)
 	}
-	if err := order(c, "/config/patch", standin.RouteConfig(host, prefix, "safe", "fleet")); err != nil {
+	if err := order(c, standin.RouteConfig(host, prefix, "unsafe", service)); err != nil {
 		return false, err
 	}
 	if err := c.Fleet.AwaitReady(); err != nil {
 		return false, err
 	}
-	time.Sleep(catchUp)
-	if !serves(c) {
-		return false, fmt.Errorf("requests are not served before the disruption")
-	}
-	for round := range rounds {
-		broken, err := runRound(c, instances, c.Fleet.Core[round], c.Fleet.Core[(round+1)%len(c.Fleet.Core)])
-		if broken || err != nil {
-			return broken, err
-		}
-	}
-	return false, nil
-}
-
-// runRound evacuates the zone, takes it back and evacuates it again. The machine is frozen from
-// before the order to take the zone back until after the last acknowledgement. It returns
-// whether requests then reach the zone.
-func runRound(c *standin.Case, instances []*standin.Instance, frozen, next *standin.Machine) (bool, error) {
-	if err := order(c, "/evacuations/"+zone+"/start", nil, next); err != nil {
-		return false, err
+	time.Sleep(max(settle, contact))
+	if served := sendAll(c); served == 0 {
+		return false, fmt.Errorf("no request is served while the route is there")
 	}
 	if c.Trouble {
-		frozen.Signal(syscall.SIGSTOP)
-		time.Sleep(settle)
-	}
-	err := order(c, "/evacuations/"+zone+"/finish", nil, frozen, next)
-	if err == nil {
-		err = order(c, "/evacuations/"+zone+"/start", nil, next)
-	}
-	acknowledged := time.Now()
-	if c.Trouble {
-		frozen.Signal(syscall.SIGCONT)
-	}
-	if err != nil {
-		return false, err
+		if err := order(c, []byte(dropRoute)); err != nil {
+			return false, err
+		}
 	}
-	time.Sleep(time.Until(acknowledged.Add(max(evacuate+outer, contact))))
-	c.Record.Logf("all bounds have passed: requests to zone %s count from here", zone)
+	time.Sleep(apply + time.Second)
 	from := time.Now()
-	for i := range probes {
-		c.Fleet.Send(c.Fleet.Side[i%len(c.Fleet.Side)], http.MethodGet, host, fmt.Sprintf("%s%d", prefix, i), nil, 3*time.Second)
-	}
-	count := 0
+	served := sendAll(c)
+	run, changed := 0, 0
 	for _, instance := range instances {
-		if instance.Machine.Zone != zone {
-			continue
-		}
 		for _, r := range instance.Runs() {
-			if r.At.After(from) {
-				count++
+			if r.At.Before(from) {
+				continue
+			}
+			run++
+			if len(r.Target) < len(prefix) || r.Target[:len(prefix)] != prefix {
+				changed++
 			}
 		}
 	}
-	c.Record.Logf("%d requests reached zone %s, %.1f s after its evacuation was acknowledged; it was not taken back since",
-		count, zone, from.Sub(acknowledged).Seconds())
-	return count > 0, nil
+	c.Record.Logf("later than config-apply-ms after the acknowledgement: %d requests were served, instances ran %d, %d of them with another path",
+		served, run, changed)
+	return c.Trouble && run > 0 || changed > 0, nil
 }
 
-// order sends an order that has to be acknowledged.
-func order(c *standin.Case, path string, body []byte, first ...*standin.Machine) error {
-	status, _, err := c.Fleet.Order(http.MethodPost, path, body, first...)
+// order sends a configuration that has to be acknowledged.
+func order(c *standin.Case, body []byte) error {
+	status, _, err := c.Fleet.Order(http.MethodPost, "/config/patch", body)
 	if err != nil {
 		return err
 	}
 	if status != http.StatusOK {
-		return fmt.Errorf("%s: status %d", path, status)
+		return fmt.Errorf("configuration: status %d", status)
 	}
 	return nil
 }
 
-func serves(c *standin.Case) bool {
-	answer := c.Fleet.Send(c.Fleet.Side[0], http.MethodGet, host, prefix+"first", nil, 3*time.Second)
-	return answer.Err == nil && answer.Status == http.StatusOK
+// sendAll sends requests from all machines and returns how many were answered with 200.
+func sendAll(c *standin.Case) int {
+	served := 0
+	for i := range perMachine {
+		for _, m := range c.Fleet.Side {
+			answer := c.Fleet.Send(m, http.MethodPost, host, fmt.Sprintf("%sclub/%d", prefix, i), []byte("deposit"), 4*time.Second)
+			if answer.Status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	return served
 }
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,202 +1,129 @@
-// Command 3 is case 3 of the review: when an instance breaks off an answer, the node closes the
-// connection on which further requests have been passed on to sound instances.
+// Command 3 is case 3 of the review: an order to take a zone back, which a frozen core machine
+// holds, takes effect after a later evacuation of the zone was acknowledged.
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/chicorylever/chicorylever/review/standin"
 )
 
 const (
-	host    = "cubo38.example"
-	prefix  = "/levo940/"
-	service = "fleet"
-	// faulty is the number of the six instances that break off answers, share is the share of
-	// their answers that they break off.
-	faulty = 2
-	share  = 0.02
-	// meanWork and meanBody are the mean work and the mean length of an answer.
-	meanWork = 160 * time.Millisecond
-	meanBody = 400
-	maxBody  = 2400
-	// breakDelay is the time between the last bytes of a broken answer and its end.
-	breakDelay = 20 * time.Millisecond
-	// clients is the number of clients on each machine; each sends depth requests on a kept
-	// connection without waiting for the answers, then pauses after the last answer.
-	clients = 2
-	depth   = 4
-	pause   = time.Second
-	// settle is the time that all machines have run before requests are sent.
-	settle = 4 * time.Second
-	length = 90 * time.Second
-	// deadline is that of the clients.
-	deadline = 3 * time.Second
-	// allowed is the number of requests that the rule allows to be lost in this way.
-	allowed = 3
+	host   = "jepu9.example"
+	prefix = "/lepu270/"
+	// zone is the one that is evacuated.
+	zone = "mid-c"
+	// rounds is the number of core machines that are frozen, one after the other.
+	rounds = 5
+	// catchUp is the time after which all core machines that have just started count again.
+	catchUp = 4 * time.Second
+	// contact, evacuate and outer are the bounds contact-ms, evacuate-ms and outer-ms.
+	contact  = 3 * time.Second
+	evacuate = 5 * time.Second
+	outer    = 5 * time.Second
+	// settle is the time for which a machine has been frozen when it gets an order.
+	settle = 100 * time.Millisecond
+	// probes is the number of requests that are sent once all bounds have passed.
+	probes = 30
 )
 
 func main() {
 	var side []standin.SidePlacement
-	for _, z := range []string{"mid-a", "mid-b", "mid-c", "mid-a", "mid-b", "mid-c"} {
-		side = append(side, standin.SidePlacement{Service: service, Zone: z})
+	for _, z := range []string{"mid-a", "mid-b", "mid-c"} {
+		side = append(side, standin.SidePlacement{Service: "fleet", Zone: z}, standin.SidePlacement{Service: "fleet", Zone: z})
 	}
 	standin.Main(standin.Placement{Zones: []string{"mid-a", "mid-b", "mid-c"}, Core: 5, Tolerated: 2, Side: side}, run)
 }
 
-// observation is what clients and sound instances have seen.
-type observation struct {
-	mu sync.Mutex
-	// unanswered are the requests whose connection the node has closed without an answer.
-	unanswered []string
-	// ranSoundly are the requests that a sound instance has run.
-	ranSoundly map[string]bool
-	broken     int
-	answered   int
-}
-
-var lastID atomic.Uint64
-
 func run(c *standin.Case) (bool, error) {
-	o := &observation{ranSoundly: map[string]bool{}}
+	var instances []*standin.Instance
 	for i, m := range c.Fleet.Side {
-		instance, err := standin.StartInstance(m, fmt.Sprintf("i-%d", i+1), meanWork)
+		instance, err := standin.StartInstance(m, fmt.Sprintf("i-%d", i+1), 10*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
-		instance.Handle = answer(c, o, instance.ID, i < faulty && c.Trouble)
 		defer instance.Close()
+		instances = append(instances, instance)
 	}
-	status, _, err := c.Fleet.Order(http.MethodPost, "/config/patch", standin.RouteConfig(host, prefix, "safe", service))
-	if err != nil || status != http.StatusOK {
-		return false, fmt.Errorf("first configuration: status %d, %w", status, err)
+	if err := order(c, "/config/patch", standin.RouteConfig(host, prefix, "safe", "fleet")); err != nil {
+		return false, err
 	}
 	if err := c.Fleet.AwaitReady(); err != nil {
 		return false, err
 	}
-	time.Sleep(settle)
-	var group sync.WaitGroup
-	end := time.Now().Add(length)
-	for _, m := range c.Fleet.Side {
-		for range clients {
-			group.Go(func() {
-				for time.Now().Before(end) {
-					keepConnection(c, o, m, end)
-				}
-			})
-		}
+	time.Sleep(catchUp)
+	if !serves(c) {
+		return false, fmt.Errorf("requests are not served before the disruption")
 	}
-	group.Wait()
-	lost := 0
-	for _, id := range o.unanswered {
-		if o.ranSoundly[id] {
-			lost++
-			c.Record.Logf("request %s was run by a sound instance; its connection was closed without an answer", id)
+	for round := range rounds {
+		broken, err := runRound(c, instances, c.Fleet.Core[round], c.Fleet.Core[(round+1)%len(c.Fleet.Core)])
+		if broken || err != nil {
+			return broken, err
 		}
 	}
-	c.Record.Logf("%d answers, %d broken off by instances; %d requests that sound instances had run were lost with their connection (allowed: %d)",
-		o.answered, o.broken, lost, allowed)
-	return lost > allowed, nil
+	return false, nil
 }
 
-// answer returns the handler of an instance. A faulty one breaks off some answers.
-func answer(c *standin.Case, o *observation, instance string, isFaulty bool) func(w http.ResponseWriter, r *http.Request, body []byte) {
-	return func(w http.ResponseWriter, r *http.Request, _ []byte) {
-		id := r.Header.Get("X-Chicorylever-Request-Id")
-		if instance != "" && !isFaulty {
-			o.mu.Lock()
-			o.ranSoundly[id] = true
-			o.mu.Unlock()
-		}
-		time.Sleep(time.Duration(float64(meanWork) * (0.7 + 0.6*rand.Float64())))
-		size := min(maxBody, 50+int(rand.ExpFloat64()*meanBody))
-		body := bytes.Repeat([]byte{'x'}, size)
-		if !isFaulty || rand.Float64() >= share {
-			w.Header().Set("Content-Length", fmt.Sprint(size))
-			_, _ = w.Write(body)
-			return
+// runRound evacuates the zone, takes it back and evacuates it again. The machine is frozen from
+// before the order to take the zone back until after the last acknowledgement. It returns
+// whether requests then reach the zone.
+func runRound(c *standin.Case, instances []*standin.Instance, frozen, next *standin.Machine) (bool, error) {
+	if err := order(c, "/evacuations/"+zone+"/start", nil, next); err != nil {
+		return false, err
+	}
+	if c.Trouble {
+		frozen.Signal(syscall.SIGSTOP)
+		time.Sleep(settle)
+	}
+	err := order(c, "/evacuations/"+zone+"/finish", nil, frozen, next)
+	if err == nil {
+		err = order(c, "/evacuations/"+zone+"/start", nil, next)
+	}
+	acknowledged := time.Now()
+	if c.Trouble {
+		frozen.Signal(syscall.SIGCONT)
+	}
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(time.Until(acknowledged.Add(max(evacuate+outer, contact))))
+	c.Record.Logf("all bounds have passed: requests to zone %s count from here", zone)
+	from := time.Now()
+	for i := range probes {
+		c.Fleet.Send(c.Fleet.Side[i%len(c.Fleet.Side)], http.MethodGet, host, fmt.Sprintf("%s%d", prefix, i), nil, 3*time.Second)
+	}
+	count := 0
+	for _, instance := range instances {
+		if instance.Machine.Zone != zone {
+			continue
 		}
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
+		for _, r := range instance.Runs() {
+			if r.At.After(from) {
+				count++
+			}
 		}
-		defer func() { _ = conn.Close() }()
-		o.mu.Lock()
-		o.broken++
-		o.mu.Unlock()
-		c.Record.Logf("%s breaks off its answer to %s", instance, id)
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Chicorylever-Request-Id: %s\r\nX-Chicorylever-Response-Stamp: %s\r\nContent-Length: %d\r\n\r\n", id, instance, size)
-		_, _ = conn.Write(body[:size/2])
-		time.Sleep(breakDelay)
 	}
+	c.Record.Logf("%d requests reached zone %s, %.1f s after its evacuation was acknowledged; it was not taken back since",
+		count, zone, from.Sub(acknowledged).Seconds())
+	return count > 0, nil
 }
 
-// keepConnection sends requests on one connection until it ends.
-func keepConnection(c *standin.Case, o *observation, m *standin.Machine, end time.Time) {
-	conn, err := net.DialTimeout("tcp", m.Address(c.Fleet.Ports.Outbound), time.Second)
+// order sends an order that has to be acknowledged.
+func order(c *standin.Case, path string, body []byte, first ...*standin.Machine) error {
+	status, _, err := c.Fleet.Order(http.MethodPost, path, body, first...)
 	if err != nil {
-		time.Sleep(pause)
-		return
+		return err
 	}
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for time.Now().Before(end) {
-		var ids []string
-		var requests bytes.Buffer
-		for range depth {
-			id := fmt.Sprintf("%016x", lastID.Add(1))
-			ids = append(ids, id)
-			_, _ = fmt.Fprintf(&requests, "GET %s%s HTTP/1.1\r\nHost: %s\r\nX-Chicorylever-Request-Id: %s\r\nX-Chicorylever-Deadline-Ms: %d\r\n\r\n",
-				prefix, id, host, id, deadline.Milliseconds())
-		}
-		c.Record.Logf("client -> %s: GET %v on one connection", m.Name, ids)
-		if _, err := conn.Write(requests.Bytes()); err != nil {
-			return
-		}
-		if !readAnswers(c, o, conn, reader, ids) {
-			return
-		}
-		time.Sleep(pause/2 + rand.N(pause))
+	if status != http.StatusOK {
+		return fmt.Errorf("%s: status %d", path, status)
 	}
+	return nil
 }
 
-// readAnswers reads the answers to the requests in their order. It returns false when the
-// connection has ended.
-func readAnswers(c *standin.Case, o *observation, conn net.Conn, reader *bufio.Reader, ids []string) bool {
-	for i, id := range ids {
-		_ = conn.SetReadDeadline(time.Now().Add(2 * deadline))
-		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodGet})
-		if err != nil {
-			c.Record.Logf("client: connection closed without an answer to %v: %v", ids[i:], err)
-			o.mu.Lock()
-			o.unanswered = append(o.unanswered, ids[i:]...)
-			o.mu.Unlock()
-			return false
-		}
-		_, err = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-		if err != nil {
-			c.Record.Logf("client: answer to %s ends early: %v; no answer to %v", id, err, ids[i+1:])
-			o.mu.Lock()
-			o.unanswered = append(o.unanswered, ids[i+1:]...)
-			o.mu.Unlock()
-			return false
-		}
-		o.mu.Lock()
-		o.answered++
-		o.mu.Unlock()
-		if response.Close {
-			return false
-		}
-	}
-	return true
+func serves(c *standin.Case) bool {
+	answer := c.Fleet.Send(c.Fleet.Side[0], http.MethodGet, host, prefix+"first", nil, 3*time.Second)
+	return answer.Err == nil && answer.Status == http.StatusOK
 }
