--- /dev/null
+++ b/internal/node/addressing.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"net"
+	"strings"
+)
+
+// servicePrefix begins the paths that name a service, as in /svc/NAME/path.
+const servicePrefix = "/svc/"
+
+// addressing is how a request names its service.
+type addressing int
+
+const (
+	addressedByRoute addressing = iota
+	// addressedByPath is a request whose path begins with servicePrefix and the name of
+	// the service. This part of the path is not sent to the upstream.
+	addressedByPath
+	// addressedByHost is a request whose host is among the hosts of the service.
+	addressedByHost
+	addressingCount
+)
+
+var addressingNames = [addressingCount]string{"route", "path", "host"}
+
+// String returns the name of a in logs and metrics.
+func (a addressing) String() string { return addressingNames[a] }
+
+// resolveService sets the service and the target of a call that no route matches from its
+// path or host. It returns false if these name no service.
+func resolveService(c *call) bool {
+	c.target = c.request.URL.RequestURI()
+	if rest, found := strings.CutPrefix(c.target, servicePrefix); found {
+		name, path, _ := strings.Cut(rest, "/")
+		c.service, c.target, c.addressing = name, "/"+path, addressedByPath
+		_, ok := c.view.Doc.Services[name]
+		return ok
+	}
+	c.addressing = addressedByHost
+	var ok bool
+	if c.service, ok = c.view.Hosts[c.request.Host]; ok {
+		return true
+	}
+	host := strings.ToLower(c.request.Host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	c.service, ok = c.view.Hosts[host]
+	return ok
+}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,7 +25,6 @@
 )
 
 const (
-	servicePrefix = "/svc/"
 	// maxBufferedBodyBytes is the largest body that is kept in memory, so that it can be
 	// sent again in another attempt.
 	maxBufferedBodyBytes = 64 << 10
@@ -50,7 +48,9 @@
 	// id.
 	requestID string
 	service   string
-	// route is nil when the request names its service by host or path.
+	// addressing is how the request names its service.
+	addressing addressing
+	// route is nil unless a route names the service.
 	route          *routing.Route
 	target         string
 	request        *http.Request
@@ -147,21 +147,20 @@
 func (n *Node) selectService(c *call) error {
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
 	if c.route = c.view.Routes.Match(c.request.Host, path); c.route != nil {
+		c.addressing = addressedByRoute
 		c.target = c.request.RequestURI
 		c.service = n.splitter.chooseService(c.route)
 		c.rule = document.RequestRule{Repeatable: c.route.Repeatable(), TimeoutMs: c.route.TimeoutMs}
 		return nil
 	}
-	service, target, ok := resolveService(c.view, c.request)
-	if !ok {
+	if !resolveService(c) {
 		if c.view.Routes.IsEmpty() {
 			return errNoService
 		}
 		return errNoRoute
 	}
-	c.service, c.target = service, target
-	config := c.view.Doc.Services[service]
-	path, _, _ = strings.Cut(target, "?")
+	config := c.view.Doc.Services[c.service]
+	path, _, _ = strings.Cut(c.target, "?")
 	c.rule = config.Rule(c.request.Method, path)
 	return nil
 }
@@ -310,26 +309,6 @@
 	}
 }
 
-// resolveService returns the service that the path prefix or the Host header names, and
-// the request target without the service prefix.
-func resolveService(view *directory.View, r *http.Request) (service, target string, ok bool) {
-	target = r.URL.RequestURI()
-	if rest, found := strings.CutPrefix(target, servicePrefix); found {
-		name, path, _ := strings.Cut(rest, "/")
-		_, ok = view.Doc.Services[name]
-		return name, "/" + path, ok
-	}
-	if service, ok = view.Hosts[r.Host]; ok {
-		return service, target, true
-	}
-	host := strings.ToLower(r.Host)
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	service, ok = view.Hosts[host]
-	return service, target, ok
-}
-
 // parseRequestID returns the request ID in the header, or a new one, and its text. A text
 // that is not a UUID is returned with a new ID.
 func parseRequestID(r *http.Request, header string) (uuid.UUID, string) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -38,7 +38,7 @@
 		n.upstream.requestTracker.CallBegan(c.parentRequestID, c.started)
 		defer func() { n.upstream.requestTracker.CallEnded(c.parentRequestID, time.Now()) }()
 	}
-	n.metrics.beginCall(c.service)
+	n.metrics.beginCall(c)
 	result := callFailed
 	defer func() {
 		n.metrics.endCall(c, result)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -39,7 +39,9 @@
 
 // nodeMetrics holds the metrics of one node.
 type nodeMetrics struct {
-	set     *metrics.Set
+	set *metrics.Set
+	// calls counts the requests of callers by how they name their service.
+	calls   [addressingCount]*metrics.Counter
 	retries *metrics.Counter
 	hedges  *metrics.Counter
 	// upstreamRequests counts the requests sent to the upstream beside this node, without
@@ -76,6 +78,9 @@
 		refusals:         map[wire.RefusalReason]*metrics.Counter{},
 		services:         map[string]*serviceMetrics{},
 	}
+	for by, name := range addressingNames {
+		m.calls[by] = set.NewCounter(fmt.Sprintf("chicorylever_calls_total{addressed_by=%q}", name))
+	}
 	for number := range wire.RefusalReason_name {
 		reason := wire.RefusalReason(number)
 		m.refusals[reason] = set.NewCounter(fmt.Sprintf("chicorylever_refusals_total{reason=%q}", httpapi.ReasonName(reason)))
@@ -111,7 +116,10 @@
 }
 
 // beginCall counts a call in flight; each one needs one call of endCall.
-func (m *nodeMetrics) beginCall(service string) { m.service(service).inFlight.Inc() }
+func (m *nodeMetrics) beginCall(c *call) {
+	m.calls[c.addressing].Inc()
+	m.service(c.service).inFlight.Inc()
+}
 
 // endCall counts the result and whether it meets the service's objective. A request that
 // the caller cancelled or that was refused because of its idempotency key counts as
