Let only routes lead to a service on the users' platform

Callers saw: after a route with the prefix /svc/bookings/ was dropped, requests on it still ran at bookings, with another path, and got 200 in place of 404.

Cause: when no route matches, an entry took the service from /svc/NAME/ in the path or from the Host header, the project's own addressing. Evidence: revision 3 in force and chicorylever_calls_total{addressed_by="path"} counting these requests.

With it, a document that has services but no route left gives 404; before, an entry answered 503 there as one without a configuration.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -153,11 +153,8 @@
 		c.rule = document.RequestRule{Repeatable: c.route.Repeatable(), TimeoutMs: c.route.TimeoutMs}
 		return nil
 	}
-	if !resolveService(c) {
-		if c.view.Routes.IsEmpty() {
-			return errNoService
-		}
-		return errNoRoute
+	if n.options.RoutesOnly || !resolveService(c) {
+		return n.unmatchedError(c.view)
 	}
 	config := c.view.Doc.Services[c.service]
 	path, _, _ = strings.Cut(c.target, "?")
@@ -165,6 +162,18 @@
 	return nil
 }
 
+// unmatchedError returns the error for a request that names no service. Only errNoService
+// lets the caller return.
+func (n *Node) unmatchedError(view *directory.View) error {
+	// A document without services is the one that the cluster was created with, before the
+	// operators' first configuration. One whose last route was dropped still has services.
+	isConfigured := n.options.RoutesOnly && len(view.Doc.Services) > 0
+	if isConfigured || !view.Routes.IsEmpty() {
+		return errNoRoute
+	}
+	return errNoService
+}
+
 // setRequestIDAndHeaders sets the request ID of a call and the headers that are
 // forwarded.
 func (n *Node) setRequestIDAndHeaders(c *call) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,9 @@
 	// LocalRoutes adds routes to the listener for the upstream. They take precedence over
 	// the project's own.
 	LocalRoutes func(n *Node, router *mux.Router)
+	// RoutesOnly makes routes the only way to reach a service: a request that no route
+	// matches gets 404. Otherwise a request may also name its service by path or host.
+	RoutesOnly bool
 }
 
 // Node is a node process.
