Apply an order for a zone only to the version that its sender has seen

Callers saw: a zone is evacuated, taken back and evacuated again, all of it acknowledged. Then a control member that had been frozen reads the old order to take the zone back and applies it: requests reach the zone for good (EVAC).

Cause: orders for zones carry nothing that orders them, so the last one in the log counts. Evidence: 'zone in' with revision 6 at the member that was frozen, 3 ms after it woke, after 'zone out' with revision 5.

--- a/internal/control/api/operations.go
+++ b/internal/control/api/operations.go
@@ -10,8 +10,8 @@
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-// Operations are the changes of operators that need no section version: batches of items
-// and zone states. All of them are idempotent.
+// Operations are the changes of operators that need no edit ID: batches of items, which are
+// idempotent, and zone states, which name the version that they replace.
 type Operations struct {
 	proposer  replica.Proposer
 	documents Documents
@@ -34,10 +34,11 @@
 	return o.propose(ctx, command)
 }
 
-// SetZone sets the state of a zone on behalf of the team. Its result and error have the
-// same meaning as those of ApplyBatch.
-func (o *Operations) SetZone(ctx context.Context, team, zone string, state document.ZoneState) (document.Result, error) {
-	command, err := document.EncodeZoneState(team, zone, state, o.now())
+// SetZone sets the state of a zone on behalf of the team, if the zone's section still has
+// the version base; otherwise the outcome is document.Conflict. Its result and error have
+// the same meaning as those of ApplyBatch.
+func (o *Operations) SetZone(ctx context.Context, team, zone string, state document.ZoneState, base uint64) (document.Result, error) {
+	command, err := document.EncodeZoneState(team, zone, state, base, o.now())
 	if err != nil {
 		return document.Result{}, err
 	}
--- a/internal/state/document/batch.go
+++ b/internal/state/document/batch.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"maps"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -48,28 +47,12 @@
 	Version uint64
 }
 
-// zoneStateCommand sets the state of a zone regardless of the version of its section.
-type zoneStateCommand struct {
-	Team  string    `json:"team"`
-	Zone  string    `json:"zone"`
-	State ZoneState `json:"state"`
-	AtMs  int64     `json:"at_ms"`
-}
-
 // EncodeBatch returns the command that applies the batch.
 func EncodeBatch(batch Batch) ([]byte, error) {
 	data, err := json.Marshal(command{Batch: &batch})
 	return data, errors.Wrap(err, "encode batch command")
 }
 
-// EncodeZoneState returns the command that sets the state of a zone. It creates the zone
-// when the document has no section for it. The team must be an admin team.
-func EncodeZoneState(team, zone string, state ZoneState, at time.Time) ([]byte, error) {
-	zoneState := &zoneStateCommand{Team: team, Zone: zone, State: state, AtMs: at.UnixMilli()}
-	data, err := json.Marshal(command{Zone: zoneState})
-	return data, errors.Wrap(err, "encode zone state command")
-}
-
 // BatchItems returns the sections whose highest item version is not a removal, sorted by
 // path.
 func (v *View) BatchItems() []BatchItemInfo {
@@ -276,38 +259,3 @@
 	}
 	return next
 }
-
-func (m *Machine) applyZoneState(cmd zoneStateCommand) Result {
-	view := m.View()
-	if team, ok := view.Document.Teams[cmd.Team]; !ok || !team.Admin {
-		return view.rejected(Result{Outcome: Forbidden, Problem: "only an admin team changes zones unasked"})
-	}
-	zone, exists := view.Document.Zones[cmd.Zone]
-	if exists && zone.State == cmd.State {
-		return Result{Outcome: Accepted, Revision: view.Revision, Version: view.versions[kindZones+"/"+cmd.Zone]}
-	}
-	if !exists {
-		zone.Owner = cmd.Team
-	}
-	zone.State = cmd.State
-	path := sectionPath{kindZones, cmd.Zone}
-	doc := view.Document.withSection(path, zone)
-	if err := doc.Validate(); err != nil {
-		return view.rejected(invalidResult(err))
-	}
-	m.publish(view.withZoneState(doc, path.String(), cmd, m.nowMs))
-	return Result{Outcome: Accepted, Revision: view.Revision + 1, Version: view.Revision + 1}
-}
-
-func (v *View) withZoneState(doc *Document, path string, cmd zoneStateCommand, nowMs int64) *View {
-	next := newView()
-	next.Revision = v.Revision + 1
-	next.Document = doc
-	next.items = v.items
-	next.versions = maps.Clone(v.versions)
-	next.versions[path] = next.Revision
-	next.history = appendChange(v.history, Change{
-		Revision: next.Revision, AtMs: nowMs, Team: cmd.Team, Section: path, Action: actionReplace, Fields: []string{"state"},
-	})
-	return next
-}
