Sync what an earlier process wrote before the log relies on it

Cause: a process that is killed between a write and its sync leaves the record in the file, not on the disk. The next one replays it, counts it as durable, starts a synced segment behind it and never syncs the old one.

Change: opening the log syncs the data directory before anything is read and all segments that are replayed before anything is removed or answered; a failed sync ends the start.

TestCrashKeepsAcknowledgedWrites now also kills the process without a loss of power, in any order with losses of power.

--- a/internal/state/wal/fs.go
+++ b/internal/state/wal/fs.go
@@ -26,6 +26,8 @@
 	Remove(path string) error
 	// Truncate shortens a file to size bytes and syncs it.
 	Truncate(path string, size int64) error
+	// SyncFile makes the content of a file durable that an earlier process may have written.
+	SyncFile(path string) error
 	// SyncDir makes creations, renames and removals in the directory durable.
 	SyncDir(dir string) error
 	// Lock takes an exclusive lock, which is released by Close or when the process
@@ -94,14 +96,24 @@
 	return file.Sync()
 }
 
+// SyncFile implements FS. It opens the file for writing, since some filesystems sync no
+// file that is open for reading only.
+func (OS) SyncFile(path string) error {
+	return syncPath(path, os.O_WRONLY)
+}
+
 // SyncDir implements FS.
 func (OS) SyncDir(dir string) error {
-	directory, err := os.Open(dir)
+	return syncPath(dir, os.O_RDONLY)
+}
+
+func syncPath(path string, flag int) error {
+	file, err := os.OpenFile(path, flag, 0)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = directory.Close() }()
-	return directory.Sync()
+	defer func() { _ = file.Close() }()
+	return file.Sync()
 }
 
 // Lock implements FS with flock, which the kernel releases when the process exits.
--- a/internal/state/wal/load.go
+++ b/internal/state/wal/load.go
@@ -12,8 +12,12 @@
 const temporarySuffix = ".tmp"
 
 // load reads the data directory, removes what a crash left incomplete and starts a
-// new segment.
+// new segment. What it returns is durable: an earlier process may have been killed between
+// a write and its sync, and a loss of power must not take back what this one relies on.
 func (l *Log) load() (Contents, error) {
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return Contents{}, errors.Wrap(err, "wal: sync data directory")
+	}
 	names, err := l.fs.ReadDir(l.dir)
 	if err != nil {
 		return Contents{}, errors.Wrap(err, "wal: read data directory")
@@ -38,6 +42,9 @@
 	if err != nil {
 		return Contents{}, err
 	}
+	if err := l.syncSegments(loaded); err != nil {
+		return Contents{}, err
+	}
 	if err := l.removeObsoleteSegments(numbers, loaded); err != nil {
 		return Contents{}, err
 	}
@@ -120,6 +127,18 @@
 	return nil, nil
 }
 
+// syncSegments makes the segments durable as they were read. It must be called before any
+// earlier segment is removed, which holds the hard state until then. The other files need no
+// sync: they get their names only after their content is durable.
+func (l *Log) syncSegments(loaded []loadedSegment) error {
+	for i := range loaded {
+		if err := l.fs.SyncFile(loaded[i].path); err != nil {
+			return errors.Wrap(err, "wal: sync segment of an earlier process")
+		}
+	}
+	return nil
+}
+
 // removeObsoleteSegments removes the segments before the first loaded one. They remain
 // from a removal that a crash interrupted or undid.
 func (l *Log) removeObsoleteSegments(numbers []uint64, loaded []loadedSegment) error {
--- a/internal/state/wal/memfs_test.go
+++ b/internal/state/wal/memfs_test.go
@@ -65,6 +65,10 @@
 	m.files, m.unsyncedDirChanges, m.failAfterOperations = maps.Clone(m.durable), nil, -1
 }
 
+// kill simulates the end of the process without a loss of power: the next process sees all
+// changes, of which those that were not synced are still not durable.
+func (m *memFS) kill() { m.failAfterOperations = -1 }
+
 func (m *memFS) changeDir(change func(map[string]*memFile)) {
 	change(m.files)
 	m.unsyncedDirChanges = append(m.unsyncedDirChanges, change)
@@ -119,6 +123,15 @@
 	return m.injectFailure()
 }
 
+func (m *memFS) SyncFile(path string) error {
+	if err := m.injectFailure(); err != nil {
+		return err
+	}
+	f := m.files[path]
+	f.syncedBytes = len(f.data)
+	return nil
+}
+
 func (m *memFS) SyncDir(string) error {
 	if err := m.injectFailure(); err != nil {
 		return err
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -65,9 +65,19 @@
 	return func(l *Log) error { return l.Append(&hardState, added) }, m
 }
 
-// TestCrashKeepsAcknowledgedWrites guards against losing an acknowledged write in a
-// crash at any point, against recovering only part of an unacknowledged write, and
-// against further writes to a log that has failed.
+// end ends the process that uses the filesystem, with or without a loss of power.
+func end(rng *rand.Rand, fs *memFS) {
+	if rng.IntN(2) == 0 {
+		fs.kill()
+	} else {
+		fs.crash()
+	}
+}
+
+// TestCrashKeepsAcknowledgedWrites guards against losing an acknowledged write, or one that
+// Open has returned, in a crash at any point, against recovering only part of an
+// unacknowledged write, and against further writes to a log that has failed. In a crash the
+// process is killed or the machine loses power, in any order.
 func TestCrashKeepsAcknowledgedWrites(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
@@ -77,7 +87,7 @@
 		for range 8 {
 			log, contents, err := Open(options)
 			if err != nil && errors.Is(err, errInjected) {
-				fs.crash()
+				end(rng, fs)
 				continue
 			}
 			assert.NilError(t, err)
@@ -104,7 +114,7 @@
 			assert.ErrorIs(t, log.Append(nil, nil), ErrFailed)
 			assert.ErrorIs(t, log.SaveSnapshot(raft.Snapshot{}), ErrFailed)
 			assert.Equal(t, fs.injectedFailures, injectedFailures, "the failed log accessed the filesystem again")
-			fs.crash()
+			end(rng, fs)
 			if rng.IntN(3) == 0 {
 				fs.failAfterOperations = rng.IntN(6) // The next Open may fail too, followed by another crash.
 			}
