Report a log without a readable segment as corrupt

A member whose only segment has an unreadable header started with an empty hard state, as if it had never voted: found while the crash test was made to kill processes. Only the first start of a member may find no segment.

TestLostHardStateIsReported failed before the change ('Open reported no corruption').

--- a/internal/state/wal/load.go
+++ b/internal/state/wal/load.go
@@ -35,13 +35,13 @@
 	l.snapshotIndex = contents.Snapshot.Meta.Index
 	numbers := segmentNumbers(names)
 	isNew := contents.Identity == nil && l.snapshotIndex == 0
-	if len(numbers) == 0 && !isNew {
-		return Contents{}, &CorruptionError{File: l.dir, Reason: "the data directory contains no segment"}
-	}
 	loaded, err := l.readSegments(numbers)
 	if err != nil {
 		return Contents{}, err
 	}
+	if len(loaded) == 0 && !isNew {
+		return Contents{}, &CorruptionError{File: l.dir, Reason: "the data directory contains no readable segment"}
+	}
 	if err := l.syncSegments(loaded); err != nil {
 		return Contents{}, err
 	}
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -197,3 +197,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(contents.Entries), 10)
 }
+
+// TestLostHardStateIsReported guards against a member that starts with an empty hard state,
+// and so votes again in a term in which it has voted, because its only segment is unreadable.
+func TestLostHardStateIsReported(t *testing.T) {
+	fs := newMemFS(rand.New(rand.NewPCG(1, 5)))
+	options := Options{Dir: "data", FS: fs}
+	log, _, err := Open(options)
+	assert.NilError(t, err)
+	assert.NilError(t, log.SaveIdentity(Identity{MemberID: 7}))
+	assert.NilError(t, log.Append(&raft.HardState{Term: 3, Vote: 7}, nil))
+	path := "data/" + segmentFileName(1)
+	fs.files[path].data = fs.files[path].data[:recordHeaderBytes-1]
+	_, _, err = Open(options)
+	var corruption *CorruptionError
+	assert.Assert(t, errors.As(err, &corruption), "Open reported no corruption: %v", err)
+}
