--- a/internal/program/daemons.go
+++ b/internal/program/daemons.go
@@ -75,6 +75,7 @@
 func runControl(ctx context.Context, path string, s *settings.Control, logger log.Logger, options control.Options) error {
 	c, err := control.New(s, logger, options)
 	if err != nil {
+		logCorruption(logger, s.DataDir, err)
 		return err
 	}
 	watchCtx, stop := context.WithCancel(ctx)
