Hold a short response until it is whole

Callers saw: an upstream breaks off a short response, and the pipelined requests behind it, which sound upstreams have run, are lost with the connection (LOST).

Cause: the entry passed on a head as soon as nothing more had arrived, and could then only close the connection.

Change: a response with a stated length of at most 64 KiB is held until it is whole, and the head of any other until its body begins, but for event streams. One that breaks off is retried or answered with 502, and costs one request.

TestBrokenResponseCostsOneRequest (1 of 4 responses) and TestBrokenResponseIsRetried (unexpected EOF) failed before the change.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,14 +19,24 @@
 // response to the caller.
 const writeGrace = time.Second
 
-// responseWriter forwards one response to the caller. It writes nothing while more of the
-// response has already been received, so that a small response that is truncated can still
-// be replaced by an error or by another attempt.
+// eventStreamType is the media type of server-sent events.
+const eventStreamType = "text/event-stream"
+
+// unknownLength is the length of a response whose head does not state one.
+const unknownLength = -1
+
+// responseWriter forwards one response to the caller. A response that is truncated before
+// anything was written can still be replaced by an error or by another attempt, and does not
+// cost the caller its connection with the pipelined requests behind it. So a short response
+// of stated length is held until it is whole, and the head of any other until its body
+// begins.
 type responseWriter struct {
-	w           http.ResponseWriter
-	controller  *http.ResponseController
-	call        *call
-	head        *wire.ResponseHead
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	call       *call
+	head       *wire.ResponseHead
+	// length is the length of the body that the head states, or unknownLength.
+	length      int64
 	buffered    []byte
 	headWritten bool
 	bodyBytes   uint64
@@ -40,7 +52,7 @@
 	if result.head.GetStatus() >= http.StatusInternalServerError {
 		n.recordNestedFailure(c)
 	}
-	writer := &responseWriter{w: w, controller: http.NewResponseController(w), call: c, head: result.head}
+	writer := newResponseWriter(w, c, result.head)
 	end, err := writer.copyFrom(a.stream)
 	if err != nil {
 		if c.request.Context().Err() != nil {
@@ -78,11 +90,55 @@
 	}
 }
 
+func newResponseWriter(w http.ResponseWriter, c *call, head *wire.ResponseHead) *responseWriter {
+	return &responseWriter{
+		w: w, controller: http.NewResponseController(w), call: c, head: head,
+		length: statedLength(head),
+	}
+}
+
+// statedLength returns the length of the body that the head states, or unknownLength.
+func statedLength(head *wire.ResponseHead) int64 {
+	length, err := strconv.ParseInt(headerValue(head, "Content-Length"), 10, 64)
+	if err != nil || length < 0 {
+		return unknownLength
+	}
+	return length
+}
+
+// headerValue returns the first value of a header field, or "".
+func headerValue(head *wire.ResponseHead, name string) string {
+	for _, header := range head.GetHeaders() {
+		if strings.EqualFold(header.GetName(), name) && len(header.GetValues()) > 0 {
+			return header.GetValues()[0]
+		}
+	}
+	return ""
+}
+
+// isHeld reports whether the caller gets nothing of the response yet.
+func (r *responseWriter) isHeld() bool {
+	if r.headWritten {
+		return false
+	}
+	if r.length != unknownLength && r.length <= maxBufferedBodyBytes {
+		return true
+	}
+	return r.bodyBytes == 0 && !r.isEventStream()
+}
+
+// isEventStream reports whether the response is a stream of events, whose head tells the
+// caller that the stream is open.
+func (r *responseWriter) isEventStream() bool {
+	mediaType, _, _ := mime.ParseMediaType(headerValue(r.head, "Content-Type"))
+	return mediaType == eventStreamType
+}
+
 // copyFrom forwards a response from the stream and returns its end. It returns an error
 // when the response is incomplete.
 func (r *responseWriter) copyFrom(stream messageStream) (*wire.ResponseEnd, error) {
 	for {
-		if !stream.HasBuffered() {
+		if !stream.HasBuffered() && !r.isHeld() {
 			if err := r.flush(); err != nil {
 				return nil, err
 			}
