Linger for as long as a caller sends its upload

Callers saw (TestStreaming, once): an upload that is answered early ends with a reset connection in place of the answer.

Cause: the entry closed the connection half a second after its last response, even if the caller still sent; the reset discards the response that the caller has not read. A caller that sends for longer and reads afterwards loses it every time.

--- a/internal/transport/callerhttp/conn.go
+++ b/internal/transport/callerhttp/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,9 +16,6 @@
 // response.
 const ioBufferBytes = 4 << 10
 
-// maxRejectedBytes bounds what is read from a caller after a head that could not be read.
-const maxRejectedBytes = 256 << 10
-
 // conn is a connection from a caller. Its goroutine reads requests; a goroutine for each
 // request runs the handler and writes the response after those of earlier requests.
 type conn struct {
@@ -252,18 +248,8 @@
 	}
 	if halfCloser, ok := c.netConn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
-		_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.lingeringReader())
-	}
-}
-
-// lingeringReader reads what the caller still sends after the last response. After a head that
-// could not be read its bytes are bounded, since they may never end.
-func (c *conn) lingeringReader() io.Reader {
-	if c.rejected {
-		return io.LimitReader(c.netConn, maxRejectedBytes)
+		c.linger()
 	}
-	return c.netConn
 }
 
 // discardUntilResponsesDone discards what the caller sends after its last request. It
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -33,9 +33,6 @@
 	// maxDiscardedBodyBytes limits the rest of a request body that is read and discarded to
 	// keep the connection open.
 	maxDiscardedBodyBytes = 256 << 10
-	// lingerTimeout limits the wait for the caller to close a connection on which it may
-	// still be sending; closing it at once would reset it and lose the response.
-	lingerTimeout = 500 * time.Millisecond
 	// writeTimeout limits the time to write a response to a caller that does not read it,
 	// unless the handler sets another deadline.
 	writeTimeout = 30 * time.Second
