--- /dev/null
+++ b/internal/node/announce_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+)
+
+// announcementOf returns an announcement of the instance i of a service by its start time
+// and sequence.
+func announcementOf(service string, startedMs int64, startID string, sequence uint64) *httpapi.Announcement {
+	return &httpapi.Announcement{
+		Service: service, Address: "127.0.0.1:1", Instance: "i", StartID: startID, Slots: 4,
+		StartedMs: startedMs, Sequence: sequence,
+	}
+}
+
+func startLoneNode(t *testing.T) *testNode {
+	n := newFakeControl(t).startNode(t, "n", "a", "")
+	eventually(t, func() bool { return n.directory.View().Revision == 1 })
+	return n
+}
+
+// TestForeignServiceIsRejected guards against an announcement of another writer that moves a
+// known instance to a service that it does not run.
+func TestForeignServiceIsRejected(t *testing.T) {
+	n := startLoneNode(t)
+	assert.NilError(t, n.Announce(announcementOf("s", 1, "i@1", 1)))
+	version := n.Node.upstream.version
+	assert.ErrorContains(t, n.Announce(announcementOf("other", 1, "i@1", 2)), "not that of this start")
+	assert.ErrorContains(t, n.Announce(announcementOf("other", 2, "i@2", 1)), "no service")
+	assert.Equal(t, n.Node.upstream.currentAnnouncement().Service, "s")
+	assert.Equal(t, n.Node.upstream.version, version)
+}
+
+// TestServiceUnknownYet guards against rejecting a new instance whose service this node's
+// configuration does not have yet.
+func TestServiceUnknownYet(t *testing.T) {
+	n := startLoneNode(t)
+	assert.NilError(t, n.Announce(announcementOf("later", 1, "i@1", 1)))
+	assert.NilError(t, n.Announce(announcementOf("later", 1, "i@1", 2)))
+	assert.NilError(t, n.Announce(announcementOf("latest", 2, "i@2", 1)))
+	assert.Equal(t, n.Node.upstream.currentAnnouncement().Service, "latest")
+}
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -43,6 +43,7 @@
 		return
 	}
 	if err := n.Announce(a); err != nil {
+		n.RejectAnnouncement(a.Instance, err)
 		writeError(w, http.StatusUnprocessableEntity, httpapi.ErrorBody{Error: err.Error()})
 		return
 	}
@@ -57,6 +58,9 @@
 		return errors.New(problem)
 	}
 	previous := n.upstream.currentAnnouncement()
+	if err := n.checkService(a, previous); err != nil {
+		return err
+	}
 	// The first announcement after a provisional one counts as new here: what control reports
 	// of the start is looked up by its ID.
 	isNewStart := previous == nil || previous.StartID != a.StartID
@@ -85,11 +89,39 @@
 	return nil
 }
 
+// checkService returns an error for an announcement whose service cannot be that of the
+// instance: another one within the same start, or one that the configuration lacks in place
+// of one that it has. An instance that is new here may be of a service that is not known
+// yet, since the configuration may arrive after it.
+func (n *Node) checkService(a, previous *httpapi.Announcement) error {
+	if previous == nil || previous.Instance != a.Instance || previous.Service == a.Service {
+		return nil
+	}
+	if previous.StartID == a.StartID {
+		return errors.Errorf("service %q is not that of this start", a.Service)
+	}
+	services := n.directory.View().Doc.Services
+	_, isKnown := services[a.Service]
+	if _, wasKnown := services[previous.Service]; wasKnown && !isKnown {
+		return errors.Errorf("no service %q", a.Service)
+	}
+	return nil
+}
+
+// RejectAnnouncement counts and logs an announcement of an instance that could not be read.
+func (n *Node) RejectAnnouncement(instance string, err error) {
+	n.metrics.rejectedAnnouncements.Inc()
+	_ = n.rejectionLogger.Log("msg", "announcement rejected", "instance", instance, "err", err)
+}
+
 // Leave stops new work for an instance that is leaving. It returns false when the instance
-// is not the announced one.
-func (n *Node) Leave(instance string) bool {
+// is not the announced one, or startedMs, unless it is 0, is not the time of its start.
+func (n *Node) Leave(instance string, _ int64) bool {
 	a := n.upstream.currentAnnouncement()
-	if a == nil || a.Instance != instance || !n.upstream.leave(a.StartID) {
+	if a == nil || a.Instance != instance {
+		return false
+	}
+	if !n.upstream.leave(a.StartID) {
 		return false
 	}
 	n.directory.RequestHeartbeat()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -48,9 +48,11 @@
 	// probes.
 	upstreamRequests *metrics.Counter
 	// ejections counts the ejections of failing instances by this entry node.
-	ejections    *metrics.Counter
-	addedLatency *metrics.PrometheusHistogram
-	refusals     map[wire.RefusalReason]*metrics.Counter
+	ejections *metrics.Counter
+	// rejectedAnnouncements counts the announcements that describe no instance.
+	rejectedAnnouncements *metrics.Counter
+	addedLatency          *metrics.PrometheusHistogram
+	refusals              map[wire.RefusalReason]*metrics.Counter
 
 	mu       sync.RWMutex
 	services map[string]*serviceMetrics
@@ -69,14 +71,15 @@
 func newNodeMetrics() *nodeMetrics {
 	set := metrics.NewSet()
 	m := &nodeMetrics{
-		set:              set,
-		retries:          set.NewCounter("chicorylever_retries_total"),
-		hedges:           set.NewCounter("chicorylever_hedges_total"),
-		upstreamRequests: set.NewCounter("chicorylever_upstream_requests_total"),
-		ejections:        set.NewCounter("chicorylever_ejections_total"),
-		addedLatency:     set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
-		refusals:         map[wire.RefusalReason]*metrics.Counter{},
-		services:         map[string]*serviceMetrics{},
+		set:                   set,
+		retries:               set.NewCounter("chicorylever_retries_total"),
+		hedges:                set.NewCounter("chicorylever_hedges_total"),
+		upstreamRequests:      set.NewCounter("chicorylever_upstream_requests_total"),
+		ejections:             set.NewCounter("chicorylever_ejections_total"),
+		rejectedAnnouncements: set.NewCounter("chicorylever_announcements_rejected_total"),
+		addedLatency:          set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
+		refusals:              map[wire.RefusalReason]*metrics.Counter{},
+		services:              map[string]*serviceMetrics{},
 	}
 	for by, name := range addressingNames {
 		m.calls[by] = set.NewCounter(fmt.Sprintf("chicorylever_calls_total{addressed_by=%q}", name))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,7 +40,7 @@
 	// disconnected from control keep sending attempts.
 	maxRefusalPeriod = 3 * time.Second
 	// refusalLogInterval is the minimum interval between log lines about refused control
-	// members.
+	// members, and between those about rejected announcements.
 	refusalLogInterval = 10 * time.Second
 )
 
@@ -74,15 +74,17 @@
 	systemRequestHeaders map[string]bool
 	upstreamOnlyHeaders  map[string]bool
 	logger               log.Logger
-	startedAtNs          uint64
-	directory            *directory.Directory
-	upstream             *upstream
-	balancer             *balancer
-	metrics              *nodeMetrics
-	settler              *claimSettler
-	suspension           suspensionDetector
-	splitter             trafficSplitter
-	stopping             atomic.Bool
+	// rejectionLogger is rate-limited, for announcements that describe no instance.
+	rejectionLogger log.Logger
+	startedAtNs     uint64
+	directory       *directory.Directory
+	upstream        *upstream
+	balancer        *balancer
+	metrics         *nodeMetrics
+	settler         *claimSettler
+	suspension      suspensionDetector
+	splitter        trafficSplitter
+	stopping        atomic.Bool
 	// announcedSequence is the sequence number of the first heartbeat that reports the
 	// announced start of the upstream.
 	announcedSequence atomic.Uint64
@@ -124,6 +126,7 @@
 		upstreamOnlyHeaders:  options.Dialect.UpstreamOnlyHeaders(),
 		splitter:             newTrafficSplitter(),
 		logger:               log.With(logger, "node", s.ID),
+		rejectionLogger:      obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval),
 		startedAtNs:          uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
 		metrics:              newNodeMetrics(),
 		client:               mesh.NewClient(config),
