Apply a departure only to the start that it states

A late leave of an earlier start under the same ID took the new one out of service. One that states the start time counts for that start only; the platform's instances send an empty body, which still counts for the present one.

TestLateLeave failed before the change.

--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -44,3 +44,16 @@
 	assert.NilError(t, n.Announce(announcementOf("latest", 2, "i@2", 1)))
 	assert.Equal(t, n.Node.upstream.currentAnnouncement().Service, "latest")
 }
+
+// TestLateLeave guards against a departure of an earlier start that takes the present one out
+// of service.
+func TestLateLeave(t *testing.T) {
+	n := startLoneNode(t)
+	assert.NilError(t, n.Announce(announcementOf("s", 1, "i@1", 1)))
+	assert.NilError(t, n.Announce(announcementOf("s", 2, "i@2", 1)))
+	assert.Assert(t, !n.Leave("i", 1))
+	assert.Assert(t, !n.Leave("other", 2))
+	assert.Assert(t, !n.Node.upstream.departing)
+	assert.Assert(t, n.Leave("i", 2))
+	assert.Assert(t, n.Node.upstream.departing)
+}
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -116,11 +116,15 @@
 
 // Leave stops new work for an instance that is leaving. It returns false when the instance
 // is not the announced one, or startedMs, unless it is 0, is not the time of its start.
-func (n *Node) Leave(instance string, _ int64) bool {
+func (n *Node) Leave(instance string, startedMs int64) bool {
 	a := n.upstream.currentAnnouncement()
 	if a == nil || a.Instance != instance {
 		return false
 	}
+	if startedMs != 0 && a.StartedMs != 0 && startedMs != a.StartedMs {
+		_ = level.Info(n.logger).Log("msg", "leave of another start ignored", "instance", instance, "started_ms", startedMs, "start_id", a.StartID)
+		return false
+	}
 	if !n.upstream.leave(a.StartID) {
 		return false
 	}
