Reject configurations that can't be read in full

Operators saw: a patch with a brace too many is acknowledged and its first part comes into force; timeout-ms 600000.4 is acknowledged and read back as 600000 (CONFIG).

Cause: json.Decoder.More returns false before a closing delimiter, the last of equal keys wins, and numbers were rounded before they were checked.

Change: strictjson checks all JSON texts that the system takes from outside; the decoders in the state machine stay as they are.

--- a/internal/control/api/cluster.go
+++ b/internal/control/api/cluster.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +14,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/strictjson"
 )
 
 // maxMemberBodyBytes bounds the size of the body of POST /v1/members.
@@ -71,9 +72,11 @@
 		return
 	}
 	var member replica.Member
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMemberBodyBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&member); err != nil {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMemberBodyBytes))
+	if err == nil {
+		err = strictjson.UnmarshalKnown(data, &member)
+	}
+	if err != nil {
 		writeBadRequest(w, `the body must be {"id": NUMBER, "address": "IP:port"}`)
 		return
 	}
--- a/internal/control/api/sections.go
+++ b/internal/control/api/sections.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/protocol/strictjson"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
@@ -80,6 +81,10 @@
 		writeBadRequest(w, "the body cannot be read")
 		return
 	}
+	if err := strictjson.Check(body); err != nil {
+		writeError(w, http.StatusUnprocessableEntity, ErrorBody{Error: err.Error(), Reason: ReasonInvalid, Field: edit.Section})
+		return
+	}
 	edit.Body = body
 	a.edit(w, r, edit)
 }
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/strictjson"
 )
 
 const (
@@ -184,9 +186,11 @@
 // decodeBody decodes the JSON body of a request of the upstream. On failure it writes an
 // error response and returns false.
 func decodeBody(w http.ResponseWriter, r *http.Request, target any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLocalBodyBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxLocalBodyBytes))
+	if err == nil {
+		err = strictjson.UnmarshalKnown(data, target)
+	}
+	if err != nil {
 		writeError(w, http.StatusBadRequest, httpapi.ErrorBody{Error: err.Error()})
 		return false
 	}
--- a/internal/protocol/strictjson/strictjson.go
+++ b/internal/protocol/strictjson/strictjson.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"unicode/utf8"
 
@@ -48,16 +49,16 @@
 	return invalid(decoder.Decode(target))
 }
 
-// invalid returns an error of encoding/json as one of this package, nil for nil.
+// invalid returns an error of encoding/json as one that also matches ErrInvalid, nil for nil.
 func invalid(err error) error {
 	if err == nil {
 		return nil
 	}
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		return errors.WithMessagef(ErrInvalid, "byte %d: %s", syntax.Offset, err)
+		return fmt.Errorf("%w: byte %d: %w", ErrInvalid, syntax.Offset, err)
 	}
-	return errors.WithMessage(ErrInvalid, err.Error())
+	return fmt.Errorf("%w: %w", ErrInvalid, err)
 }
 
 // checkValue reads one value from the decoder. The path names it in errors.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/strictjson"
 )
 
 // ExitCode is the exit code of a program whose settings are invalid.
@@ -55,6 +57,9 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return &Error{File: name, Problem: "data after the settings object"}
 	}
+	if err := strictjson.Check(data); err != nil {
+		return &Error{File: name, Problem: err.Error()}
+	}
 	target.setDefaults()
 	if problem := target.check(); problem != nil {
 		problem.File = name
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,6 +34,7 @@
 		{"log level", `"id":"n"`, `"id":"n","log_level":"loud"`, "log_level: must be debug, info, warn or error"},
 		{"negative", `"id":"n"`, `"id":"n","stop_timeout_ms":-1`, "stop_timeout_ms: must be at least 1"},
 		{"upstream address", `"id":"n"`, `"id":"n","upstream_address":"example.org:80"`, "upstream_address: host must be an IP address"},
+		{"a key twice", `"id":"n"`, `"id":"m","id":"n"`, "/id occurs twice"},
 		{"trailing data", `"id":"n"`, `"id":"n"} {"id":"n"`, "data after"},
 	}
 	for _, test := range tests {
