--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -65,7 +65,7 @@
 	if t == nil {
 		return nil
 	}
-	for _, route := range t.routesByHost[normalizeHost(host)] {
+	for _, route := range t.routesByHost[NormalizeHost(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route
 		}
@@ -73,8 +73,8 @@
 	return nil
 }
 
-// normalizeHost returns the host in lower case without a port.
-func normalizeHost(host string) string {
+// NormalizeHost returns the host in lower case without a port.
+func NormalizeHost(host string) string {
 	host = strings.ToLower(host)
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
--- a/internal/node/addressing.go
+++ b/internal/node/addressing.go
@@ -1,8 +1,9 @@
 package node
 
 import (
-	"net"
 	"strings"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 )
 
 // servicePrefix begins the paths that name a service, as in /svc/NAME/path.
@@ -41,10 +42,6 @@
 	if c.service, ok = c.view.Hosts[c.request.Host]; ok {
 		return true
 	}
-	host := strings.ToLower(c.request.Host)
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	c.service, ok = c.view.Hosts[host]
+	c.service, ok = c.view.Hosts[routing.NormalizeHost(c.request.Host)]
 	return ok
 }
