Send the target of a request as the caller sent it

Cause: the target went through a parsed URL, which net/http writes in its normal form.

Change: the target is written as it is. One that can't be, since it begins with // and has characters to escape, gets 400.

TestTargetIsSentUnchanged failed before ('/a%7Cb' in place of '/a|b').

--- a/internal/node/addressing.go
+++ b/internal/node/addressing.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"net/http"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 )
@@ -9,6 +11,18 @@
 // servicePrefix begins the paths that name a service, as in /svc/NAME/path.
 const servicePrefix = "/svc/"
 
+// ambiguousPrefix begins targets that are sent through a parsed URL, since net/http takes
+// them for an authority otherwise.
+const ambiguousPrefix = "//"
+
+// isValidTarget reports whether the target and the host can be forwarded unchanged.
+func isValidTarget(r *http.Request) bool {
+	if !utf8.ValidString(r.RequestURI) || !utf8.ValidString(r.Host) {
+		return false
+	}
+	return !strings.HasPrefix(r.RequestURI, ambiguousPrefix) || r.URL.RequestURI() == r.RequestURI
+}
+
 // addressing is how a request names its service.
 type addressing int
 
@@ -30,7 +44,7 @@
 // resolveService sets the service and the target of a call that no route matches from its
 // path or host. It returns false if these name no service.
 func resolveService(c *call) bool {
-	c.target = c.request.URL.RequestURI()
+	c.target = c.request.RequestURI
 	if rest, found := strings.CutPrefix(c.target, servicePrefix); found {
 		name, path, _ := strings.Cut(rest, "/")
 		c.service, c.target, c.addressing = name, "/"+path, addressedByPath
--- a/internal/node/addressing_test.go
+++ b/internal/node/addressing_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -93,3 +96,41 @@
 	assert.Equal(t, node.metrics.calls[addressedByPath].Get(), uint64(1))
 	assert.Equal(t, node.metrics.calls[addressedByHost].Get(), uint64(1))
 }
+
+// sendTarget sends a GET with the target byte for byte and returns the status and the body.
+func sendTarget(t *testing.T, entry *testNode, host, target string) (status int, body string) {
+	netConn, err := net.Dial("tcp", entry.EntryAddress())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, netConn.Close()) }()
+	_ = netConn.SetDeadline(time.Now().Add(endlessTimeout))
+	_, err = io.WriteString(netConn, "GET "+target+" HTTP/1.1\r\nHost: "+host+"\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(netConn), nil)
+	assert.NilError(t, err)
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode, string(data)
+}
+
+// TestTargetIsSentUnchanged guards against a request that runs with another path than the
+// caller sent: with characters that RFC 3986 does not allow, which some callers send
+// unescaped, with "#", or with an empty segment. What can't be sent as it came gets 400.
+func TestTargetIsSentUnchanged(t *testing.T) {
+	control := newFakeControl(t)
+	control.document = strings.Replace(routedDocument, "/svc/s/", "/", 1)
+	node := control.startNodeWith(t, &settings.Node{ID: "n", Zone: "a"}, "", Options{RoutesOnly: true})
+	node.serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.RequestURI) })
+	node.waitForInstances(t, 1)
+	for _, target := range []string{
+		"/", "/a?b=c&d", "/a%7Cb%2F", "/a|b", "/a^b{c}", `/a"b<c>`, "/caf\u00e9?\u00e9", "/a#b", "/a?b#c", "//a/b", "/a//b", "/a/../b", "/?",
+	} {
+		status, body := sendTarget(t, node, routedHost, target)
+		assert.Equal(t, status, http.StatusOK, target)
+		assert.Equal(t, body, target)
+	}
+	for _, target := range []string{"//a|b", "//a#b", "/%zz", "/a\x7fb", "/\xff"} {
+		status, _ := sendTarget(t, node, routedHost, target)
+		assert.Equal(t, status, http.StatusBadRequest, "%q", target)
+	}
+}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -36,7 +36,7 @@
 	errNoService      = errors.New("no such service")
 	errNoRoute        = errors.New("no route matches")
 	errIdempotencyKey = errors.New(httpapi.HeaderIdempotencyKey + " must have 1 to 255 bytes of UTF-8 and occur once")
-	errInvalidTarget  = errors.New("target and host must be UTF-8")
+	errInvalidTarget  = errors.New("target and host must be UTF-8, and a target that begins with // must be escaped")
 	errCallDepth      = errors.New("chain of calls is too deep")
 	errBodyTooLarge   = errors.New("body is too large")
 )
@@ -105,7 +105,7 @@
 // newCall validates the head of a request and returns its call. It does not read the
 // body.
 func (n *Node) newCall(view *directory.View, r *http.Request, now time.Time) (*call, error) {
-	if !utf8.ValidString(r.RequestURI) || !utf8.ValidString(r.Host) {
+	if !isValidTarget(r) {
 		return nil, errInvalidTarget
 	}
 	c := &call{
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -242,10 +244,13 @@
 // upstreamRequest returns the request to the upstream. Its headers state the remaining
 // time and the depth of the call.
 func (r *receivedAttempt) upstreamRequest(ctx context.Context, cancel context.CancelFunc) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, r.head.GetMethod(), "http://upstream"+r.head.GetTarget(), http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, r.head.GetMethod(), "http://upstream/", http.NoBody)
 	if err != nil {
 		return nil, err
 	}
+	if request.URL, err = targetURL(r.head.GetTarget()); err != nil {
+		return nil, err
+	}
 	switch {
 	case r.streamed:
 		request.Body = &bodyReader{
@@ -267,6 +272,15 @@
 	return request, nil
 }
 
+// targetURL returns a URL with which net/http sends the target as it is. A parsed URL is
+// escaped where it has characters that RFC 3986 does not allow, and loses what follows "#".
+func targetURL(target string) (*url.URL, error) {
+	if strings.HasPrefix(target, ambiguousPrefix) {
+		return url.Parse("http://upstream" + target)
+	}
+	return &url.URL{Scheme: "http", Host: "upstream", Opaque: target}, nil
+}
+
 // setAttemptHeaders sets the headers that state the depth, the remaining time and the
 // instance of the attempt.
 func (r *receivedAttempt) setAttemptHeaders(header http.Header) {
