Take the service of an instance that was only assumed from its announcement

Found on reading the change that rejects announcements of other writers: a node that has assumed the service of its upstream from its settings would have kept the instance out while its configuration lacks the announced one. TestServiceOfProvisionalAnnouncement failed before the change.

--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -50,6 +50,17 @@
 	assert.Equal(t, n.Node.upstream.currentAnnouncement().Service, "latest")
 }
 
+// TestServiceOfProvisionalAnnouncement guards against rejecting an instance because the node
+// had assumed that it is of the service in the settings.
+func TestServiceOfProvisionalAnnouncement(t *testing.T) {
+	n := startLoneNode(t)
+	assumed := announcementOf("s", 0, "assumed", 0)
+	assumed.Provisional = true
+	assert.NilError(t, n.Announce(assumed))
+	assert.NilError(t, n.Announce(announcementOf("later", 1, "i@1", 1)))
+	assert.Equal(t, n.Node.upstream.currentAnnouncement().Service, "later")
+}
+
 // TestLateLeave guards against a departure of an earlier start that takes the present one out
 // of service.
 func TestLateLeave(t *testing.T) {
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -94,9 +94,13 @@
 // checkService returns an error for an announcement whose service cannot be that of the
 // instance: another one within the same start, or one that the configuration lacks in place
 // of one that it has. An instance that is new here may be of a service that is not known
-// yet, since the configuration may arrive after it.
+// yet, since the configuration may arrive after it, and a provisional announcement only
+// assumes the service.
 func (n *Node) checkService(a, previous *httpapi.Announcement) error {
-	if previous == nil || previous.Instance != a.Instance || previous.Service == a.Service {
+	if previous == nil || previous.Provisional {
+		return nil
+	}
+	if previous.Instance != a.Instance || previous.Service == a.Service {
 		return nil
 	}
 	if previous.StartID == a.StartID {
