Let a member whose log is corrupt join its cluster again

To the protocol a corrupt log is a lost disk: votes and acknowledged entries may be gone, so that the member must not take part under its ID. It now starts an empty generation of its state in a subdirectory, with a new ID and bound to the same cluster, so that it can join again but not create a second cluster. The corrupt files stay as they are. A log that names no cluster, and the fourth corrupt one, still end the start. The state is only chosen by the existence of a synced directory, so that no interruption brings an earlier generation back.

replica.TestCorruptLogsAreReplaced failed before ("replica: open log: ... is corrupt at offset 305: invalid record"). wal.TestCrashWhileLogIsReplaced fails without the sync of the data directory ("the new identity is lost"); the in-memory file system now syncs each directory by itself.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -23,6 +23,7 @@
 	gauge("members", func() float64 { return float64(len(c.replicatedLog.Status().Members)) })
 	gauge("voters", func() float64 { return float64(c.replicatedLog.Status().VoterCount()) })
 	gauge("silent_voters", func() float64 { return float64(c.replicatedLog.Status().SilentVoters) })
+	gauge("log_generation", func() float64 { return float64(c.replicatedLog.Status().LogGeneration) })
 	gauge("configuration_revision", func() float64 { return float64(c.documentMachine.View().Revision) })
 	gauge("nodes", func() float64 { return float64(c.registry.Status(time.Now()).Nodes) })
 	gauge("nodes_connected", func() float64 { return float64(c.registry.Status(time.Now()).Local) })
--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -218,6 +218,17 @@
 	assert.Assert(c.t, c.members[i].ID() != oldID)
 }
 
+// corruptLog changes a byte of the first record of a stopped member's newest segment.
+func (c *cluster) corruptLog(i int) {
+	segments, err := filepath.Glob(filepath.Join(c.dataDir(i), "*.wal"))
+	assert.NilError(c.t, err)
+	path := slices.Max(segments)
+	data, err := os.ReadFile(path)
+	assert.NilError(c.t, err)
+	data[len(data)/4] ^= 1
+	assert.NilError(c.t, os.WriteFile(path, data, 0o600))
+}
+
 func (c *cluster) waitFor(event string, condition func() bool) {
 	c.t.Helper()
 	deadline := time.Now().Add(waitTimeout)
--- a/internal/coordination/replica/loop.go
+++ b/internal/coordination/replica/loop.go
@@ -296,6 +296,7 @@
 		Members:       l.publishedMembers,
 		QuorumContact: s.HasLeaderContact,
 		SilentVoters:  l.silentVoters,
+		LogGeneration: l.r.logGeneration,
 	}
 	previous := l.r.status.Swap(current)
 	if previous != nil && (previous.Leader != current.Leader || previous.Term != current.Term) {
--- a/internal/coordination/replica/open.go
+++ b/internal/coordination/replica/open.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/raft"
@@ -32,6 +33,8 @@
 	joinAddresses atomic.Pointer[[]string]
 	logger        log.Logger
 	store         *wal.Log
+	// logGeneration counts the logs of this member: each corrupt one was replaced by the next.
+	logGeneration int
 	id            uint64
 
 	identityMu sync.Mutex
@@ -75,16 +78,18 @@
 
 // Open starts the member whose data is in DataDir. In an empty directory it creates a
 // random member ID; the member then creates or joins a cluster in the background (see
-// formCluster). Open returns ErrInvalidOptions, an error of package wal, or the error
+// formCluster). A member whose log is corrupt joins its cluster again with a new ID and an
+// empty log. Open returns ErrInvalidOptions, an error of package wal, or the error
 // of the state machine's Restore.
 func Open(options Options) (*Replica, error) {
 	if err := options.setDefaults(); err != nil {
 		return nil, err
 	}
-	store, contents, err := wal.Open(wal.Options{Dir: options.DataDir, FS: options.fs})
+	store, contents, err := wal.OpenNewest(wal.Options{Dir: options.DataDir, FS: options.fs})
 	if err != nil {
 		return nil, errors.WithMessage(err, "replica: open log")
 	}
+	logReplacedLog(options.Logger, contents)
 	r, err := startReplica(options, store, contents)
 	if err != nil {
 		_ = store.Close()
@@ -93,8 +98,17 @@
 	return r, nil
 }
 
+// logReplacedLog logs the corruption that made this start replace the member's log.
+func logReplacedLog(logger log.Logger, contents wal.Contents) {
+	if corruption := contents.Corruption; corruption != nil {
+		_ = level.Error(logger).Log("msg", "log is corrupt; the member joins its cluster again with a new ID and an empty log",
+			"file", corruption.File, "offset", corruption.Offset, "reason", corruption.Reason, "generation", contents.Generation)
+	}
+}
+
 func startReplica(options Options, store *wal.Log, contents wal.Contents) (*Replica, error) {
 	r := newReplica(options, store)
+	r.logGeneration = contents.Generation
 	if err := r.loadIdentity(contents); err != nil {
 		return nil, err
 	}
@@ -178,7 +192,8 @@
 }
 
 // loadIdentity takes the identity from the data directory or creates one with a random member
-// ID. An ID is never reused: a member that lost its data directory returns with a new ID.
+// ID. An ID is never reused: a member that lost its data directory returns with a new ID. One
+// whose log was corrupt stays bound to its cluster, so that it can't create another.
 func (r *Replica) loadIdentity(contents wal.Contents) error {
 	if contents.Identity != nil {
 		r.identity = *contents.Identity
@@ -190,7 +205,7 @@
 		return err
 	}
 	r.id = id
-	return r.saveIdentity(wal.Identity{MemberID: id})
+	return r.saveIdentity(wal.Identity{MemberID: id, ClusterID: contents.PreviousClusterID})
 }
 
 func (r *Replica) saveIdentity(identity wal.Identity) error {
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -58,6 +58,8 @@
 	Members []Member `json:"members"`
 	// QuorumContact is true while this member leads with a quorum or hears from such a leader.
 	QuorumContact bool `json:"quorum_contact"`
+	// LogGeneration is 1 plus the number of corrupt logs that this member has replaced.
+	LogGeneration int `json:"log_generation,omitempty"`
 	// SilentVoters is the number of voters that do not respond; only the leader knows it.
 	SilentVoters int `json:"silent_voters,omitempty"`
 }
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -62,6 +62,29 @@
 	c.requireApplied(accepted, unknown)
 }
 
+// TestCorruptLogsAreReplaced guards against members that stay away until an operator replaces
+// them when their logs can't be opened: two of them and one lost disk would leave a cluster of
+// five without a quorum.
+func TestCorruptLogsAreReplaced(t *testing.T) {
+	c := newCluster(t, 5, 10_000, 0)
+	c.waitForVoters(5)
+	accepted, unknown := c.members[0].propose("x", 50, 8)
+	oldIDs := []uint64{c.members[0].ID(), c.members[1].ID()}
+	for i := range oldIDs {
+		c.kill(i)
+		c.corruptLog(i)
+	}
+	for i, oldID := range oldIDs {
+		c.restart(i)
+		assert.Assert(t, c.members[i].ID() != oldID, "a member with a corrupt log votes under its old ID")
+	}
+	c.waitForVoters(5)
+	c.restartWithoutData(2)
+	c.waitForVoters(5)
+	a, u := c.members[1].propose("y", 50, 8)
+	c.requireApplied(append(accepted, a...), append(unknown, u...))
+}
+
 // TestReplacedAtNewAddress guards against members that stay voters after they were replaced
 // by members at new addresses. After two replacements the cluster would have seven voters,
 // of which two are gone, and a loss of two more disks would leave it without a quorum.
--- a/internal/state/wal/memfs_test.go
+++ b/internal/state/wal/memfs_test.go
@@ -5,7 +5,9 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -17,6 +19,12 @@
 	syncedBytes int
 }
 
+// dirChange is a creation, rename or removal in a directory.
+type dirChange struct {
+	dir   string
+	apply func(files map[string]*memFile)
+}
+
 // memFS is an in-memory FS that tracks which changes are durable and which a crash may
 // lose. After failAfterOperations more changes or syncs all further ones fail; a
 // negative value disables this. A failing Write may store part of its data, and a
@@ -25,7 +33,7 @@
 	rng                 *rand.Rand
 	files               map[string]*memFile // by path, as a running process sees them
 	durable             map[string]*memFile // by path, as of the last directory sync
-	unsyncedDirChanges  []func(map[string]*memFile)
+	unsyncedDirChanges  []dirChange
 	failAfterOperations int
 	injectedFailures    int
 }
@@ -49,8 +57,9 @@
 // directory changes and of the unsynced bytes of each file, always the earliest ones.
 func (m *memFS) crash() {
 	for _, change := range m.unsyncedDirChanges[:m.rng.IntN(len(m.unsyncedDirChanges)+1)] {
-		change(m.durable)
+		change.apply(m.durable)
 	}
+	maps.DeleteFunc(m.durable, func(path string, _ *memFile) bool { return !m.isDirDurable(filepath.Dir(path)) })
 	for _, path := range slices.Sorted(maps.Keys(m.durable)) {
 		f := m.durable[path]
 		kept := f.syncedBytes + m.rng.IntN(len(f.data)-f.syncedBytes+1)
@@ -69,19 +78,37 @@
 // changes, of which those that were not synced are still not durable.
 func (m *memFS) kill() { m.failAfterOperations = -1 }
 
-func (m *memFS) changeDir(change func(map[string]*memFile)) {
-	change(m.files)
-	m.unsyncedDirChanges = append(m.unsyncedDirChanges, change)
+// isDirDurable reports whether a directory outlives a crash, as a top-level one always does.
+func (m *memFS) isDirDurable(dir string) bool {
+	_, isDurable := m.durable[dir+"/"]
+	return isDurable || !strings.Contains(dir, "/")
 }
 
-func (m *memFS) MkdirAll(string) error { return nil }
+// changeDir makes a change in the directory of path.
+func (m *memFS) changeDir(path string, apply func(map[string]*memFile)) {
+	apply(m.files)
+	m.unsyncedDirChanges = append(m.unsyncedDirChanges, dirChange{filepath.Dir(path), apply})
+}
+
+// MkdirAll stores a directory as an empty file whose path ends with a slash.
+func (m *memFS) MkdirAll(dir string) error {
+	path := dir + "/"
+	if _, exists := m.files[path]; exists {
+		return nil
+	}
+	if err := m.injectFailure(); err != nil {
+		return err
+	}
+	m.changeDir(dir, func(files map[string]*memFile) { files[path] = &memFile{} })
+	return nil
+}
 
 func (m *memFS) Create(path string) (File, error) {
 	if err := m.injectFailure(); err != nil {
 		return nil, err
 	}
 	f := &memFile{}
-	m.changeDir(func(files map[string]*memFile) { files[path] = f })
+	m.changeDir(path, func(files map[string]*memFile) { files[path] = f })
 	return &memHandle{m, f}, nil
 }
 
@@ -95,17 +122,23 @@
 func (m *memFS) ReadDir(dir string) ([]string, error) {
 	var names []string
 	for path := range m.files {
-		names = append(names, path[len(dir)+1:])
+		name, isBelow := strings.CutPrefix(strings.TrimSuffix(path, "/"), dir+"/")
+		if isBelow && !strings.Contains(name, "/") {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names, nil
 }
 
+// contents returns the content of a file as a running process sees it.
+func (m *memFS) contents(path string) string { return string(m.files[path].data) }
+
 func (m *memFS) Rename(from, to string) error {
 	if err := m.injectFailure(); err != nil {
 		return err
 	}
-	m.changeDir(func(files map[string]*memFile) { files[to] = files[from]; delete(files, from) })
+	m.changeDir(to, func(files map[string]*memFile) { files[to] = files[from]; delete(files, from) })
 	return nil
 }
 
@@ -113,7 +146,7 @@
 	if err := m.injectFailure(); err != nil {
 		return err
 	}
-	m.changeDir(func(files map[string]*memFile) { delete(files, path) })
+	m.changeDir(path, func(files map[string]*memFile) { delete(files, path) })
 	return nil
 }
 
@@ -132,11 +165,16 @@
 	return nil
 }
 
-func (m *memFS) SyncDir(string) error {
+func (m *memFS) SyncDir(dir string) error {
 	if err := m.injectFailure(); err != nil {
 		return err
 	}
-	m.durable, m.unsyncedDirChanges = maps.Clone(m.files), nil
+	m.unsyncedDirChanges = slices.DeleteFunc(m.unsyncedDirChanges, func(change dirChange) bool {
+		if change.dir == dir {
+			change.apply(m.durable)
+		}
+		return change.dir == dir
+	})
 	return nil
 }
 
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -1,6 +1,6 @@
 // Package wal stores the durable state of a control member in one directory: a
 // segmented write-ahead log, the newest snapshot, the member's identity and a lock
-// file.
+// file. State that is corrupt is replaced by an empty generation in a subdirectory.
 //
 // Each Append writes one checksummed record with one write and one sync. A crash can
 // tear only the last record of the last segment; Open truncates it. Any other
@@ -41,6 +41,13 @@
 	Snapshot raft.Snapshot
 	// Entries are the entries after the snapshot.
 	Entries []raft.Entry
+	// Generation is the number of the generation, from 1. Open does not set it.
+	Generation int
+	// PreviousClusterID is the cluster of the corrupt generation before this one while
+	// Identity is nil, otherwise 0. Open does not set it.
+	PreviousClusterID uint64
+	// Corruption is what made OpenNewest start this generation, nil if it existed before.
+	Corruption *CorruptionError
 }
 
 // State returns the contents as the initial state of raft.Core.
