Repeat the request that transfers the leadership until it is answered

A stopping leader asks its successor once to start an election. When that message was lost, for example with a connection that was replaced, the leadership was not transferred within the second that Close gives it, and the others waited for an election timeout.

The leader now repeats the request on each heartbeat response of the successor; a request of an earlier term is ignored, so that a repeat does no harm. raft.TestLostTransferRequestIsRepeated failed before ("not repeated").

--- a/internal/coordination/raft/core_test.go
+++ b/internal/coordination/raft/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -71,6 +72,25 @@
 	assert.Assert(t, ok && meta.Configuration.IsVoter(3), "metadata of a snapshot before the membership change must not include the change")
 }
 
+// TestLostTransferRequestIsRepeated guards against a leadership transfer that does not happen
+// because the one message that asks the successor to start an election was lost.
+func TestLostTransferRequestIsRepeated(t *testing.T) {
+	isTransferRequest := func(m Message) bool { return m.Kind == MsgTimeoutNow && m.To == 2 }
+	core := newLeader(t)
+	core.Step(Message{Kind: MsgAppendResponse, From: 2, To: 1, Term: 3, Index: 3})
+	persist(core)
+	assert.NilError(t, core.TransferLeader(2))
+	lost, _ := persist(core)
+	assert.Assert(t, slices.ContainsFunc(lost, isTransferRequest))
+
+	core.Step(Message{Kind: MsgHeartbeatResponse, From: 3, To: 1, Term: 3})
+	sent, _ := persist(core)
+	assert.Assert(t, !slices.ContainsFunc(sent, isTransferRequest), "repeated on the response of another member")
+	core.Step(Message{Kind: MsgHeartbeatResponse, From: 2, To: 1, Term: 3})
+	sent, _ = persist(core)
+	assert.Assert(t, slices.ContainsFunc(sent, isTransferRequest), "not repeated")
+}
+
 // TestLowerTermRequestIsRejected guards against ignoring requests of a lower term. If a
 // member whose term is above the leader's ignored them, it could neither follow that
 // leader nor replace it.
--- a/internal/coordination/raft/replication.go
+++ b/internal/coordination/raft/replication.go
@@ -143,6 +143,10 @@
 	}
 	c.updateCatchUpRound(p)
 	c.confirmReads()
+	if m.From == c.transferTarget {
+		// The request to start an election may have been lost.
+		c.maybeSendTimeoutNow()
+	}
 }
 
 // flushAppends sends the entries that each member is missing. It runs once for each Ready,
