Wait for a stalled node with requests that must not be repeated

A node that is stalled for 0.9 s, such as one on a slow machine, was taken for a failed connection: callers got 502 (outcome unknown) for requests that its upstream had queued, and whose responses came a moment later.

Repeatable attempts still end after 0.9 s, since they go elsewhere. One that must not be repeated has nothing to gain from that. It now waits until the session has been silent for 3 s, the limit of the accepting side, or until the peer has completed the handshake of a new connection and sent nothing on the old one for 300 ms more: then the connection has failed, as behind a middlebox that has lost track of it.

node.TestStalledPeerAnswersUnrepeatableRequest failed before ("502 != 200", peer stalled for 1.35 s). mesh.TestSilenceFailsOtherStreams fails without the end of the other streams, TestFailedConnectionEndsTolerantStreams without the check of the peer (both after 3.00 s).

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -169,19 +169,20 @@
 		n.localAttempts.Go(func() { n.serveLocal(receiverEnd, a.id) })
 		return nil
 	}
+	class := mesh.Small
 	if a.call.streamed {
-		raw, err := n.client.Open(ctx, a.instance.GetNodeAddress(), mesh.Bulk)
-		if err != nil {
-			return err
-		}
-		a.bindStream(raw)
-		return nil
+		openStream, class = n.client.OpenNew, mesh.Bulk
 	}
-	raw, err := openStream(ctx, a.instance.GetNodeAddress(), mesh.Small)
+	raw, err := openStream(ctx, a.instance.GetNodeAddress(), class)
 	if err != nil {
 		return err
 	}
-	a.reusableStream = raw
+	if !a.call.isRepeatable() {
+		raw.TolerateSilence()
+	}
+	if !a.call.streamed {
+		a.reusableStream = raw
+	}
 	a.bindStream(raw)
 	return nil
 }
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
 // blackholeProxy forwards TCP connections. After blackhole, the connections opened until
@@ -118,6 +119,82 @@
 	assert.Equal(t, entry.client.ClosedSilent(), uint64(3))
 }
 
+// stallProxy forwards connections and can stop forwarding for a time, as for a machine that is
+// suspended.
+type stallProxy struct {
+	listener net.Listener
+	gate     sync.RWMutex
+}
+
+func newStallProxy(t *testing.T) *stallProxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return &stallProxy{listener: listener}
+}
+
+func (p *stallProxy) serve(target string) {
+	for {
+		from, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		go p.copyBytes(to, from)
+		go p.copyBytes(from, to)
+	}
+}
+
+func (p *stallProxy) copyBytes(to, from net.Conn) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		p.gate.RLock()
+		_, writeErr := to.Write(buffer[:n])
+		p.gate.RUnlock()
+		if err != nil || writeErr != nil {
+			return
+		}
+	}
+}
+
+func (p *stallProxy) stallFor(d time.Duration) {
+	p.gate.Lock()
+	defer p.gate.Unlock()
+	time.Sleep(d)
+}
+
+// TestStalledPeerAnswersUnrepeatableRequest guards against giving up a request that may not be
+// repeated, and whose response still comes, because the node beside the upstream was stalled
+// for longer than the silence timeout.
+func TestStalledPeerAnswersUnrepeatableRequest(t *testing.T) {
+	control := newFakeControl(t)
+	entry := control.startNode(t, "entry", "a", "")
+	proxy := newStallProxy(t)
+	upstreamNode := control.startNode(t, "beside", "a", proxy.listener.Addr().String())
+	go proxy.serve(upstreamNode.meshListener.Addr().String())
+	arrived := make(chan struct{}, 1)
+	upstreamNode.serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stall" {
+			arrived <- struct{}{}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	entry.waitForInstances(t, 1)
+	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
+	go func() {
+		<-arrived
+		proxy.stallFor(3 * mesh.DefaultConfig().SilenceTimeout / 2)
+	}()
+	assert.Equal(t, send(t, "POST", entry.url("/stall"), nil).StatusCode, http.StatusOK)
+	assert.Equal(t, upstreamNode.requests.Load(), int32(2))
+}
+
 // TestPeerProtocolViolations guards against forwarding messages of another attempt, or a
 // response without an end or with a wrong length, when the node beside the upstream
 // violates the protocol.
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -168,8 +168,40 @@
 }
 
 func (p *peer) watch(s *session) {
-	pingAfter, silenceTimeout := p.client.config.silenceLimits(p.key.class)
-	s.watch(pingAfter, silenceTimeout, p.client.config.IdleTimeout, func() { p.client.closedSilent.Add(1) })
+	s.watch(p.client.config.dialledLimits(p.key.class), p.client.config.IdleTimeout, &silentPeer{p, s})
+}
+
+// silentPeer handles the silence of a dialled session.
+type silentPeer struct {
+	peer    *peer
+	session *session
+}
+
+func (h *silentPeer) onSilent() { h.peer.client.closedSilent.Add(1) }
+
+// checkPeer dials the peer until the session has ended. A peer that completes the handshake
+// of a new connection, and sends nothing on the old one, is not stalled: the old connection
+// has failed.
+func (h *silentPeer) checkPeer() {
+	config := h.peer.client.config
+	for !h.session.IsClosed() {
+		ctx, cancel := context.WithTimeout(context.Background(), config.DialTimeout)
+		_, err := h.peer.connect(ctx)
+		cancel()
+		if errors.Is(err, ErrClosed) {
+			return
+		}
+		dialledAt := time.Now()
+		select {
+		case <-h.session.CloseChan():
+			return
+		case <-time.After(config.PingAfter):
+		}
+		if err == nil && !h.session.activity.hasReadSince(dialledAt) {
+			h.session.close()
+			return
+		}
+	}
 }
 
 func dialSession(ctx context.Context, config Config, key peerKey) (*session, error) {
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -63,9 +63,12 @@
 	// PingAfter is the time without received bytes after which a connection with active
 	// streams is pinged.
 	PingAfter time.Duration
-	// SilenceTimeout is the time without received bytes after which a connection with
-	// active streams is closed.
+	// SilenceTimeout is the time without received bytes after which the active streams of a
+	// connection fail, except those that tolerate silence.
 	SilenceTimeout time.Duration
+	// DeadTimeout is the time without received bytes after which a dialled connection is
+	// closed, with the streams that tolerate silence.
+	DeadTimeout time.Duration
 	// SlowPingAfter and SlowSilenceTimeout replace PingAfter and SilenceTimeout on accepted
 	// connections and for the Control class.
 	SlowPingAfter      time.Duration
@@ -85,6 +88,7 @@
 		DialTimeout:        500 * time.Millisecond,
 		PingAfter:          300 * time.Millisecond,
 		SilenceTimeout:     900 * time.Millisecond,
+		DeadTimeout:        3 * time.Second,
 		SlowPingAfter:      time.Second,
 		SlowSilenceTimeout: 3 * time.Second,
 		IdleTimeout:        5 * time.Minute,
@@ -93,12 +97,22 @@
 	}
 }
 
-// silenceLimits returns the ping delay and the silence timeout of a dialled connection.
-func (c Config) silenceLimits(class Class) (pingAfter, silenceTimeout time.Duration) {
+// silenceLimits are the times without received bytes after which the watchdog acts.
+type silenceLimits struct {
+	pingAfter, silent, dead time.Duration
+}
+
+// dialledLimits returns the limits of a dialled connection.
+func (c Config) dialledLimits(class Class) silenceLimits {
 	if class == Control {
-		return c.SlowPingAfter, c.SlowSilenceTimeout
+		return c.acceptedLimits()
 	}
-	return c.PingAfter, c.SilenceTimeout
+	return silenceLimits{pingAfter: c.PingAfter, silent: c.SilenceTimeout, dead: max(c.SilenceTimeout, c.DeadTimeout)}
+}
+
+// acceptedLimits returns the limits of an accepted connection.
+func (c Config) acceptedLimits() silenceLimits {
+	return silenceLimits{pingAfter: c.SlowPingAfter, silent: c.SlowSilenceTimeout, dead: c.SlowSilenceTimeout}
 }
 
 func (c Config) yamuxConfig() *yamux.Config {
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -136,6 +136,58 @@
 	assert.Equal(t, client.ClosedSilent(), uint64(1))
 }
 
+// TestFailedConnectionEndsTolerantStreams guards against exchanges that tolerate silence and wait
+// until the connection counts as dead, although the peer responds on new connections.
+func TestFailedConnectionEndsTolerantStreams(t *testing.T) {
+	t.Parallel()
+	config := DefaultConfig()
+	proxy := newBlackholeProxy(t, startServer(t, config, echoHandler))
+	client := newTestClient(t, config)
+	stream, err := client.OpenNew(context.Background(), proxy.listener.Addr().String(), Small)
+	assert.NilError(t, err)
+	stream.TolerateSilence()
+	proxy.blackholeAll()
+	start := time.Now()
+	_, err = stream.Write([]byte("lost"))
+	assert.NilError(t, err)
+	_, err = stream.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(start) >= config.SilenceTimeout)
+	assert.Assert(t, time.Since(start) < config.DeadTimeout, "%s", time.Since(start))
+	assert.Equal(t, client.ClosedSilent(), uint64(1))
+}
+
+// TestSilenceFailsOtherStreams guards against exchanges that can be repeated and wait for a silent
+// peer because another exchange on their connection tolerates the silence.
+func TestSilenceFailsOtherStreams(t *testing.T) {
+	t.Parallel()
+	config := DefaultConfig()
+	proxy := newBlackholeProxy(t, startServer(t, config, echoHandler))
+	client := newTestClient(t, config)
+	proxyAddress := proxy.listener.Addr().String()
+	tolerant, err := client.OpenNew(context.Background(), proxyAddress, Small)
+	assert.NilError(t, err)
+	tolerant.TolerateSilence()
+	other, err := client.OpenNew(context.Background(), proxyAddress, Small)
+	assert.NilError(t, err)
+	proxy.blackholeAll()
+	assert.NilError(t, proxy.listener.Close(), "no new connections, as to a stalled peer")
+	ended := make(chan time.Duration, 2)
+	start := time.Now()
+	for _, stream := range []*Stream{other, tolerant} {
+		_, err = stream.Write([]byte("silent"))
+		assert.NilError(t, err)
+		go func() {
+			_, _ = stream.Read(make([]byte, 1))
+			ended <- time.Since(start)
+			_ = stream.Close()
+		}()
+	}
+	first, second := <-ended, <-ended
+	assert.Assert(t, first >= config.SilenceTimeout && first < config.DeadTimeout, "%s", first)
+	assert.Assert(t, second >= config.DeadTimeout, "%s", second)
+}
+
 // TestLongRequestKeepsConnection guards against closing a connection as silent while the
 // peer is processing a long request.
 func TestLongRequestKeepsConnection(t *testing.T) {
--- a/internal/transport/mesh/reuse.go
+++ b/internal/transport/mesh/reuse.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -24,6 +25,22 @@
 	session   *session
 	reused    bool
 	idleSince time.Time
+	// toleratesSilence is set while the exchange tolerates a silent peer.
+	toleratesSilence atomic.Bool
+}
+
+// pastDeadline makes pending and later operations of a stream fail.
+var pastDeadline = time.Unix(1, 0)
+
+// TolerateSilence keeps the stream open until its exchange ends if the peer is silent for
+// SilenceTimeout, up to DeadTimeout. It is for exchanges that can't be repeated, whose
+// response a peer that was only stalled may still send.
+func (s *Stream) TolerateSilence() { s.toleratesSilence.Store(true) }
+
+// Close ends the stream.
+func (s *Stream) Close() error {
+	s.session.removeStream(s)
+	return s.Stream.Close()
 }
 
 // Reused reports whether the stream has carried an exchange before.
@@ -33,6 +50,7 @@
 // be reused, or it is closed when maxIdleStreams are idle or the session takes no new
 // streams.
 func (s *Stream) Release() {
+	s.toleratesSilence.Store(false)
 	s.Shrink()
 	if !s.session.idlePool.push(s) {
 		go func() { _ = s.Close() }()
@@ -42,7 +60,7 @@
 // isReusable reports whether the peer has neither closed the stream nor sent anything since
 // the last exchange.
 func (s *Stream) isReusable() bool {
-	_ = s.SetReadDeadline(time.Unix(1, 0)) // in the past: Read does not block
+	_ = s.SetReadDeadline(pastDeadline) // Read does not block
 	n, err := s.Read(make([]byte, 1))
 	_ = s.SetReadDeadline(time.Time{})
 	return n == 0 && errors.Is(err, yamux.ErrTimeout) && !s.session.IsClosed()
--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -91,7 +91,7 @@
 		return
 	}
 	// The idle timeout is 0, because the dialling side closes idle connections.
-	go sess.watch(s.config.SlowPingAfter, s.config.SlowSilenceTimeout, 0, func() {})
+	go sess.watch(s.config.acceptedLimits(), 0, nil)
 	ctx, cancel := context.WithCancel(withIdentity(ctx, sess.remote))
 	defer cancel()
 	for {
--- a/internal/transport/mesh/session.go
+++ b/internal/transport/mesh/session.go
@@ -41,6 +41,12 @@
 	// the server's lock.
 	draining bool
 	idlePool idleStreamPool
+	// silent is set once the peer has been silent for the silence timeout.
+	silent atomic.Bool
+
+	streamsMu sync.Mutex
+	// streams holds the open streams of a dialled session.
+	streams map[*Stream]struct{}
 }
 
 // newSession performs the TLS and the mesh handshake on the connection and starts yamux.
@@ -73,7 +79,10 @@
 	if err != nil {
 		return nil, err
 	}
-	created := &session{Session: yamuxSession, activity: activity, remote: remote, wake: make(chan struct{}, 1)}
+	created := &session{
+		Session: yamuxSession, activity: activity, remote: remote,
+		wake: make(chan struct{}, 1), streams: map[*Stream]struct{}{},
+	}
 	created.idlePool.session = created
 	return created, nil
 }
@@ -103,7 +112,37 @@
 		return nil, err
 	}
 	s.wakeWatchdog()
-	return &Stream{Stream: stream, session: s}, nil
+	opened := &Stream{Stream: stream, session: s}
+	s.addStream(opened)
+	return opened, nil
+}
+
+func (s *session) addStream(stream *Stream) {
+	s.streamsMu.Lock()
+	defer s.streamsMu.Unlock()
+	s.streams[stream] = struct{}{}
+}
+
+func (s *session) removeStream(stream *Stream) {
+	s.streamsMu.Lock()
+	defer s.streamsMu.Unlock()
+	delete(s.streams, stream)
+}
+
+// failStreams fails the streams that do not tolerate silence, and reports whether there are
+// others.
+func (s *session) failStreams() bool {
+	s.streamsMu.Lock()
+	defer s.streamsMu.Unlock()
+	hasTolerant := false
+	for stream := range s.streams {
+		if stream.toleratesSilence.Load() {
+			hasTolerant = true
+			continue
+		}
+		_ = stream.SetDeadline(pastDeadline)
+	}
+	return hasTolerant
 }
 
 func (s *session) wakeWatchdog() {
--- a/internal/transport/mesh/watchdog.go
+++ b/internal/transport/mesh/watchdog.go
@@ -35,14 +35,25 @@
 	return time.Duration(now.UnixNano() - c.lastRead.Load())
 }
 
-// watch closes the session when it has active streams and no byte has arrived for
-// silenceTimeout. It sends a ping after pingAfter without a byte, so that a peer that is
-// processing a long request is not considered dead. After two thirds of
-// silenceTimeout no new streams are opened on the connection. Without active streams watch
-// causes no traffic; a session that has no streams is closed after idleTimeout, unless
-// that is 0. watch calls onSilent before it closes a silent session, and returns when
-// the session has ended.
-func (s *session) watch(pingAfter, silenceTimeout, idleTimeout time.Duration, onSilent func()) {
+func (c *activityConn) hasReadSince(t time.Time) bool { return c.lastRead.Load() >= t.UnixNano() }
+
+// silenceHandler is told of a dialled session that has become silent.
+type silenceHandler interface {
+	// onSilent is called once, before the first stream fails. It must not block.
+	onSilent()
+	// checkPeer is called in a goroutine of its own when only streams that tolerate silence
+	// are left. It closes the session if the peer is reachable in another way.
+	checkPeer()
+}
+
+// watch fails the streams of a session that has active streams when no byte has arrived for
+// the time limits.silent. It sends a ping after limits.pingAfter without a byte, so that a
+// peer that is processing a long request is not considered dead. After two thirds of
+// limits.silent no new streams are opened on the connection. Streams that tolerate silence
+// go on until limits.dead; without any, watch closes the session at once. Without active
+// streams watch causes no traffic; a session that has no streams is closed after
+// idleTimeout, unless that is 0. watch returns when the session has ended. handler may be nil.
+func (s *session) watch(limits silenceLimits, idleTimeout time.Duration, handler silenceHandler) {
 	for {
 		switch s.waitForStream(idleTimeout) {
 		case wakeClosed:
@@ -53,8 +64,7 @@
 			}
 		case wakeStream:
 		}
-		if s.becomesSilent(pingAfter, silenceTimeout) {
-			onSilent()
+		if s.becomesDead(limits, handler) {
 			s.close()
 			return
 		}
@@ -92,12 +102,11 @@
 	}
 }
 
-// becomesSilent blocks while streams are active and reports whether the peer was silent
-// for silenceTimeout. Silence before streams were active does not indicate a dead peer,
-// nor does silence while this process itself was suspended, so neither is counted.
-func (s *session) becomesSilent(pingAfter, silenceTimeout time.Duration) bool {
-	interval := pingAfter / checksPerPingInterval
-	ticker := time.NewTicker(interval)
+// becomesDead blocks while streams are active and reports whether the session has to be
+// closed because the peer is silent. Silence before streams were active does not indicate a
+// dead peer, nor does silence while this process itself was suspended, so neither is counted.
+func (s *session) becomesDead(limits silenceLimits, handler silenceHandler) bool {
+	ticker := time.NewTicker(limits.pingAfter / checksPerPingInterval)
 	defer ticker.Stop()
 	var pinging atomic.Bool
 	lastCheck := time.Now()
@@ -109,18 +118,18 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if now.Sub(lastCheck) > pingAfter {
+		if now.Sub(lastCheck) > limits.pingAfter {
 			s.activity.markRead(now)
 		}
 		lastCheck = now
 		silence := s.activity.sinceLastRead(now)
-		if silence > silenceTimeout {
+		if silence > limits.silent && s.handleSilence(handler) || silence > limits.dead {
 			return true
 		}
-		if silence > silenceTimeout*2/3 {
+		if silence > limits.silent*2/3 {
 			s.retire()
 		}
-		if silence > pingAfter && pinging.CompareAndSwap(false, true) {
+		if silence > limits.pingAfter && pinging.CompareAndSwap(false, true) {
 			go func() {
 				defer pinging.Store(false)
 				_, _ = s.Ping()
@@ -129,3 +138,19 @@
 	}
 	return false
 }
+
+// handleSilence fails the streams of a silent session. It returns true when none is left
+// that tolerates the silence.
+func (s *session) handleSilence(handler silenceHandler) bool {
+	isFirst := s.silent.CompareAndSwap(false, true)
+	if isFirst && handler != nil {
+		handler.onSilent()
+	}
+	if !s.failStreams() {
+		return true
+	}
+	if isFirst && handler != nil {
+		go handler.checkPeer()
+	}
+	return false
+}
