Write the last segment of the log anew when it is opened

After a sync that failed the operating system may still return what the disk has lost, and report success for a later sync without writing it.

Only the last segment can hold such bytes, since a log that has failed takes no further writes.

--- a/internal/state/wal/load.go
+++ b/internal/state/wal/load.go
@@ -42,7 +42,7 @@
 	if len(loaded) == 0 && !isNew {
 		return Contents{}, &CorruptionError{File: l.dir, Reason: "the data directory contains no readable segment"}
 	}
-	if err := l.syncSegments(loaded); err != nil {
+	if err := l.makeDurable(loaded); err != nil {
 		return Contents{}, err
 	}
 	if err := l.removeObsoleteSegments(numbers, loaded); err != nil {
@@ -127,12 +127,21 @@
 	return nil, nil
 }
 
-// syncSegments makes the segments durable as they were read. It must be called before any
+// makeDurable makes the segments durable as they were read. It must be called before any
 // earlier segment is removed, which holds the hard state until then. The other files need no
 // sync: they get their names only after their content is durable.
-func (l *Log) syncSegments(loaded []loadedSegment) error {
+//
+// The last segment is written anew, since only that one can hold bytes of a sync that failed.
+// The operating system may still return such bytes, and report success for a later sync
+// without writing them.
+func (l *Log) makeDurable(loaded []loadedSegment) error {
 	for i := range loaded {
-		if err := l.fs.SyncFile(loaded[i].path); err != nil {
+		seg := &loaded[i]
+		if i == len(loaded)-1 {
+			err := l.writeFileAtomically(segmentFileName(seg.number), seg.data)
+			return errors.Wrap(err, "wal: rewrite last segment of an earlier process")
+		}
+		if err := l.fs.SyncFile(seg.path); err != nil {
 			return errors.Wrap(err, "wal: sync segment of an earlier process")
 		}
 	}
--- a/internal/state/wal/memfs_test.go
+++ b/internal/state/wal/memfs_test.go
@@ -17,6 +17,16 @@
 type memFile struct {
 	data        []byte
 	syncedBytes int
+	// writebackFailed is set by a sync that failed: the bytes behind syncedBytes can still be
+	// read, but no later sync makes them durable, although it reports success.
+	writebackFailed bool
+}
+
+// sync makes all bytes of the file durable, unless an earlier sync has failed.
+func (f *memFile) sync() {
+	if !f.writebackFailed {
+		f.syncedBytes = len(f.data)
+	}
 }
 
 // dirChange is a creation, rename or removal in a directory.
@@ -69,7 +79,7 @@
 				f.data[i] = 0 // A crash may lose blocks in the middle of an unsynced write.
 			}
 		}
-		f.syncedBytes = kept
+		f.syncedBytes, f.writebackFailed = kept, false
 	}
 	m.files, m.unsyncedDirChanges, m.failAfterOperations = maps.Clone(m.durable), nil, -1
 }
@@ -158,10 +168,10 @@
 
 func (m *memFS) SyncFile(path string) error {
 	if err := m.injectFailure(); err != nil {
+		m.files[path].writebackFailed = true
 		return err
 	}
-	f := m.files[path]
-	f.syncedBytes = len(f.data)
+	m.files[path].sync()
 	return nil
 }
 
@@ -196,9 +206,10 @@
 
 func (h *memHandle) Sync() error {
 	if err := h.fs.injectFailure(); err != nil {
+		h.file.writebackFailed = true
 		return err
 	}
-	h.file.syncedBytes = len(h.file.data)
+	h.file.sync()
 	return nil
 }
 
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -77,7 +77,8 @@
 // TestCrashKeepsAcknowledgedWrites guards against losing an acknowledged write, or one that
 // Open has returned, in a crash at any point, against recovering only part of an
 // unacknowledged write, and against further writes to a log that has failed. In a crash the
-// process is killed or the machine loses power, in any order.
+// process is killed or the machine loses power, in any order. After a sync that failed, no
+// later one makes what was written before durable.
 func TestCrashKeepsAcknowledgedWrites(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
