--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -106,17 +106,23 @@
 	return leader
 }
 
-// waitVoters waits until the member reports the given number of voters and no learner.
+// waitVoters waits until the member reports the given number of voters, itself among them, and
+// no learner.
 func (m *controlCluster) waitVoters(i, voters int) {
 	eventually(m.t, func() error {
 		body, err := m.status(i)
 		if err != nil {
 			return err
 		}
+		isMember := false
 		for _, member := range body.Cluster.Members {
 			if member.Learner {
 				return fmt.Errorf("member %d is still a learner", member.ID)
 			}
+			isMember = isMember || member.ID == body.Cluster.ID
+		}
+		if !isMember {
+			return fmt.Errorf("member %d is not in the configuration that it reports", body.Cluster.ID)
 		}
 		if len(body.Cluster.Members) != voters {
 			return fmt.Errorf("the member reports %d voters", len(body.Cluster.Members))
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -20,7 +20,7 @@
 	nodeID := s.nodeSettings[s.random.IntN(len(s.nodeSettings))].ID
 	member := s.random.IntN(len(s.memberSettings))
 	duration := time.Duration(100+s.random.IntN(1500)) * time.Millisecond
-	kind := s.random.IntN(15)
+	kind := s.random.IntN(17)
 	s.t.Logf("fault kind %d: node %s, control member %d, duration %v", kind, nodeID, member+1, duration)
 	switch kind {
 	case 0:
@@ -52,6 +52,10 @@
 		s.upstreams[nodeID].stateRate(float64(s.random.IntN(12)))
 	case 13:
 		s.leaveBySignal(nodeID, duration)
+	case 14:
+		s.corruptLog(member)
+	case 15:
+		s.loseDisk(member)
 	default:
 		s.signal(nodeID, syscall.SIGHUP)
 	}
@@ -104,10 +108,8 @@
 // tearLog kills a member, appends a torn record to its newest log file and starts it again.
 func (s *soak) tearLog(member int) {
 	s.killMember(member)
-	files, err := filepath.Glob(filepath.Join(s.memberSettings[member].DataDir, "*.wal"))
-	assert.NilError(s.t, err)
-	if len(files) > 0 {
-		file, err := os.OpenFile(files[len(files)-1], os.O_APPEND|os.O_WRONLY, 0)
+	if path := s.newestSegment(member); path != "" {
+		file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
 		assert.NilError(s.t, err)
 		_, err = file.Write(tornRecord[:1+s.random.IntN(len(tornRecord)-1)])
 		assert.NilError(s.t, err)
@@ -116,6 +118,46 @@
 	s.startMember(member)
 }
 
+// corruptLog kills a member, changes a byte in its newest log file and starts it again. A
+// change in the last record is taken for a torn one, as it would be lost without a sync. Only
+// one member may lose its log at a time.
+func (s *soak) corruptLog(member int) {
+	s.killMember(member)
+	if path := s.newestSegment(member); path != "" {
+		data, err := os.ReadFile(path)
+		assert.NilError(s.t, err)
+		data[s.random.IntN(1+len(data)/2)] ^= 1
+		assert.NilError(s.t, os.WriteFile(path, data, 0o600))
+	}
+	s.startMember(member)
+	s.waitVoters(member, soakMemberCount)
+}
+
+// loseDisk kills a member, removes its data directory and starts it again. Only one member may
+// lose its disk at a time.
+func (s *soak) loseDisk(member int) {
+	s.killMember(member)
+	assert.NilError(s.t, os.RemoveAll(s.memberSettings[member].DataDir))
+	s.startMember(member)
+	s.waitVoters(member, soakMemberCount)
+}
+
+// newestSegment returns the newest log file of a member, or "" if it has none.
+func (s *soak) newestSegment(member int) string {
+	directory := s.memberSettings[member].DataDir
+	generations, err := filepath.Glob(filepath.Join(directory, "generation-*"))
+	assert.NilError(s.t, err)
+	if len(generations) > 0 {
+		directory = generations[len(generations)-1]
+	}
+	segments, err := filepath.Glob(filepath.Join(directory, "*.wal"))
+	assert.NilError(s.t, err)
+	if len(segments) == 0 {
+		return ""
+	}
+	return segments[len(segments)-1]
+}
+
 // leaveAndRestartUpstream announces the departure of an upstream, which keeps serving for
 // a while and is then restarted. A node that is down does not acknowledge the departure.
 func (s *soak) leaveAndRestartUpstream(id string, duration time.Duration) {
