--- a/internal/coordination/replica/benchmark_test.go
+++ b/internal/coordination/replica/benchmark_test.go
@@ -89,3 +89,54 @@
 	}
 	group.Wait()
 }
+
+// BenchmarkReplacement measures the time from the start of a member at a new address until it
+// has replaced a voter that was killed just before, with and without proposals every 300 ms.
+func BenchmarkReplacement(b *testing.B) {
+	for _, isBusy := range []bool{false, true} {
+		b.Run(fmt.Sprintf("proposals=%t", isBusy), func(b *testing.B) {
+			durations := hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+			for range b.N {
+				_ = durations.RecordValue(measureReplacement(b, isBusy).Milliseconds())
+			}
+			b.ReportMetric(float64(durations.ValueAtQuantile(50)), "p50-ms")
+			b.ReportMetric(float64(durations.Max()), "max-ms")
+		})
+	}
+}
+
+func measureReplacement(b *testing.B, isBusy bool) time.Duration {
+	c := newCluster(b, 5, 0, 0)
+	defer func() {
+		for i := range c.members {
+			c.kill(i)
+		}
+	}()
+	c.waitForVoters(5)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	if isBusy {
+		proposer := c.members[1]
+		group.Go(func() { proposeAtIntervals(ctx, proposer) })
+	}
+	c.kill(0)
+	start := time.Now()
+	c.addMember()
+	c.waitForVoters(5)
+	elapsed := time.Since(start)
+	cancel()
+	group.Wait()
+	return elapsed
+}
+
+func proposeAtIntervals(ctx context.Context, member *testMember) {
+	const interval = 300 * time.Millisecond
+	for ctx.Err() == nil {
+		// A proposal may fail while the cluster has no leader.
+		_, _, _ = member.Propose(ctx, make([]byte, benchmarkCommandBytes))
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
