Split the message streams, the suspension detector and the HTTP listener off the node package

Three parts that need nothing of a node are packages of their own now: node/msgstream (the streams of an attempt, over the mesh and in memory), node/suspension, and transport/httplisten, which is no part of a node at all.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/node/msgstream"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
@@ -84,7 +85,7 @@
 	node     *Node
 	call     *call
 	instance *wire.Instance
-	stream   messageStream
+	stream   msgstream.Stream
 	// reusableStream is the mesh stream of an attempt with a buffered body, which a later
 	// attempt may reuse; nil for others.
 	reusableStream *mesh.Stream
@@ -164,7 +165,7 @@
 func (a *attempt) open(ctx context.Context, openStream streamOpener) error {
 	n := a.node
 	if a.instance.GetNodeId() == n.settings.ID {
-		entryEnd, receiverEnd := newPipe()
+		entryEnd, receiverEnd := msgstream.NewPipe()
 		a.stream = entryEnd
 		n.localAttempts.Go(func() { n.serveLocal(receiverEnd, a.id) })
 		return nil
@@ -191,7 +192,7 @@
 type streamOpener func(ctx context.Context, address string, class mesh.Class) (*mesh.Stream, error)
 
 func (a *attempt) bindStream(raw net.Conn) {
-	stream := newMeshStream(raw)
+	stream := msgstream.NewMeshStream(raw)
 	stream.BindAttempt(a.id[:])
 	a.stream = stream
 }
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/node/msgstream"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -136,7 +137,7 @@
 
 // copyFrom forwards a response from the stream and returns its end. It returns an error
 // when the response is incomplete.
-func (r *responseWriter) copyFrom(stream messageStream) (*wire.ResponseEnd, error) {
+func (r *responseWriter) copyFrom(stream msgstream.Stream) (*wire.ResponseEnd, error) {
 	for {
 		if !stream.HasBuffered() && !r.isHeld() {
 			if err := r.flush(); err != nil {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/node/msgstream"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -34,7 +35,7 @@
 }
 
 // sendAndFlush sends a message and flushes the stream.
-func sendAndFlush(stream messageStream, message *wire.Envelope) error {
+func sendAndFlush(stream msgstream.Stream, message *wire.Envelope) error {
 	if err := stream.Send(message); err != nil {
 		return err
 	}
@@ -42,7 +43,7 @@
 }
 
 // sendBufferedBody sends a body that is in memory, without flushing the stream.
-func sendBufferedBody(stream messageStream, body []byte) error {
+func sendBufferedBody(stream msgstream.Stream, body []byte) error {
 	for unsent := body; len(unsent) > 0; {
 		size := min(len(unsent), frame.ChunkBytes)
 		if err := stream.Send(bodyChunk(unsent[:size])); err != nil {
@@ -55,7 +56,7 @@
 
 // sendStreamedBody sends a body while it is read. After an error of the reader it sends no
 // BodyEnd, so that the receiver treats the body as truncated.
-func sendStreamedBody(stream messageStream, body io.Reader) error {
+func sendStreamedBody(stream msgstream.Stream, body io.Reader) error {
 	buffer := make([]byte, frame.ChunkBytes)
 	var sent uint64
 	for {
@@ -78,7 +79,7 @@
 // bodyReader reads a request body from its messages. It returns io.EOF only after a
 // BodyEnd whose byte count is that of the body.
 type bodyReader struct {
-	stream    messageStream
+	stream    msgstream.Stream
 	unread    []byte
 	byteCount uint64
 	limit     uint64
--- a/internal/node/msgstream/msgstream.go
+++ b/internal/node/msgstream/msgstream.go
@@ -1,4 +1,6 @@
-package node
+// Package msgstream has the message streams that carry attempts: one over the mesh, and one in
+// memory for attempts within a node.
+package msgstream
 
 import (
 	"io"
@@ -18,9 +20,9 @@
 
 var errAborted = errors.New("attempt was aborted")
 
-// messageStream carries the messages of one attempt. One goroutine may send while
+// Stream carries the messages of one attempt. One goroutine may send while
 // another receives. Abort and Close may be called by any goroutine.
-type messageStream interface {
+type Stream interface {
 	// Send buffers a message. The message is not used after Send returns.
 	Send(message *wire.Envelope) error
 	// Flush makes sent messages visible to the peer.
@@ -39,42 +41,47 @@
 	ReleaseWriter()
 }
 
-// meshStream carries an attempt between two nodes.
-type meshStream struct {
+// MeshStream carries an attempt between two nodes.
+type MeshStream struct {
 	*frame.Conn
 	stream net.Conn
 }
 
-func newMeshStream(stream net.Conn) *meshStream {
-	return &meshStream{Conn: frame.NewConn(stream), stream: stream}
+// NewMeshStream returns a stream of messages over a stream of the mesh.
+func NewMeshStream(stream net.Conn) *MeshStream {
+	return &MeshStream{Conn: frame.NewConn(stream), stream: stream}
 }
 
-func (s *meshStream) Abort() { _ = s.stream.SetDeadline(time.Unix(1, 0)) }
+// Abort implements Stream.
+func (s *MeshStream) Abort() { _ = s.stream.SetDeadline(time.Unix(1, 0)) }
 
-func (s *meshStream) Close() { _ = s.stream.Close() }
+// Close implements Stream.
+func (s *MeshStream) Close() { _ = s.stream.Close() }
 
-// pipeEnd is one end of an in-memory stream for an attempt whose entry node is also the
+// PipeEnd is one end of an in-memory stream for an attempt whose entry node is also the
 // node beside the upstream.
-type pipeEnd struct {
+type PipeEnd struct {
 	in        <-chan *wire.Envelope
 	out       chan<- *wire.Envelope
-	peer      *pipeEnd
+	peer      *PipeEnd
 	closed    chan struct{}
 	aborted   chan struct{}
 	closeOnce sync.Once
 	abortOnce sync.Once
 }
 
-func newPipe() (entry, receiver *pipeEnd) {
+// NewPipe returns the two ends of an in-memory stream.
+func NewPipe() (entry, receiver *PipeEnd) {
 	toReceiver := make(chan *wire.Envelope, pipeCapacity)
 	toEntry := make(chan *wire.Envelope, pipeCapacity)
-	entry = &pipeEnd{in: toEntry, out: toReceiver, closed: make(chan struct{}), aborted: make(chan struct{})}
-	receiver = &pipeEnd{in: toReceiver, out: toEntry, closed: make(chan struct{}), aborted: make(chan struct{})}
+	entry = &PipeEnd{in: toEntry, out: toReceiver, closed: make(chan struct{}), aborted: make(chan struct{})}
+	receiver = &PipeEnd{in: toReceiver, out: toEntry, closed: make(chan struct{}), aborted: make(chan struct{})}
 	entry.peer, receiver.peer = receiver, entry
 	return entry, receiver
 }
 
-func (p *pipeEnd) Send(message *wire.Envelope) error {
+// Send implements Stream.
+func (p *PipeEnd) Send(message *wire.Envelope) error {
 	if chunk := message.GetBodyChunk(); chunk != nil {
 		// The sender reuses its buffer.
 		chunk.Data = append([]byte(nil), chunk.GetData()...)
@@ -96,9 +103,11 @@
 	}
 }
 
-func (p *pipeEnd) Flush() error { return nil }
+// Flush implements Stream.
+func (p *PipeEnd) Flush() error { return nil }
 
-func (p *pipeEnd) Receive() (*wire.Envelope, error) {
+// Receive implements Stream.
+func (p *PipeEnd) Receive() (*wire.Envelope, error) {
 	select {
 	case message := <-p.in:
 		return message, nil
@@ -114,12 +123,17 @@
 	}
 }
 
-func (p *pipeEnd) ReleaseReader() {}
+// ReleaseReader implements Stream.
+func (p *PipeEnd) ReleaseReader() {}
 
-func (p *pipeEnd) ReleaseWriter() {}
+// ReleaseWriter implements Stream.
+func (p *PipeEnd) ReleaseWriter() {}
 
-func (p *pipeEnd) HasBuffered() bool { return len(p.in) > 0 }
+// HasBuffered implements Stream.
+func (p *PipeEnd) HasBuffered() bool { return len(p.in) > 0 }
 
-func (p *pipeEnd) Abort() { p.abortOnce.Do(func() { close(p.aborted) }) }
+// Abort implements Stream.
+func (p *PipeEnd) Abort() { p.abortOnce.Do(func() { close(p.aborted) }) }
 
-func (p *pipeEnd) Close() { p.closeOnce.Do(func() { close(p.closed) }) }
+// Close implements Stream.
+func (p *PipeEnd) Close() { p.closeOnce.Do(func() { close(p.closed) }) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,11 +20,13 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
+	"github.com/chicorylever/chicorylever/internal/node/suspension"
 	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/transport/callerhttp"
 	"github.com/chicorylever/chicorylever/internal/transport/datagram"
+	"github.com/chicorylever/chicorylever/internal/transport/httplisten"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -82,7 +84,7 @@
 	balancer        *balancer
 	metrics         *nodeMetrics
 	settler         *claimSettler
-	suspension      suspensionDetector
+	suspension      suspension.Detector
 	splitter        trafficSplitter
 	stopping        atomic.Bool
 	// announcedSequence is the sequence number of the first heartbeat that reports the
@@ -203,15 +205,15 @@
 // Run serves requests until ctx ends, then finishes accepted requests and stops.
 func (n *Node) Run(ctx context.Context) error {
 	entry := callerhttp.NewServer(http.HandlerFunc(n.handleCall), n.callerLimits, n.logPanic)
-	local := httpServer(n.localRoutes())
-	admin := httpServer(n.adminRoutes())
+	local := httplisten.NewServer(n.localRoutes())
+	admin := httplisten.NewServer(n.adminRoutes())
 	group, groupCtx := errgroup.WithContext(ctx)
 	// The services that accepted requests need keep running until these have finished.
 	backgroundCtx, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	group.Go(func() error { return ignoreClosed(entry.Serve(limitConnections(n.entryListener, maxEntryConnections))) })
-	group.Go(func() error { return ignoreClosed(local.Serve(limitConnections(n.localListener, maxLocalConnections))) })
-	group.Go(func() error { return ignoreClosed(admin.Serve(limitConnections(n.adminListener, maxAdminConnections))) })
+	group.Go(func() error { return ignoreClosed(entry.Serve(httplisten.Limit(n.entryListener, maxEntryConnections))) })
+	group.Go(func() error { return ignoreClosed(local.Serve(httplisten.Limit(n.localListener, maxLocalConnections))) })
+	group.Go(func() error { return ignoreClosed(admin.Serve(httplisten.Limit(n.adminListener, maxAdminConnections))) })
 	group.Go(func() error { return n.server.Serve(backgroundCtx, n.meshListener) })
 	controlCtx, stopControl := context.WithCancel(backgroundCtx)
 	defer stopControl()
@@ -225,7 +227,7 @@
 		group.Go(func() error { n.quotes.Serve(n.answerQuote); return nil })
 	}
 	group.Go(func() error { n.watchState(backgroundCtx); return nil })
-	group.Go(func() error { n.suspension.run(backgroundCtx); return nil })
+	group.Go(func() error { n.suspension.Run(backgroundCtx); return nil })
 	group.Go(func() error { n.discoverUpstream(controlCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
--- a/internal/node/receive.go
+++ b/internal/node/receive.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
+	"github.com/chicorylever/chicorylever/internal/node/msgstream"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
@@ -28,7 +29,7 @@
 
 // serveStream serves one stream of another node, which is a *mesh.Accepted.
 func (n *Node) serveStream(ctx context.Context, raw net.Conn) {
-	stream := newMeshStream(raw)
+	stream := msgstream.NewMeshStream(raw)
 	_ = raw.SetReadDeadline(time.Now().Add(firstMessageTimeout))
 	first, err := stream.Receive()
 	if err != nil {
@@ -45,7 +46,7 @@
 }
 
 // serveLocal serves an attempt for which this node is also the entry node.
-func (n *Node) serveLocal(stream *pipeEnd, id uuid.UUID) {
+func (n *Node) serveLocal(stream *msgstream.PipeEnd, id uuid.UUID) {
 	first, err := stream.Receive()
 	if err != nil || first.GetRequestHead() == nil {
 		stream.Close()
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -15,6 +15,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
+	"github.com/chicorylever/chicorylever/internal/node/msgstream"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
@@ -41,7 +42,7 @@
 // receivedAttempt is an attempt that has arrived at the node beside the upstream.
 type receivedAttempt struct {
 	node     *Node
-	stream   messageStream
+	stream   msgstream.Stream
 	head     *wire.RequestHead
 	id       []byte
 	deadline time.Time
@@ -72,7 +73,7 @@
 
 // newReceivedAttempt returns an attempt of this or another entry node whose request head
 // has arrived.
-func (n *Node) newReceivedAttempt(stream messageStream, id []byte, head *wire.RequestHead) *receivedAttempt {
+func (n *Node) newReceivedAttempt(stream msgstream.Stream, id []byte, head *wire.RequestHead) *receivedAttempt {
 	n.directory.ObserveRevision(head.GetSenderAddress(), head.GetRevision())
 	now := time.Now()
 	n.lastAttempt.Store(now.UnixNano())
@@ -82,7 +83,7 @@
 		stream:   stream,
 		head:     head,
 		id:       id,
-		deadline: now.Add(remaining - n.suspension.maxMessageDelay(now)),
+		deadline: now.Add(remaining - n.suspension.MaxMessageDelay(now)),
 		streamed: head.GetBodyLength() < 0 || head.GetBodyLength() > maxBufferedBodyBytes,
 	}
 	if us := min(head.GetObjectiveUs(), uint64(maxTimeout/time.Microsecond)); us > 0 {
@@ -108,7 +109,7 @@
 		if err := r.receiveBody(); err != nil {
 			return
 		}
-		if stream, ok := r.stream.(*meshStream); ok {
+		if stream, ok := r.stream.(*msgstream.MeshStream); ok {
 			r.watch = watchAttempt(stream, cancel)
 		} else {
 			go cancelOnClose(r.stream, cancel)
@@ -134,7 +135,7 @@
 
 // cancelOnClose cancels the attempt when the entry node closes the stream. It is the last
 // user of the stream's reader and releases it.
-func cancelOnClose(stream messageStream, cancel context.CancelFunc) {
+func cancelOnClose(stream msgstream.Stream, cancel context.CancelFunc) {
 	_, _ = stream.Receive()
 	cancel()
 	stream.ReleaseReader()
--- a/internal/node/reuse.go
+++ b/internal/node/reuse.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/node/msgstream"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
@@ -16,7 +17,7 @@
 // the end of the attempt cancels it; a message after its end is the head of the next
 // attempt.
 type attemptWatch struct {
-	stream      *meshStream
+	stream      *msgstream.MeshStream
 	cancel      context.CancelFunc
 	nextMessage chan readResult // receives exactly one value
 
@@ -33,7 +34,7 @@
 }
 
 // watchAttempt starts to read from a stream whose attempt has been received completely.
-func watchAttempt(stream *meshStream, cancel context.CancelFunc) *attemptWatch {
+func watchAttempt(stream *msgstream.MeshStream, cancel context.CancelFunc) *attemptWatch {
 	w := &attemptWatch{stream: stream, cancel: cancel, nextMessage: make(chan readResult, 1)}
 	go w.run()
 	return w
@@ -77,7 +78,7 @@
 // serveAttempts serves the attempts of a stream one after the other. Before it closes a
 // stream that the entry node may reuse, it tells the entry node that no further attempt is
 // accepted on it, because the entry node may already have written the next head.
-func (n *Node) serveAttempts(ctx context.Context, raw *mesh.Accepted, stream *meshStream, first *wire.Envelope) {
+func (n *Node) serveAttempts(ctx context.Context, raw *mesh.Accepted, stream *msgstream.MeshStream, first *wire.Envelope) {
 	defer stream.Close()
 	defer stream.ReleaseWriter()
 	for {
@@ -129,7 +130,7 @@
 
 // rejectFurtherAttempts tells the entry node that no further attempt is run from the
 // stream. The message has no attempt ID, since the ID of the next attempt is not known.
-func rejectFurtherAttempts(stream *meshStream) {
+func rejectFurtherAttempts(stream *msgstream.MeshStream) {
 	stream.BindAttempt(nil)
 	_ = sendAndFlush(stream, refused(&wire.Refused{NotRun: true}))
 }
--- a/internal/node/suspension/suspension.go
+++ b/internal/node/suspension/suspension.go
@@ -1,4 +1,5 @@
-package node
+// Package suspension detects that the process was stopped and continued.
+package suspension
 
 import (
 	"context"
@@ -7,27 +8,28 @@
 )
 
 const (
-	suspensionTickInterval = 100 * time.Millisecond
-	// suspensionThreshold is the interval between two ticks above which the process counts
+	tickInterval = 100 * time.Millisecond
+	// threshold is the interval between two ticks above which the process counts
 	// as suspended in between.
-	suspensionThreshold = 300 * time.Millisecond
+	threshold = 300 * time.Millisecond
 	// resumeWindow is the time after a suspension during which messages that are read may
 	// have waited in the kernel since before the suspension.
 	resumeWindow = 500 * time.Millisecond
 )
 
-// suspensionDetector detects that the process was stopped and continued. The remaining time
+// Detector detects that the process was stopped and continued. The remaining time
 // in a request head counts from when the entry node wrote it, so that the receiver
 // overestimates it for a head that waited in the kernel while the process was suspended.
-type suspensionDetector struct {
+type Detector struct {
 	mu           sync.Mutex
 	lastTick     time.Time
 	resumedAt    time.Time
 	suspendedFor time.Duration
 }
 
-func (d *suspensionDetector) run(ctx context.Context) {
-	ticker := time.NewTicker(suspensionTickInterval)
+// Run checks for suspensions until ctx ends.
+func (d *Detector) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	d.tick(time.Now())
 	for {
@@ -40,28 +42,28 @@
 	}
 }
 
-func (d *suspensionDetector) tick(now time.Time) {
+func (d *Detector) tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observeLocked(now)
 }
 
-func (d *suspensionDetector) observeLocked(now time.Time) {
-	if gap := now.Sub(d.lastTick); !d.lastTick.IsZero() && gap > suspensionThreshold {
+func (d *Detector) observeLocked(now time.Time) {
+	if gap := now.Sub(d.lastTick); !d.lastTick.IsZero() && gap > threshold {
 		d.resumedAt, d.suspendedFor = now, gap
 	}
 	d.lastTick = now
 }
 
-// maxMessageDelay returns how long a message that is read now may have waited in the kernel
+// MaxMessageDelay returns how long a message that is read now may have waited in the kernel
 // during a suspension.
-func (d *suspensionDetector) maxMessageDelay(now time.Time) time.Duration {
+func (d *Detector) MaxMessageDelay(now time.Time) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lastTick.IsZero() {
 		return 0
 	}
-	if gap := now.Sub(d.lastTick); gap > suspensionThreshold {
+	if gap := now.Sub(d.lastTick); gap > threshold {
 		d.observeLocked(now)
 	}
 	if !d.resumedAt.IsZero() && now.Sub(d.resumedAt) < resumeWindow {
--- a/internal/transport/httplisten/httplisten.go
+++ b/internal/transport/httplisten/httplisten.go
@@ -1,4 +1,6 @@
-package node
+// Package httplisten has the HTTP server and the listener of the interfaces of a process that
+// are not for callers' requests: timeouts, a quick shutdown and a limit of the connections.
+package httplisten
 
 import (
 	"net"
@@ -14,8 +16,8 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// httpServer returns a server whose Shutdown closes unused connections at once.
-func httpServer(handler http.Handler) *http.Server {
+// NewServer returns a server whose Shutdown closes unused connections at once.
+func NewServer(handler http.Handler) *http.Server {
 	unused := &unusedConns{conns: map[net.Conn]struct{}{}}
 	server := &http.Server{
 		Handler:           handler,
@@ -53,21 +55,22 @@
 	}
 }
 
-// limitedListener limits the number of open connections that it has accepted. Further
+// LimitedListener limits the number of open connections that it has accepted. Further
 // connections wait in the listen backlog of the kernel.
-type limitedListener struct {
+type LimitedListener struct {
 	net.Listener
 	semaphore chan struct{}
 	closed    chan struct{}
 	once      sync.Once
 }
 
-func limitConnections(listener net.Listener, limit int) *limitedListener {
-	return &limitedListener{Listener: listener, semaphore: make(chan struct{}, limit), closed: make(chan struct{})}
+// Limit returns a listener that has at most limit open connections.
+func Limit(listener net.Listener, limit int) *LimitedListener {
+	return &LimitedListener{Listener: listener, semaphore: make(chan struct{}, limit), closed: make(chan struct{})}
 }
 
 // Accept waits until a connection is allowed by the limit, and then for the connection.
-func (l *limitedListener) Accept() (net.Conn, error) {
+func (l *LimitedListener) Accept() (net.Conn, error) {
 	select {
 	case l.semaphore <- struct{}{}:
 	case <-l.closed:
@@ -82,14 +85,14 @@
 }
 
 // Close stops accepting.
-func (l *limitedListener) Close() error {
+func (l *LimitedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
 
 type limitedConn struct {
 	net.Conn
-	listener *limitedListener
+	listener *LimitedListener
 	once     sync.Once
 }
 
