Count every attempt of a request in its log lines

A request that an upstream had run was logged with sent=0, of which docs/OPERATIONS.md says that no upstream heard of it: attempts were counted only on routes and only where a retry was considered, so not when the caller had gone or its connection had been reset.

Attempts are counted as soon as they have ended; the retry decision uses the same counts as before. node.TestFailureIsExplained failed before ("0 != 1" for sent and for refusals).

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -64,6 +64,9 @@
 	return r.outcome == outcomeUnknown && r.reason == wire.RefusalReason_REFUSAL_UNSPECIFIED
 }
 
+// isRefusedByNode reports whether the upstream got nothing of the request.
+func (r *attemptResult) isRefusedByNode() bool { return r.outcome == outcomeNotRun && !r.declined }
+
 // discard ends an attempt whose response is not forwarded.
 func (r *attemptResult) discard() {
 	if r.outcome == outcomeAnswered {
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -87,7 +87,7 @@
 	// priority is that of the route, or of the parent request when that is lower. 0 is
 	// the highest priority.
 	priority int
-	// sentAttempts counts the attempts that reached an upstream, refusedAttempts those
+	// sentAttempts counts the attempts that may have reached an upstream, refusedAttempts those
 	// that a node refused.
 	sentAttempts, refusedAttempts int
 	// hedged is set once the first attempt has been hedged.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -118,6 +118,7 @@
 			n.metrics.retries.Inc()
 		}
 		result := n.makeAttempt(ctx, c, instance, attemptNumber, hedgeDelay)
+		c.countAttempt(&result)
 		if result.outcome == outcomeAnswered && !isRetryableStatus(c, result) {
 			fallback.discard()
 			if n.forwardToCaller(w, c, &result) {
@@ -203,14 +204,23 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	verdict := n.balancer.decideRetry(c.service, c.limits, c.recordFailure(result, attemptNumber))
+	verdict := n.balancer.decideRetry(c.service, c.limits, c.describeFailure(&result, attemptNumber))
 	c.suppressCallerRetries = verdict != retry.VerdictRetry && verdict.StopsCallerRetries(attemptNumber)
 	return verdict == retry.VerdictRetry
 }
 
-// recordFailure counts a failed attempt and describes it for the retry decision. On a
-// route only the attempts that reached an upstream count as attempts.
-func (c *call) recordFailure(result attemptResult, attemptNumber int) retry.Failure {
+// countAttempt counts an attempt that was sent to an upstream, or refused by its node.
+func (c *call) countAttempt(result *attemptResult) {
+	if result.isRefusedByNode() {
+		c.refusedAttempts++
+	} else {
+		c.sentAttempts++
+	}
+}
+
+// describeFailure describes a failed attempt, which has been counted, for the retry decision.
+// On a route only the attempts that reached an upstream count as attempts.
+func (c *call) describeFailure(result *attemptResult, attemptNumber int) retry.Failure {
 	failure := retry.Failure{
 		NotRun:     result.outcome == outcomeNotRun,
 		Repeatable: c.isRepeatable(),
@@ -221,12 +231,7 @@
 	if c.route == nil {
 		return failure
 	}
-	if failure.NotRun && !result.declined {
-		failure.Refused = true
-		c.refusedAttempts++
-	} else {
-		c.sentAttempts++
-	}
+	failure.Refused = result.isRefusedByNode()
 	failure.Attempts, failure.MaxAttempts, failure.Refusals = c.sentAttempts, c.route.MaxAttempts, c.refusedAttempts
 	if c.hedged.Load() {
 		failure.Attempts++
--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -66,19 +66,23 @@
 		status                    int
 		outcome, result, reason   string
 		refused                   bool
+		sent, refusals            float64
 	}{
 		{
 			name: "timed out", id: "00000000-0000-4000-8000-000000000001", path: "/slow", timeoutMs: "150",
 			status: http.StatusGatewayTimeout, outcome: httpapi.OutcomeUnknown, result: "unknown",
+			sent: 1,
 		},
 		{
 			name: "broken off", id: "00000000-0000-4000-8000-000000000002", path: "/cut", timeoutMs: "5000",
 			status: http.StatusBadGateway, outcome: httpapi.OutcomeUnknown, result: "unknown", reason: "connect", refused: true,
+			sent: 1,
 		},
 		{
 			name: "refused at once", id: "00000000-0000-4000-8000-000000000003", path: "/p", timeoutMs: "5000",
 			prepare: func() { upstreamNode.Node.upstream.leave("1") },
 			status:  http.StatusServiceUnavailable, outcome: httpapi.OutcomeNotRun, result: "not_run", reason: "leaving", refused: true,
+			refusals: 1,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -104,7 +108,10 @@
 			assert.Equal(t, failed["outcome"], c.outcome)
 			assert.Equal(t, failed["instance"], "i-beside")
 			assert.Equal(t, failed["node"], "entry")
-			assert.Equal(t, found["request ended"]["result"], c.result)
+			ended := found["request ended"]
+			assert.Equal(t, ended["result"], c.result)
+			assert.Equal(t, ended["sent"], c.sent)
+			assert.Equal(t, ended["refusals"], c.refusals)
 			if c.refused {
 				refused := found["attempt refused"]
 				assert.Assert(t, refused != nil, "%v", found)
