Send claims of keys to the current control members

A node sent the claims of keyed requests to the control members with which it was started. The subscription already followed the members, from settings and from control.

Claims now use the list of the subscription. node.TestClaimsFollowMembers failed before ("503 != 200").

--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -91,9 +91,9 @@
 type Client struct {
 	nodeID string
 	// configured holds the member addresses from the settings, learned those from the last
-	// heartbeat acknowledgement that listed any. Only the goroutine of Run uses learned.
+	// heartbeat acknowledgement that listed any.
 	configured atomic.Pointer[[]string]
-	learned    []string
+	learned    atomic.Pointer[[]string]
 	// isolatedUntil maps the address of a member to the time until which it is avoided.
 	isolatedUntil map[string]time.Time
 	dial          Dialer
@@ -104,6 +104,7 @@
 // NewClient returns a client that is not yet running.
 func NewClient(nodeID string, members []string, dial Dialer, sink Sink, logger log.Logger) *Client {
 	c := &Client{isolatedUntil: map[string]time.Time{}, nodeID: nodeID, dial: dial, sink: sink, logger: logger}
+	c.learned.Store(&[]string{})
 	c.SetMembers(members)
 	return c
 }
@@ -116,10 +117,10 @@
 // starts with a random member and waits a random time between attempts, so that the
 // nodes of a failed member do not all reconnect to another one at once.
 func (c *Client) Run(ctx context.Context) {
-	next := rand.IntN(len(c.members()))
+	next := rand.IntN(len(c.Members()))
 	backoff := minReconnectBackoff
 	for ctx.Err() == nil {
-		members := c.members()
+		members := c.Members()
 		address, receivedState, err := c.session(ctx, c.candidates(members, next))
 		switch {
 		case ctx.Err() != nil:
@@ -143,10 +144,11 @@
 	}
 }
 
-// members returns the learned addresses, then the configured ones. The configured
-// addresses are kept because all learned members may have been replaced since.
-func (c *Client) members() []string {
-	members := slices.Clone(c.learned)
+// Members returns the learned addresses, then the configured ones. The configured
+// addresses are kept because all learned members may have been replaced since. Any goroutine
+// may call it.
+func (c *Client) Members() []string {
+	members := slices.Clone(*c.learned.Load())
 	for _, address := range *c.configured.Load() {
 		if !slices.Contains(members, address) {
 			members = append(members, address)
--- a/internal/coordination/distribute/connect_test.go
+++ b/internal/coordination/distribute/connect_test.go
@@ -33,7 +33,7 @@
 		}
 		c := NewClient("n", []string{"unresponsive", "slow", "down", "healthy"}, dial, nil, log.NewNopLogger())
 		startedAt := time.Now()
-		address, _, err := c.connect(t.Context(), c.candidates(c.members(), 0))
+		address, _, err := c.connect(t.Context(), c.candidates(c.Members(), 0))
 		assert.NilError(t, err)
 		assert.Equal(t, address, "healthy")
 		assert.Equal(t, time.Since(startedAt), 2*connectAttemptDelay)
@@ -49,9 +49,9 @@
 // against dialling none when all are isolated.
 func TestCandidates(t *testing.T) {
 	c := NewClient("n", []string{"a", "b", "c"}, nil, nil, log.NewNopLogger())
-	assert.DeepEqual(t, c.candidates(c.members(), 4), []string{"b", "c", "a"})
+	assert.DeepEqual(t, c.candidates(c.Members(), 4), []string{"b", "c", "a"})
 	c.isolatedUntil["b"] = time.Now().Add(time.Hour)
-	assert.DeepEqual(t, c.candidates(c.members(), 1), []string{"c", "a"})
+	assert.DeepEqual(t, c.candidates(c.Members(), 1), []string{"c", "a"})
 	c.isolatedUntil["a"], c.isolatedUntil["c"] = c.isolatedUntil["b"], c.isolatedUntil["b"]
-	assert.DeepEqual(t, c.candidates(c.members(), 0), []string{"a", "b", "c"})
+	assert.DeepEqual(t, c.candidates(c.Members(), 0), []string{"a", "b", "c"})
 }
--- a/internal/coordination/distribute/session.go
+++ b/internal/coordination/distribute/session.go
@@ -184,7 +184,7 @@
 		}
 	case message.GetHeartbeatAck() != nil:
 		if members := message.GetHeartbeatAck().GetMembers(); len(members) > 0 {
-			s.client.learned = members
+			s.client.learned.Store(&members)
 		}
 		s.client.sink.SetNodeCount(int(message.GetHeartbeatAck().GetNodes()))
 		s.client.sink.HeartbeatAcknowledged(message.GetHeartbeatAck().GetSequence())
@@ -251,7 +251,7 @@
 func (s *session) handleIsolation() error {
 	c, now := s.client, time.Now()
 	isAlternative := func(address string) bool { return address != s.address && !now.Before(c.isolatedUntil[address]) }
-	if now.Before(c.isolatedUntil[s.address]) || !slices.ContainsFunc(c.members(), isAlternative) {
+	if now.Before(c.isolatedUntil[s.address]) || !slices.ContainsFunc(c.Members(), isAlternative) {
 		return nil
 	}
 	c.isolatedUntil[s.address] = now.Add(isolatedMemberCooldown)
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -39,12 +39,13 @@
 // meshClaimer sends requests to the control members in turn, beginning with the last one
 // that gave a definite result.
 type meshClaimer struct {
-	client     *mesh.Client
-	members    []string
+	client *mesh.Client
+	// members returns the current addresses of the control members, at least one.
+	members    func() []string
 	lastMember atomic.Uint32
 }
 
-func newMeshClaimer(client *mesh.Client, members []string) *meshClaimer {
+func newMeshClaimer(client *mesh.Client, members func() []string) *meshClaimer {
 	return &meshClaimer{client: client, members: members}
 }
 
@@ -79,14 +80,14 @@
 // callMembers sends the request to the members in turn until a response is definite.
 func (m *meshClaimer) callMembers(ctx context.Context, request func() *wire.Envelope, isDefinite func(*wire.Envelope) bool) error {
 	for requests := 1; ; requests++ {
-		index := m.lastMember.Load()
-		response, err := m.callMember(ctx, m.members[int(index)%len(m.members)], request())
+		index, members := m.lastMember.Load(), m.members()
+		response, err := m.callMember(ctx, members[int(index)%len(members)], request())
 		if err == nil && isDefinite(response) {
 			return nil
 		}
 		m.lastMember.CompareAndSwap(index, index+1)
 		backoff := time.Duration(0)
-		if requests%len(m.members) == 0 {
+		if requests%len(members) == 0 {
 			backoff = claimBackoff
 		}
 		if !sleep(ctx, backoff) {
--- a/internal/node/keyed_test.go
+++ b/internal/node/keyed_test.go
@@ -87,6 +87,20 @@
 	assert.Assert(t, !slices.Equal(control.claims[0].GetFingerprint(), control.claims[1].GetFingerprint()))
 }
 
+// TestClaimsFollowMembers guards against claims that still go to the control members with which
+// the node was started after these have been replaced.
+func TestClaimsFollowMembers(t *testing.T) {
+	control, entry, upstreamNode := startPair(t, func(http.ResponseWriter, *http.Request) {})
+	control.update(func() { control.onClaim = func(*wire.Claim) *wire.ClaimResult { return nil } })
+	successor := newFakeControl(t)
+	successor.setClaimResult(wire.ClaimState_CLAIM_GRANTED, nil)
+	reloaded := *upstreamNode.settings
+	reloaded.Control = []string{successor.address}
+	upstreamNode.Reload(&reloaded)
+	a := send(t, "POST", entry.url("/p"), nil, httpapi.HeaderIdempotencyKey, "key", httpapi.HeaderTimeout, "3000")
+	assert.Equal(t, a.StatusCode, http.StatusOK, a.outcome())
+}
+
 // TestClaimSettled guards against claims that stay granted without a running request: when
 // the request was not dispatched, when its outcome is unknown, and when control granted the
 // claim but its reply was lost.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 		n.metrics.ejections.Inc()
 		_ = level.Warn(n.logger).Log("msg", "instance ejected", "instance", instance)
 	})
-	n.settler = newClaimSettler(newMeshClaimer(n.client, s.Control))
+	n.settler = newClaimSettler(newMeshClaimer(n.client, n.subscription.Members))
 	n.server = mesh.NewServer(config, n.serveStream)
 	n.registerGauges()
 	if err := n.listen(); err != nil {
