End the check of a silent peer once it sends again

After a stall the check whether the peer responds on a new connection went on.

The check now asks whether anything has arrived since the silence began, and ends then; a further silence starts another one.

--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -172,28 +172,32 @@
 
 // TestStalledPeerAnswersUnrepeatableRequest guards against giving up a request that may not be
 // repeated, and whose response still comes, because the node beside the upstream was stalled
-// for longer than the silence timeout.
+// for longer than the silence timeout. The response comes at once, or long after the stall.
 func TestStalledPeerAnswersUnrepeatableRequest(t *testing.T) {
 	control := newFakeControl(t)
 	entry := control.startNode(t, "entry", "a", "")
 	proxy := newStallProxy(t)
 	upstreamNode := control.startNode(t, "beside", "a", proxy.listener.Addr().String())
 	go proxy.serve(upstreamNode.meshListener.Addr().String())
+	stall := 3 * mesh.DefaultConfig().SilenceTimeout / 2
+	workTimes := map[string]time.Duration{"/short": stall / 10, "/long": 3 * stall}
 	arrived := make(chan struct{}, 1)
 	upstreamNode.serve(t, func(_ http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/stall" {
+		if work, ok := workTimes[r.URL.Path]; ok {
 			arrived <- struct{}{}
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(work)
 		}
 	})
 	entry.waitForInstances(t, 1)
 	assert.Equal(t, send(t, "POST", entry.url("/p"), nil).StatusCode, http.StatusOK)
-	go func() {
-		<-arrived
-		proxy.stallFor(3 * mesh.DefaultConfig().SilenceTimeout / 2)
-	}()
-	assert.Equal(t, send(t, "POST", entry.url("/stall"), nil).StatusCode, http.StatusOK)
-	assert.Equal(t, upstreamNode.requests.Load(), int32(2))
+	for path := range workTimes {
+		go func() {
+			<-arrived
+			proxy.stallFor(stall)
+		}()
+		assert.Equal(t, send(t, "POST", entry.url(path), nil).StatusCode, http.StatusOK, path)
+	}
+	assert.Equal(t, upstreamNode.requests.Load(), int32(3))
 }
 
 // TestPeerProtocolViolations guards against forwarding messages of another attempt, or a
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -179,25 +179,24 @@
 
 func (h *silentPeer) onSilent() { h.peer.client.closedSilent.Add(1) }
 
-// checkPeer dials the peer until the session has ended. A peer that completes the handshake
-// of a new connection, and sends nothing on the old one, is not stalled: the old connection
-// has failed.
-func (h *silentPeer) checkPeer() {
+// checkPeer dials the peer until the session has ended or has received something. A peer that
+// completes the handshake of a new connection, and sends nothing on the old one, is not
+// stalled: the old connection has failed.
+func (h *silentPeer) checkPeer(silentSince time.Time) {
 	config := h.peer.client.config
-	for !h.session.IsClosed() {
+	for !h.session.activity.hasReadAfter(silentSince) {
 		ctx, cancel := context.WithTimeout(context.Background(), config.DialTimeout)
 		_, err := h.peer.connect(ctx)
 		cancel()
 		if errors.Is(err, ErrClosed) {
 			return
 		}
-		dialledAt := time.Now()
 		select {
 		case <-h.session.CloseChan():
 			return
 		case <-time.After(config.PingAfter):
 		}
-		if err == nil && !h.session.activity.hasReadSince(dialledAt) {
+		if err == nil && !h.session.activity.hasReadAfter(silentSince) {
 			h.session.close()
 			return
 		}
--- a/internal/transport/mesh/session.go
+++ b/internal/transport/mesh/session.go
@@ -41,8 +41,6 @@
 	// the server's lock.
 	draining bool
 	idlePool idleStreamPool
-	// silent is set once the peer has been silent for the silence timeout.
-	silent atomic.Bool
 
 	streamsMu sync.Mutex
 	// streams holds the open streams of a dialled session.
--- a/internal/transport/mesh/watchdog.go
+++ b/internal/transport/mesh/watchdog.go
@@ -35,15 +35,17 @@
 	return time.Duration(now.UnixNano() - c.lastRead.Load())
 }
 
-func (c *activityConn) hasReadSince(t time.Time) bool { return c.lastRead.Load() >= t.UnixNano() }
+func (c *activityConn) hasReadAfter(t time.Time) bool { return c.lastRead.Load() > t.UnixNano() }
 
 // silenceHandler is told of a dialled session that has become silent.
 type silenceHandler interface {
-	// onSilent is called once, before the first stream fails. It must not block.
+	// onSilent is called at the beginning of a silence, before the first stream fails. It must
+	// not block.
 	onSilent()
 	// checkPeer is called in a goroutine of its own when only streams that tolerate silence
-	// are left. It closes the session if the peer is reachable in another way.
-	checkPeer()
+	// are left. It closes the session if the peer is reachable in another way while nothing
+	// has arrived after silentSince.
+	checkPeer(silentSince time.Time)
 }
 
 // watch fails the streams of a session that has active streams when no byte has arrived for
@@ -109,6 +111,7 @@
 	ticker := time.NewTicker(limits.pingAfter / checksPerPingInterval)
 	defer ticker.Stop()
 	var pinging atomic.Bool
+	wasSilent := false
 	lastCheck := time.Now()
 	s.activity.markRead(lastCheck)
 	for s.activeStreams() > 0 {
@@ -123,9 +126,11 @@
 		}
 		lastCheck = now
 		silence := s.activity.sinceLastRead(now)
-		if silence > limits.silent && s.handleSilence(handler) || silence > limits.dead {
+		isSilent := silence > limits.silent
+		if isSilent && s.handleSilence(handler, !wasSilent, now.Add(-silence)) || silence > limits.dead {
 			return true
 		}
+		wasSilent = isSilent
 		if silence > limits.silent*2/3 {
 			s.retire()
 		}
@@ -140,17 +145,16 @@
 }
 
 // handleSilence fails the streams of a silent session. It returns true when none is left
-// that tolerates the silence.
-func (s *session) handleSilence(handler silenceHandler) bool {
-	isFirst := s.silent.CompareAndSwap(false, true)
-	if isFirst && handler != nil {
+// that tolerates the silence. begins is set on the first call of each silence.
+func (s *session) handleSilence(handler silenceHandler, begins bool, silentSince time.Time) bool {
+	if begins && handler != nil {
 		handler.onSilent()
 	}
 	if !s.failStreams() {
 		return true
 	}
-	if isFirst && handler != nil {
-		go handler.checkPeer()
+	if begins && handler != nil {
+		go handler.checkPeer(silentSince)
 	}
 	return false
 }
