--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -201,60 +200,6 @@
 	return limits
 }
 
-// bufferBody reads the body into memory when it has at most maxBufferedBodyBytes, and
-// otherwise prepares to stream it.
-func (c *call) bufferBody(w http.ResponseWriter) error {
-	if c.request.Body == nil || c.request.Body == http.NoBody || c.bodyLength == 0 {
-		c.bodyLength = 0
-		return nil
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(c.deadline)
-	body := http.MaxBytesReader(w, c.request.Body, c.limits.MaxBodyBytes)
-	if c.bodyLength > maxBufferedBodyBytes {
-		c.startStreaming(controller, body)
-		return nil
-	}
-	if c.bodyLength > 0 {
-		c.body = make([]byte, c.bodyLength)
-		_, err := io.ReadFull(body, c.body)
-		return finishBufferedRead(controller, err)
-	}
-	var buffered bytes.Buffer
-	_, err := io.CopyN(&buffered, body, maxBufferedBodyBytes+1)
-	c.body = buffered.Bytes()
-	if errors.Is(err, io.EOF) {
-		c.bodyLength = int64(len(c.body))
-		return finishBufferedRead(controller, nil)
-	}
-	c.startStreaming(controller, body)
-	return err
-}
-
-// finishBufferedRead removes the read deadline after a buffered body was read. Otherwise
-// the deadline would end the read by which the HTTP server detects that the caller has
-// closed its connection. After a failed read the deadline stays; the HTTP server removes
-// it before it reuses the connection.
-func finishBufferedRead(controller *http.ResponseController, err error) error {
-	if err == nil {
-		_ = controller.SetReadDeadline(time.Time{})
-	}
-	return err
-}
-
-// startStreaming lets the body be read while the response is written. HTTP/1.1 servers
-// otherwise read the rest of a body before they write.
-func (c *call) startStreaming(controller *http.ResponseController, bodyRest io.Reader) {
-	_ = controller.EnableFullDuplex()
-	c.streamed, c.bodyRest = true, bodyRest
-	c.abortBodyRead = func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }
-}
-
-// streamedBodyReader returns a reader of the whole body.
-func (c *call) streamedBodyReader() io.Reader {
-	return io.MultiReader(bytes.NewReader(c.body), c.bodyRest)
-}
-
 // isRepeatable reports whether the request may be executed more than once. A request with
 // an idempotency key may not: its second attempt would find the key already claimed.
 func (c *call) isRepeatable() bool { return c.rule.Repeatable && c.idempotencyKey == "" }
