--- a/internal/transport/mesh/watchdog.go
+++ b/internal/transport/mesh/watchdog.go
@@ -127,7 +127,10 @@
 		lastCheck = now
 		silence := s.activity.sinceLastRead(now)
 		isSilent := silence > limits.silent
-		if isSilent && s.handleSilence(handler, !wasSilent, now.Add(-silence)) || silence > limits.dead {
+		if isSilent && s.handleSilence(handler, !wasSilent, now.Add(-silence)) {
+			return true
+		}
+		if silence > limits.dead {
 			return true
 		}
 		wasSilent = isSilent
