Report dropped log lines in the log and as a metric

"log lines were dropped" now tells how many, at most once a second, and chicorylever_log_lines_dropped_total counts them. obs.TestDroppedLinesAreReported failed before ("no line reports the dropped ones"). TestAsyncWriterNeverBlocks counts the lines that it wrote instead of bytes, since the report is a line too.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,6 +33,9 @@
 	// API, if not nil, returns the handler to serve instead of next, which is the
 	// operators' API.
 	API func(operations *api.Operations, next http.Handler, logger log.Logger) http.Handler
+	// DroppedLogLines returns the number of log lines that the process has dropped; nil stands
+	// for none.
+	DroppedLogLines func() uint64
 }
 
 // Control is one control member.
@@ -65,6 +68,9 @@
 
 // New opens the listeners of a member and the replicated log in its data directory.
 func New(s *settings.Control, logger log.Logger, options Options) (*Control, error) {
+	if options.DroppedLogLines == nil {
+		options.DroppedLogLines = func() uint64 { return 0 }
+	}
 	config, err := mesh.Configure(s.ID, s.TLSCert, s.TLSKey, s.TLSCA)
 	if err != nil {
 		return nil, &settings.Error{File: "settings", Field: "tls", Problem: err.Error()}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -175,6 +175,7 @@
 	set.NewGauge("chicorylever_upstream_service_time_seconds", loadGauge(func(r *wire.LoadReport) float64 {
 		return (time.Duration(r.GetServiceTimeUs()) * time.Microsecond).Seconds() //nolint:gosec // an estimate
 	}))
+	set.NewGauge("chicorylever_log_lines_dropped_total", func() float64 { return float64(n.options.DroppedLogLines()) })
 	set.NewGauge("chicorylever_upstream_stated_rate_limit", n.upstream.statedRateLimit)
 	set.NewGauge("chicorylever_measurement_budget_total", func() float64 { return n.upstream.measurementBudget.Counters().Budget })
 	set.NewGauge("chicorylever_measurement_spent_total", func() float64 { return float64(n.upstream.measurementBudget.Counters().Spent) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,9 @@
 	// RoutesOnly makes routes the only way to reach a service: a request that no route
 	// matches gets 404. Otherwise a request may also name its service by path or host.
 	RoutesOnly bool
+	// DroppedLogLines returns the number of log lines that the process has dropped; nil stands
+	// for none.
+	DroppedLogLines func() uint64
 }
 
 // Node is a node process.
@@ -116,6 +119,9 @@
 	if options.Dialect == nil {
 		options.Dialect = httpapi.DefaultDialect()
 	}
+	if options.DroppedLogLines == nil {
+		options.DroppedLogLines = func() uint64 { return 0 }
+	}
 	refusalLogger := obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval)
 	config.OnServerRefused = func(err *mesh.PermissionError) {
 		_ = refusalLogger.Log("msg", "control member refused", "peer", err.Peer.Name, "err", err)
--- a/internal/obs/asyncwriter.go
+++ b/internal/obs/asyncwriter.go
@@ -4,6 +4,9 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 )
 
 const (
@@ -14,13 +17,15 @@
 	// maxLinesPerSecond limits the volume of the log; it is the refill rate of the token
 	// bucket.
 	maxLinesPerSecond = 400
+	// dropReportInterval is the shortest time between two lines that report dropped ones.
+	dropReportInterval = time.Second
 	// flushTimeout bounds the wait for queued lines when a program exits.
 	flushTimeout = 500 * time.Millisecond
 )
 
 // AsyncWriter is an io.Writer that never blocks: it queues lines, which a goroutine of its
 // own writes. Lines that do not fit in the queue or exceed the rate limit are dropped and
-// counted.
+// counted; a line of its own tells how many.
 type AsyncWriter struct {
 	out io.Writer
 
@@ -28,6 +33,9 @@
 	queue          [][]byte
 	unwrittenBytes int
 	dropped        uint64
+	// reportedDrops is the part of dropped that a line has reported, at reportedAt.
+	reportedDrops uint64
+	reportedAt    time.Time
 	// tokens and refilledAt are the token bucket that limits the lines per second.
 	tokens     float64
 	refilledAt time.Time
@@ -102,7 +110,7 @@
 func (w *AsyncWriter) run() {
 	for range w.wake {
 		for w.writeQueue() {
-			continue
+			w.reportDrops()
 		}
 		select {
 		case w.idle <- struct{}{}:
@@ -130,3 +138,22 @@
 	w.mu.Unlock()
 	return true
 }
+
+// reportDrops writes a line with the number of lines dropped since the last report, at most
+// once in dropReportInterval.
+func (w *AsyncWriter) reportDrops() {
+	w.mu.Lock()
+	now := time.Now()
+	unreported := w.dropped - w.reportedDrops
+	isDue := unreported > 0 && now.Sub(w.reportedAt) >= dropReportInterval
+	if isDue {
+		w.reportedDrops, w.reportedAt = w.dropped, now
+	}
+	w.mu.Unlock()
+	if !isDue {
+		return
+	}
+	// As in writeQueue, there is no way to report a failed write.
+	logger := log.With(log.NewJSONLogger(w.out), "ts", log.DefaultTimestampUTC)
+	_ = level.Warn(logger).Log("msg", "log lines were dropped", "dropped", unreported)
+}
--- a/internal/obs/asyncwriter_test.go
+++ b/internal/obs/asyncwriter_test.go
@@ -43,7 +43,29 @@
 		w.Flush()
 	}
 	out.mu.Lock()
-	written := out.written.Len() / len(line)
+	written := bytes.Count(out.written.Bytes(), line)
 	out.mu.Unlock()
 	assert.Equal(t, written+int(w.Dropped()), 3*maxQueuedLines) //nolint:gosec // the count is small
 }
+
+// TestDroppedLinesAreReported guards against lines that are dropped without a trace in the log:
+// whoever reads it would take the missing lines for requests that did not happen.
+func TestDroppedLinesAreReported(t *testing.T) {
+	out := &blockingWriter{unblocked: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	line := []byte(strings.Repeat("x", 99) + "\n")
+	for w.Dropped() < 7 {
+		_, _ = w.Write(line)
+	}
+	close(out.unblocked)
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		out.mu.Lock()
+		text := out.written.String()
+		out.mu.Unlock()
+		if strings.Contains(text, `"msg":"log lines were dropped"`) {
+			assert.Assert(t, strings.Contains(text, `"dropped":7,`), text[strings.LastIndex(text, "x"):])
+			return
+		}
+	}
+	t.Fatal("no line reports the dropped ones")
+}
--- a/internal/program/daemons.go
+++ b/internal/program/daemons.go
@@ -21,6 +21,7 @@
 
 // Node returns a Daemon that runs a node and reloads its settings file.
 func Node(options node.Options) Daemon {
+	options.DroppedLogLines = logOutput.Dropped
 	return func(ctx context.Context, path string) error {
 		tuneGC()
 		s, err := settings.LoadNode(path)
@@ -58,6 +59,7 @@
 
 // Control returns a Daemon that runs a control member and reloads its settings file.
 func Control(options control.Options) Daemon {
+	options.DroppedLogLines = logOutput.Dropped
 	return func(ctx context.Context, path string) error {
 		s, err := settings.LoadControl(path)
 		if err != nil {
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -83,6 +83,13 @@
 
 // startNode starts the next of the nodes node-1, node-2 and so on.
 func (c *cluster) startNode(zone string) *settings.Node {
+	node := c.configureNode(zone)
+	c.startWithSettings("chicorylever-node", node.ID, node)
+	return node
+}
+
+// configureNode returns the settings of the next node without starting it.
+func (c *cluster) configureNode(zone string) *settings.Node {
 	id := fmt.Sprintf("node-%d", len(c.nodeSettings)+1)
 	node := &settings.Node{
 		ID: id, Zone: zone,
@@ -91,19 +98,23 @@
 	}
 	node.TLSCert, node.TLSKey, node.TLSCA = c.issueCertificate(id)
 	c.nodeSettings = append(c.nodeSettings, node)
-	c.startWithSettings("chicorylever-node", id, node)
 	return node
 }
 
 // startWithSettings writes the settings file of a process and starts the program with it.
 func (c *cluster) startWithSettings(program, name string, config any) {
+	c.writeSettings(name, config)
+	c.startProcess(name, exec.Command(filepath.Join(c.binDir, program), "--settings", c.settingsPath(name)))
+}
+
+func (c *cluster) writeSettings(name string, config any) {
 	data, err := json.Marshal(config)
 	assert.NilError(c.t, err)
-	path := filepath.Join(c.dir, name+".json")
-	assert.NilError(c.t, os.WriteFile(path, data, 0o600))
-	c.startProcess(name, exec.Command(filepath.Join(c.binDir, program), "--settings", path))
+	assert.NilError(c.t, os.WriteFile(c.settingsPath(name), data, 0o600))
 }
 
+func (c *cluster) settingsPath(name string) string { return filepath.Join(c.dir, name+".json") }
+
 // startUpstream starts an upstream that announces itself to the node and appends the
 // path of each request to its request log.
 func (c *cluster) startUpstream(service, instance string, node *settings.Node) {
