Dial avoided members after the others instead of never

A node that is told by a member that it has no contact with a quorum leaves it and avoids it for 5 s. While a frozen leader was replaced, which a split vote made longer, nodes left all four healthy members one after the other. The only member that was left was the frozen one: they dialled it alone and had no control until the 5 s were over.

Avoided members are dialled now too, last: 200 ms after a candidate that does not respond. distribute.TestAvoidedMembersAreDialledLast failed before ("context deadline exceeded").

--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -121,7 +121,7 @@
 	backoff := minReconnectBackoff
 	for ctx.Err() == nil {
 		members := c.Members()
-		address, receivedState, err := c.session(ctx, c.candidates(members, next))
+		address, receivedState, err := c.session(ctx, c.dialOrder(members, next))
 		switch {
 		case ctx.Err() != nil:
 			return
--- a/internal/coordination/distribute/connect.go
+++ b/internal/coordination/distribute/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,3 +48,16 @@
 	}
 	return avoided
 }
+
+// dialOrder returns the candidates, then the avoided members in rotation. An avoided member
+// may have its quorum back, while the candidates that are left may be frozen.
+func (c *Client) dialOrder(members []string, next int) []string {
+	order := c.candidates(members, next)
+	for i := range members {
+		address := members[(next+i)%len(members)]
+		if !slices.Contains(order, address) {
+			order = append(order, address)
+		}
+	}
+	return order
+}
--- a/internal/coordination/distribute/connect_test.go
+++ b/internal/coordination/distribute/connect_test.go
@@ -45,6 +45,30 @@
 	})
 }
 
+// TestAvoidedMembersAreDialledLast guards against nodes without a member for as long as members
+// are avoided: the leader is frozen, and all others have been without a quorum for a moment.
+func TestAvoidedMembersAreDialledLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(ctx context.Context, address string) (net.Conn, error) {
+			if address == "frozen" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			nodeConn, _ := net.Pipe()
+			return nodeConn, nil
+		}
+		c := NewClient("n", []string{"a", "frozen", "b"}, dial, nil, log.NewNopLogger())
+		c.isolatedUntil["a"], c.isolatedUntil["b"] = time.Now().Add(isolatedMemberCooldown), time.Now().Add(isolatedMemberCooldown)
+		ctx, cancel := context.WithTimeout(t.Context(), isolatedMemberCooldown)
+		defer cancel()
+		startedAt := time.Now()
+		address, _, err := c.connect(ctx, c.dialOrder(c.Members(), 1))
+		assert.NilError(t, err)
+		assert.Equal(t, address, "b")
+		assert.Equal(t, time.Since(startedAt), connectAttemptDelay)
+	})
+}
+
 // TestCandidates guards against dialling an isolated member while others are available, and
 // against dialling none when all are isolated.
 func TestCandidates(t *testing.T) {
