--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -143,11 +143,11 @@
 	config := DefaultConfig()
 	proxy := newBlackholeProxy(t, startServer(t, config, echoHandler))
 	client := newTestClient(t, config)
+	start := time.Now() // a silence may begin as soon as the stream is open
 	stream, err := client.OpenNew(context.Background(), proxy.listener.Addr().String(), Small)
 	assert.NilError(t, err)
 	stream.TolerateSilence()
 	proxy.blackholeAll()
-	start := time.Now()
 	_, err = stream.Write([]byte("lost"))
 	assert.NilError(t, err)
 	_, err = stream.Read(make([]byte, 1))
@@ -165,6 +165,7 @@
 	proxy := newBlackholeProxy(t, startServer(t, config, echoHandler))
 	client := newTestClient(t, config)
 	proxyAddress := proxy.listener.Addr().String()
+	start := time.Now() // a silence may begin as soon as a stream is open
 	tolerant, err := client.OpenNew(context.Background(), proxyAddress, Small)
 	assert.NilError(t, err)
 	tolerant.TolerateSilence()
@@ -173,7 +174,6 @@
 	proxy.blackholeAll()
 	assert.NilError(t, proxy.listener.Close(), "no new connections, as to a stalled peer")
 	ended := make(chan time.Duration, 2)
-	start := time.Now()
 	for _, stream := range []*Stream{other, tolerant} {
 		_, err = stream.Write([]byte("silent"))
 		assert.NilError(t, err)
