--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -122,6 +122,9 @@
 	wire.RefusalReason_REFUSAL_STOPPING:          "stopping",
 	wire.RefusalReason_REFUSAL_CONNECT:           "connect",
 	wire.RefusalReason_REFUSAL_RATE_LIMITED:      "rate-limited",
+	wire.RefusalReason_REFUSAL_VERSION:           "version",
+	wire.RefusalReason_REFUSAL_QUOTA:             "quota",
+	wire.RefusalReason_REFUSAL_MEMORY:            "memory",
 }
 
 // ReasonName returns the stable name of a refusal reason for headers, logs and metrics.
