Ask the upstreams of the entry's zone for quotes before those of other zones

Each request asked four upstreams at once, three of them in other zones, so that most requests and quotes left the zone although an idle upstream was near.

--- a/internal/coordination/balance/quote.go
+++ b/internal/coordination/balance/quote.go
@@ -66,6 +66,17 @@
 	return q.Open && !q.Cold && q.FailureShare <= idealFailureShare && q.QueueWait == 0 && q.Slowdown > 0 && q.Slowdown <= 1 && 2*(q.Running+q.Queued) < q.Limit
 }
 
+// HasIdeal reports whether one of the quotes is ideal, so that no further upstream needs to be
+// asked. A nil quote stands for an upstream whose quote did not arrive.
+func HasIdeal(quotes []*Quote) bool {
+	for _, quote := range quotes {
+		if quote != nil && quote.IsIdeal() {
+			return true
+		}
+	}
+	return false
+}
+
 // expectedServiceTime returns the time that a request with the given service time at the
 // usual speed takes when it is sent now. The request either runs at the speed of its start,
 // or is delayed until a transient slowdown has ended. The slowdown that a cold upstream
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -20,8 +20,9 @@
 	// quoteTimeout bounds the wait for the quotes: a round trip to another zone and a
 	// probe of the upstream.
 	quoteTimeout = 8 * time.Millisecond
-	// largeBodySameZoneCount is the number of sampled instances in the entry node's zone
-	// for bodies of at least largeBodyBytes; for smaller ones it is 1.
+	// smallBodySameZoneCount and largeBodySameZoneCount are the numbers of sampled instances
+	// in the entry node's zone, the latter for bodies of at least largeBodyBytes.
+	smallBodySameZoneCount = 2
 	largeBodySameZoneCount = 3
 	largeBodyBytes         = 16 << 10
 	// crossZoneBytesPerSecond is the number of body bytes whose transfer to another zone
@@ -62,11 +63,8 @@
 		n.balancer.startAttempt(&sample[0])
 		return sample[0].instance, sample[0].candidate, sample, true
 	}
-	n.collectQuotes(ctx, c, sample)
-	quotes := make([]*balance.Quote, len(sample))
-	for i := range sample {
-		quotes[i] = sample[i].quote
-	}
+	n.collectByZone(ctx, c, sample)
+	quotes := quotesOf(sample)
 	best := balance.Best(quotes, meanServiceTime(quotes))
 	if best < 0 {
 		instance, candidate, ok := n.balancer.pickInstance(v, service, tried)
@@ -76,6 +74,30 @@
 	return sample[best].instance, sample[best].candidate, sample, true
 }
 
+// collectByZone asks the candidates in the entry node's zone first, and the others only when
+// none of them is ideal. The sample begins with the candidates of that zone.
+func (n *Node) collectByZone(ctx context.Context, c *call, sample []quoteCandidate) {
+	sameZone := 0
+	for sameZone < len(sample) && sample[sameZone].instance.GetZone() == n.settings.Zone {
+		sameZone++
+	}
+	if sameZone > 0 {
+		n.collectQuotes(ctx, c, sample[:sameZone])
+	}
+	if sameZone < len(sample) && !balance.HasIdeal(quotesOf(sample[:sameZone])) {
+		n.collectQuotes(ctx, c, sample[sameZone:])
+	}
+}
+
+// quotesOf returns the quotes of a sample; those that did not arrive are nil.
+func quotesOf(sample []quoteCandidate) []*balance.Quote {
+	quotes := make([]*balance.Quote, len(sample))
+	for i := range sample {
+		quotes[i] = sample[i].quote
+	}
+	return quotes
+}
+
 // meanServiceTime returns the mean of the quoted service times.
 func meanServiceTime(quotes []*balance.Quote) time.Duration {
 	sum, count := time.Duration(0), time.Duration(0)
@@ -179,7 +201,7 @@
 // first.
 func (c *call) sameZoneCount() int {
 	if c.bodyLength < largeBodyBytes {
-		return 1
+		return smallBodySameZoneCount
 	}
 	return largeBodySameZoneCount
 }
