Add organisations and public routes to the document

Callers of several organisations share the system; the document now holds their keys, priority and rate, as sections organisations/NAME and as batch items.

--- a/internal/control/source.go
+++ b/internal/control/source.go
@@ -39,7 +39,8 @@
 	return err
 }
 
-// Current returns the revision and the JSON document without token digests. The revision
+// Current returns the revision and the JSON document without token digests and with
+// digests in place of the organisations' keys. The revision
 // is 0 while there is no document. Each view is encoded once: all nodes subscribe at the same
 // time after a loss of all power, and each of them asks for the current document.
 func (s *documentSource) Current() (revision uint64, data []byte) {
@@ -50,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.encodedView != view {
-		encoded, err := json.Marshal(view.Document.Redacted(""))
+		encoded, err := json.Marshal(view.Document.ForNodes())
 		if err != nil {
 			panic(err) // unreachable: a document consists of strings, numbers and maps of them
 		}
--- a/internal/state/document/batch.go
+++ b/internal/state/document/batch.go
@@ -14,13 +14,13 @@
 // items of a section, the one with the highest version takes effect, regardless of the
 // order in which they arrive. This includes items that remove the section.
 type Item struct {
-	// Section is routes/NAME, services/NAME or limits.
+	// Section is routes/NAME, services/NAME, organisations/NAME or limits.
 	Section string `json:"section"`
 	// Version is at least 1.
 	Version uint64 `json:"version"`
 	Remove  bool   `json:"remove,omitempty"`
 	// Body is the section encoded as JSON, empty for a removal. The team of the batch
-	// becomes the owner of a route or service whose Body names none.
+	// becomes the owner of a route, service or organisation whose Body names none.
 	Body json.RawMessage `json:"body,omitempty"`
 }
 
@@ -120,23 +120,36 @@
 	// because the section has the same or a higher version. They are validated too, so
 	// that an invalid batch is never accepted.
 	superseded map[string]Route
+	// supersededOrganisations holds the organisations of the batch that do not take effect.
+	supersededOrganisations map[string]Organisation
 }
 
 func newItemMerge(v *View, team string) *itemMerge {
 	doc := *v.Document
 	doc.Routes = maps.Clone(doc.Routes)
 	doc.Services = maps.Clone(doc.Services)
+	doc.Organisations = maps.Clone(doc.Organisations)
 	if doc.Routes == nil {
 		doc.Routes = map[string]Route{}
 	}
 	if doc.Services == nil {
 		doc.Services = map[string]Service{}
 	}
+	if doc.Organisations == nil {
+		doc.Organisations = map[string]Organisation{}
+	}
 	items := maps.Clone(v.items)
 	if items == nil {
 		items = map[string]itemVersion{}
 	}
-	return &itemMerge{previous: v, team: team, doc: &doc, items: items, superseded: map[string]Route{}}
+	return &itemMerge{
+		previous:                v,
+		team:                    team,
+		doc:                     &doc,
+		items:                   items,
+		superseded:              map[string]Route{},
+		supersededOrganisations: map[string]Organisation{},
+	}
 }
 
 func (m *itemMerge) add(item *Item) error {
@@ -144,8 +157,8 @@
 	if err != nil {
 		return err
 	}
-	if p.kind != kindRoutes && p.kind != kindServices && p.kind != kindLimits {
-		return &FieldError{item.Section, "a batch changes routes, services and limits only"}
+	if !isBatchKind(p.kind) {
+		return &FieldError{item.Section, "a batch changes routes, services, organisations and limits only"}
 	}
 	if item.Version == 0 {
 		return &FieldError{item.Section + "/version", "must be at least 1"}
@@ -164,6 +177,14 @@
 	return nil
 }
 
+func isBatchKind(kind string) bool {
+	switch kind {
+	case kindRoutes, kindServices, kindOrganisations, kindLimits:
+		return true
+	}
+	return false
+}
+
 // decode returns the decoded section, or nil for a removal.
 func (m *itemMerge) decode(p sectionPath, item *Item) (any, error) {
 	if item.Remove {
@@ -187,14 +208,23 @@
 			section.Owner = m.team
 		}
 		return section, nil
+	case Organisation:
+		if section.Owner == "" {
+			section.Owner = m.team
+		}
+		return section, nil
 	}
 	return value, nil
 }
 
-// addSuperseded keeps a route for validate; other sections need no further check.
+// addSuperseded keeps a route or organisation for validate; other sections need no further
+// check.
 func (m *itemMerge) addSuperseded(path string, value any) {
-	if route, ok := value.(Route); ok {
-		m.superseded[path] = route
+	switch section := value.(type) {
+	case Route:
+		m.superseded[path] = section
+	case Organisation:
+		m.supersededOrganisations[path] = section
 	}
 }
 
@@ -204,6 +234,8 @@
 		setEntry(m.doc.Routes, p.name, value)
 	case kindServices:
 		setEntry(m.doc.Services, p.name, value)
+	case kindOrganisations:
+		setEntry(m.doc.Organisations, p.name, value)
 	default:
 		m.doc.Limits = value.(Limits)
 		m.doc.setDefaults()
@@ -218,9 +250,10 @@
 	entries[name] = value.(V)
 }
 
-// validate checks the document after the batch and the superseded routes. A service of a
-// superseded route may have been removed since the route was first accepted, so it need
-// not exist any more.
+// validate checks the document after the batch, the superseded routes and the superseded
+// organisations. A service of a superseded route may have been removed since the route was
+// first accepted, so it need not exist any more. Likewise a key of a superseded organisation
+// may belong to another organisation by now.
 func (m *itemMerge) validate() error {
 	for _, path := range sortedKeys(m.superseded) {
 		route := m.superseded[path]
@@ -231,6 +264,12 @@
 			return err
 		}
 	}
+	for _, path := range sortedKeys(m.supersededOrganisations) {
+		organisation := m.supersededOrganisations[path]
+		if err := organisation.validate(path); err != nil {
+			return err
+		}
+	}
 	if len(m.changed) == 0 {
 		return nil
 	}
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -36,7 +36,10 @@
 	Zones    map[string]Zone    `json:"zones"`
 	Services map[string]Service `json:"services"`
 	Routes   map[string]Route   `json:"routes,omitempty"`
-	Limits   Limits             `json:"limits"`
+	// Organisations are the sets of callers that hold keys. If there are any, requests of
+	// routes that are not public need a key.
+	Organisations map[string]Organisation `json:"organisations,omitempty"`
+	Limits        Limits                  `json:"limits"`
 }
 
 // Team is a team of operators. It may edit the sections that it owns.
--- a/internal/state/document/route.go
+++ b/internal/state/document/route.go
@@ -52,6 +52,8 @@
 	Backends []Backend `json:"backends"`
 	// MaxAttempts bounds the number of instances that one request may be sent to.
 	MaxAttempts int `json:"max_attempts"`
+	// Public exempts the requests of the route from the key of an organisation.
+	Public bool `json:"public,omitempty"`
 	// Labels are stored for operators' tools and not interpreted.
 	Labels map[string]string `json:"labels,omitempty"`
 }
--- a/internal/state/document/section.go
+++ b/internal/state/document/section.go
@@ -20,8 +20,13 @@
 	kindTeams    = "teams"
 	kindRoutes   = "routes"
 	kindLimits   = "limits"
+
+	kindOrganisations = "organisations"
 )
 
+// sectionProblem describes the valid section paths in error messages.
+const sectionProblem = "must be limits, routes/NAME, services/NAME, zones/NAME, teams/NAME or organisations/NAME"
+
 // sectionPath is a parsed section path such as services/drafts or limits. The name is empty
 // for limits.
 type sectionPath struct {
@@ -50,17 +55,17 @@
 			return sectionPath{}, &FieldError{"section", "limits has no parts"}
 		}
 		return sectionPath{kind: kind}, nil
-	case kindServices, kindRoutes, kindZones, kindTeams:
+	case kindServices, kindRoutes, kindZones, kindTeams, kindOrganisations:
 		if !namePattern.MatchString(name) {
 			return sectionPath{}, &FieldError{"section", nameProblem}
 		}
 		return sectionPath{kind, name}, nil
 	}
-	return sectionPath{}, &FieldError{"section", "must be limits, routes/NAME, services/NAME, zones/NAME or teams/NAME"}
+	return sectionPath{}, &FieldError{"section", sectionProblem}
 }
 
 // DecodeSection decodes the JSON encoding of the section at path and rejects unknown
-// fields. The result is a Service, Route, Zone, Team or Limits. Errors are of type
+// fields. The result is a Service, Route, Zone, Team, Organisation or Limits. Errors are of type
 // *FieldError with the full path of the field. The content is not validated.
 func DecodeSection(path string, body []byte) (any, error) {
 	p, err := parsePath(path)
@@ -79,6 +84,8 @@
 		return decodeStrict[Zone](path, body)
 	case kindTeams:
 		return decodeStrict[Team](path, body)
+	case kindOrganisations:
+		return decodeStrict[Organisation](path, body)
 	default:
 		return decodeStrict[Limits](path, body)
 	}
@@ -120,7 +127,8 @@
 	return &FieldError{path, err.Error()}
 }
 
-// section returns the section at p, which is a Service, Route, Zone, Team or Limits.
+// section returns the section at p, which is a Service, Route, Zone, Team, Organisation or
+// Limits.
 func (d *Document) section(p sectionPath) (value any, ok bool) {
 	switch p.kind {
 	case kindServices:
@@ -131,6 +139,8 @@
 		value, ok = lookup(d.Zones, p.name)
 	case kindTeams:
 		value, ok = lookup(d.Teams, p.name)
+	case kindOrganisations:
+		value, ok = lookup(d.Organisations, p.name)
 	case kindLimits:
 		value, ok = d.Limits, true
 	}
@@ -155,6 +165,8 @@
 		next.Zones = withEntry(d.Zones, p.name, value)
 	case kindTeams:
 		next.Teams = withEntry(d.Teams, p.name, value)
+	case kindOrganisations:
+		next.Organisations = withEntry(d.Organisations, p.name, value)
 	case kindLimits:
 		next.Limits = value.(Limits)
 		next.setDefaults()
@@ -179,6 +191,9 @@
 // sectionPaths returns the sorted paths of all sections.
 func (d *Document) sectionPaths() []string {
 	paths := []string{kindLimits}
+	for _, name := range sortedKeys(d.Organisations) {
+		paths = append(paths, kindOrganisations+"/"+name)
+	}
 	for _, name := range sortedKeys(d.Routes) {
 		paths = append(paths, kindRoutes+"/"+name)
 	}
@@ -204,12 +219,14 @@
 		return s.Owner
 	case Zone:
 		return s.Owner
+	case Organisation:
+		return s.Owner
 	}
 	return ""
 }
 
 // Redacted returns a copy of the document with the token digests removed from every team
-// except the given one.
+// except the given one, and the keys from every organisation that the team may not see.
 func (d *Document) Redacted(team string) *Document {
 	next := *d
 	next.Teams = make(map[string]Team, len(d.Teams))
@@ -219,5 +236,6 @@
 		}
 		next.Teams[name] = t
 	}
+	next.Organisations = d.organisationsFor(team)
 	return &next
 }
--- a/internal/state/document/validate.go
+++ b/internal/state/document/validate.go
@@ -19,7 +19,8 @@
 )
 
 // Validate returns a *FieldError for the first invalid field. It checks services, routes,
-// zones, teams and limits, in this order, and sections of one kind in order of name.
+// zones,
+// organisations, teams and limits, in this order, and sections of one kind in order of name.
 func (d *Document) Validate() error {
 	serviceByHost := map[string]string{}
 	for _, name := range sortedKeys(d.Services) {
@@ -36,6 +37,9 @@
 			return err
 		}
 	}
+	if err := d.validateOrganisations(); err != nil {
+		return err
+	}
 	teamByDigest := map[string]string{}
 	for _, name := range sortedKeys(d.Teams) {
 		if err := validateTeam("teams/"+name, name, d.Teams[name], teamByDigest); err != nil {
--- a/internal/state/document/view.go
+++ b/internal/state/document/view.go
@@ -68,7 +68,7 @@
 }
 
 // Section returns the metadata and JSON encoding of a section. It leaves out the token
-// digests of teams other than readerTeam. ok is false when there is no such section.
+// digests of teams other than readerTeam and the keys that readerTeam may not see. ok is false when there is no such section.
 func (v *View) Section(path, readerTeam string) (info SectionInfo, body []byte, ok bool) {
 	info, section := v.lookupSection(path)
 	if section == nil {
@@ -78,6 +78,10 @@
 		team.TokenSHA256 = nil
 		section = team
 	}
+	if organisation, ok := section.(Organisation); ok && !v.Document.maySeeKeys(readerTeam, &organisation) {
+		organisation.Keys = nil
+		section = organisation
+	}
 	body, err := json.Marshal(section)
 	return info, body, err == nil
 }
@@ -137,7 +141,7 @@
 
 // denialReason returns why the team may not make the edit, or "" when it may. Admin teams
 // may create sections, replace limits and teams, and remove any section. The owner of a
-// service, route or zone may replace and remove it.
+// service, route, zone or organisation may replace and remove it.
 func (v *View) denialReason(edit Edit, p sectionPath, current any) string {
 	team, ok := v.Document.Teams[edit.Team]
 	if !ok {
@@ -174,7 +178,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return v.validated(v.Document.withSection(p, keepTokenDigests(value, current)))
+	return v.validated(v.Document.withSection(p, keepKeys(keepTokenDigests(value, current), current)))
 }
 
 // keepTokenDigests returns the new section with the token digests of the current one when
