Check the keys of callers at the entry node

The document holds the keys of organisations; nothing checked them. The entry node now refuses a request without a valid key with 401 before it reads the body, passes the organisation on in RequestHead and to the upstream, and ranks requests by the organisation's priority first. A key that is not known waits for the highest revision that a peer has stated. The key and organisation headers of callers are never forwarded.

--- a/internal/coordination/overload/request_tracker.go
+++ b/internal/coordination/overload/request_tracker.go
@@ -19,6 +19,8 @@
 	// Objective is the time by which its response must be complete to meet its latency
 	// objective; zero means none.
 	Objective time.Time
+	// Organisation is the one on whose behalf the request runs, empty when it has none.
+	Organisation string
 }
 
 // RequestTracker tracks the requests that run at an upstream and how long each has waited
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -77,14 +77,24 @@
 	// caller stated, or the route's. It is 0 without a route.
 	callerTimeout time.Duration
 	urgency       overload.Urgency
+	// organisation is the one that the caller's key belongs to, or that of the parent request
+	// of a nested call; empty without either.
+	organisation string
+	// hasKey is set when the caller has sent the key of the organisation, whose digest is
+	// keyDigest.
+	hasKey    bool
+	keyDigest document.KeyDigest
+	// parent is the running request that makes this call, if isNested is set.
+	parent   overload.Parent
+	isNested bool
 	// parentRequestID is the request ID of the running request that makes this nested
 	// call.
 	parentRequestID string
 	// objectiveDeadline is the time until which a response meets the latency objective;
 	// zero without an objective.
 	objectiveDeadline time.Time
-	// priority is that of the route, or of the parent request when that is lower. 0 is
-	// the highest priority.
+	// priority is that of the organisation and the route, or of the parent request; see
+	// setUrgency. 0 is the highest priority.
 	priority int
 	// sentAttempts counts the attempts that may have reached an upstream, refusedAttempts those
 	// that a node refused.
@@ -117,6 +127,9 @@
 	if err := n.selectService(c); err != nil {
 		return nil, err
 	}
+	if err := n.authenticate(c); err != nil {
+		return nil, err
+	}
 	c.depth = requestDepth(r, n.dialect.Depth) + 1
 	if c.depth > httpapi.MaxDepth {
 		return nil, errCallDepth
@@ -184,6 +197,7 @@
 	if service := n.liveSettings.Load().Service; n.dialect.CallerService != "" && service != "" {
 		c.headers = append(c.headers, &wire.Header{Name: proto.String(n.dialect.CallerService), Values: []string{service}})
 	}
+	n.addOrganisationHeader(c)
 }
 
 func limitsWithDefaults(doc *document.Document) document.Limits {
@@ -260,6 +274,7 @@
 		ObjectiveUs:    uint64(c.objectiveRemaining().Microseconds()), //nolint:gosec // not negative
 		Urgency:        urgencyToWire(c.currentUrgency()),
 		Route:          c.routeName(),
+		Organisation:   c.organisation,
 	}
 }
 
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -62,7 +62,7 @@
 	if result == callAnswered && c.status < 500 && !late {
 		logger = level.Debug(n.logger)
 	}
-	_ = logger.Log("msg", "request ended", "request", c.requestID, "route", c.routeName(), "addressed_by", c.addressing, "urgency", c.urgency, "service", c.service, "result", callResultNames[result],
+	_ = logger.Log("msg", "request ended", "request", c.requestID, "route", c.routeName(), "addressed_by", c.addressing, "urgency", c.urgency, "service", c.service, "organisation", c.organisation, "result", callResultNames[result],
 		"status", c.status, "late", late, "elapsed_ms", elapsed.Milliseconds(), "sent", c.sentAttempts, "refusals", c.refusedAttempts,
 		"revision", c.view.Revision)
 }
--- a/internal/node/directory/directory.go
+++ b/internal/node/directory/directory.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
+	"github.com/chicorylever/chicorylever/internal/coordination/organisation"
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/document"
@@ -26,6 +27,8 @@
 	// Hosts maps each host name to its service.
 	Hosts  map[string]string
 	Routes *routing.Table
+	// Organisations finds the organisations of callers' keys.
+	Organisations *organisation.Index
 	// Services maps each service to its known instances.
 	Services map[string][]*wire.Instance
 	// Stale is set when control has not sent the instances yet or could not bring them up
@@ -33,7 +36,7 @@
 	Stale bool
 }
 
-// setDocument sets the document and the indexes built from it. It must not be called on a
+// setDocument sets the document and the indexes of hosts and routes built from it. It must not be called on a
 // view that is already shared.
 func (v *View) setDocument(revision uint64, doc *document.Document) {
 	v.Revision, v.Doc = revision, doc
@@ -56,6 +59,10 @@
 	viewReplaced chan struct{}
 	fetch        Fetcher
 	fetchRunning atomic.Bool
+	// fetchUrgent ends the delay before the next fetch.
+	fetchUrgent chan struct{}
+	// observed is the highest revision that a peer has stated.
+	observed observedRevision
 
 	// heartbeatSequence is the number of the last heartbeat since the process started.
 	heartbeatSequence atomic.Uint64
@@ -71,6 +78,7 @@
 		heartbeatRequested: make(chan struct{}, 1),
 		registryReceived:   make(chan struct{}),
 		viewReplaced:       make(chan struct{}),
+		fetchUrgent:        make(chan struct{}, 1),
 	}
 	d.current.Store(&View{Doc: &document.Document{}, Stale: true})
 	return d
@@ -111,6 +119,7 @@
 		return d.sections
 	}
 	next.setDocument(state.GetRevision(), doc)
+	next.Organisations = organisation.NewIndex(doc)
 	return sections
 }
 
@@ -144,6 +153,9 @@
 		return d.sections, false
 	}
 	next.setDocument(diff.GetRevision(), doc)
+	if changesOrganisations(diff.GetSections()) {
+		next.Organisations = organisation.NewIndex(doc)
+	}
 	return sections, true
 }
 
--- a/internal/node/directory/fetch.go
+++ b/internal/node/directory/fetch.go
@@ -17,6 +17,18 @@
 	fetchTimeout = 3 * time.Second
 )
 
+// observedRevisionTimeout is how long AwaitObserved waits for a revision that a peer has
+// stated, counted from that statement. A revision that has not arrived by then is not
+// coming soon.
+const observedRevisionTimeout = 10 * time.Second
+
+// observedRevision is a revision that a peer has stated.
+type observedRevision struct {
+	revision    uint64
+	peerAddress string
+	at          time.Time
+}
+
 // Fetcher requests the document of a peer if its revision is higher than sinceRevision.
 // The reply is a StateFull or a StateDiff.
 type Fetcher func(ctx context.Context, address string, sinceRevision uint64) (*wire.Envelope, error)
@@ -31,16 +43,53 @@
 	if revision <= current || current == 0 || peerAddress == "" || d.fetch == nil {
 		return
 	}
+	d.recordObserved(peerAddress, revision)
 	if !d.fetchRunning.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer d.fetchRunning.Store(false)
-		time.Sleep(rand.N(fetchJitter))
+		delay := time.NewTimer(rand.N(fetchJitter))
+		defer delay.Stop()
+		select {
+		case <-delay.C:
+		case <-d.fetchUrgent:
+		}
 		d.fetchFrom(peerAddress, revision)
 	}()
 }
 
+// recordObserved keeps the revision if it is the highest that a peer has stated.
+func (d *Directory) recordObserved(peerAddress string, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if revision > d.observed.revision {
+		d.observed = observedRevision{revision, peerAddress, time.Now()}
+	}
+}
+
+// AwaitObserved returns the current view once it has the highest revision that a peer has
+// stated. It fetches that revision without delay. If ctx ends or observedRevisionTimeout has
+// passed since the statement, it returns the view that there is.
+func (d *Directory) AwaitObserved(ctx context.Context) *View {
+	d.mu.Lock()
+	observed := d.observed
+	d.mu.Unlock()
+	current := d.View()
+	remaining := observedRevisionTimeout - time.Since(observed.at)
+	if observed.revision <= current.Revision || remaining <= 0 {
+		return current
+	}
+	select {
+	case d.fetchUrgent <- struct{}{}:
+	default:
+	}
+	d.ObserveRevision(observed.peerAddress, observed.revision)
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	return d.Await(ctx, func(v *View) bool { return v.Revision >= observed.revision })
+}
+
 func (d *Directory) fetchFrom(peerAddress string, revision uint64) {
 	current := d.View().Revision
 	if revision <= current {
--- a/internal/node/directory/patch.go
+++ b/internal/node/directory/patch.go
@@ -27,6 +27,12 @@
 	if doc.Zones == nil {
 		doc.Zones = map[string]document.Zone{}
 	}
+	if changesOrganisations(sections) {
+		doc.Organisations = maps.Clone(old.Organisations)
+		if doc.Organisations == nil {
+			doc.Organisations = map[string]document.Organisation{}
+		}
+	}
 	for _, section := range sections {
 		if err := patchSection(&doc, section); err != nil {
 			return nil, errors.Wrapf(err, "section %s", section.GetPath())
@@ -35,6 +41,16 @@
 	return &doc, nil
 }
 
+// organisationsField is the field of the document that holds the organisations.
+const organisationsField = "organisations"
+
+// changesOrganisations reports whether the sections include an organisation.
+func changesOrganisations(sections []*wire.Section) bool {
+	return slices.ContainsFunc(sections, func(section *wire.Section) bool {
+		return strings.HasPrefix(section.GetPath(), organisationsField+"/")
+	})
+}
+
 func patchSection(doc *document.Document, section *wire.Section) error {
 	kind, name, _ := strings.Cut(section.GetPath(), "/")
 	switch kind {
@@ -44,6 +60,8 @@
 		return patchEntry(doc.Routes, name, section.GetJson())
 	case "zones":
 		return patchEntry(doc.Zones, name, section.GetJson())
+	case organisationsField:
+		return patchEntry(doc.Organisations, name, section.GetJson())
 	case "limits":
 		limits := document.Limits{}
 		if len(section.GetJson()) > 0 {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -25,7 +25,12 @@
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
 	view := n.awaitConfiguration(r)
-	c, err := n.newCall(view, r, arrivedAt)
+	c, view, err := n.newAuthenticatedCall(view, r, arrivedAt)
+	var refused *keyError
+	if errors.As(err, &refused) {
+		n.refuseKey(w, r, refused, view, arrivedAt)
+		return
+	}
 	if err != nil {
 		n.logRejectedRequest(r, err, view, arrivedAt)
 		if errors.Is(err, errNoService) {
@@ -57,6 +62,11 @@
 	}
 	n.awaitFirstInstances(ctx, c.service)
 	c.view = n.awaitInstances(ctx, c)
+	if err := c.checkKeyAgain(); errors.As(err, &refused) {
+		result = callRefused
+		n.refuseKey(w, r, refused, c.view, arrivedAt)
+		return
+	}
 	result = n.serveCall(ctx, w, c)
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,7 +24,7 @@
 	callNotRun
 	callUnknown
 	// callRefused is a request whose idempotency key is in use, has an unknown outcome or
-	// belongs to another request.
+	// belongs to another request, or whose organisation's key was removed after its arrival.
 	callRefused
 	callCancelled
 	callResultCount
@@ -51,8 +51,10 @@
 	ejections *metrics.Counter
 	// rejectedAnnouncements counts the announcements that describe no instance.
 	rejectedAnnouncements *metrics.Counter
-	addedLatency          *metrics.PrometheusHistogram
-	refusals              map[wire.RefusalReason]*metrics.Counter
+	// keyRefusals counts the requests that were refused for their key, by httpapi.ReasonKey.
+	keyRefusals  map[string]*metrics.Counter
+	addedLatency *metrics.PrometheusHistogram
+	refusals     map[wire.RefusalReason]*metrics.Counter
 
 	mu       sync.RWMutex
 	services map[string]*serviceMetrics
@@ -80,6 +82,10 @@
 		addedLatency:          set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
 		refusals:              map[wire.RefusalReason]*metrics.Counter{},
 		services:              map[string]*serviceMetrics{},
+		keyRefusals:           map[string]*metrics.Counter{},
+	}
+	for reason := range keyProblems {
+		m.keyRefusals[reason] = set.NewCounter(fmt.Sprintf("chicorylever_key_refusals_total{reason=%q}", reason))
 	}
 	for by, name := range addressingNames {
 		m.calls[by] = set.NewCounter(fmt.Sprintf("chicorylever_calls_total{addressed_by=%q}", name))
@@ -125,7 +131,7 @@
 }
 
 // endCall counts the result and whether it meets the service's objective. A request that
-// the caller cancelled or that was refused because of its idempotency key counts as
+// the caller cancelled or that was refused because of a key counts as
 // neither good nor bad.
 func (m *nodeMetrics) endCall(c *call, result callResult) {
 	s := m.service(c.service)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,15 +81,17 @@
 	logger               log.Logger
 	// rejectionLogger is rate-limited, for announcements that describe no instance.
 	rejectionLogger log.Logger
-	startedAtNs     uint64
-	directory       *directory.Directory
-	upstream        *upstream
-	balancer        *balancer
-	metrics         *nodeMetrics
-	settler         *claimSettler
-	suspension      suspension.Detector
-	splitter        trafficSplitter
-	stopping        atomic.Bool
+	// keyLogger is rate-limited, for requests that are refused for their key.
+	keyLogger   log.Logger
+	startedAtNs uint64
+	directory   *directory.Directory
+	upstream    *upstream
+	balancer    *balancer
+	metrics     *nodeMetrics
+	settler     *claimSettler
+	suspension  suspension.Detector
+	splitter    trafficSplitter
+	stopping    atomic.Bool
 	// announcedSequence is the sequence number of the first heartbeat that reports the
 	// announced start of the upstream.
 	announcedSequence atomic.Uint64
@@ -135,6 +137,7 @@
 		splitter:             newTrafficSplitter(),
 		logger:               log.With(logger, "node", s.ID),
 		rejectionLogger:      obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval),
+		keyLogger:            obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), keyRefusalLogInterval),
 		startedAtNs:          uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
 		metrics:              newNodeMetrics(),
 		client:               mesh.NewClient(config),
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -132,7 +132,8 @@
 func (n *Node) requestQuote(instance *wire.Instance, c *call, responses chan<- datagram.Response, index uint64) (uint64, bool) {
 	payload, err := proto.Marshal(&wire.QuoteRequest{
 		Instance: instance.GetId(), Route: c.routeName(), Urgency: urgencyToWire(c.currentUrgency()),
-		Priority: uint32(c.priority), //nolint:gosec // checked by the document
+		Priority:     uint32(c.priority), //nolint:gosec // checked by the document
+		Organisation: c.organisation,
 	})
 	if err != nil {
 		return 0, false
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -221,7 +221,12 @@
 		}
 	}
 	requestID := r.requestID()
-	r.node.upstream.requestTracker.Begin(overload.Parent{RequestID: requestID, Priority: int(r.head.GetPriority()), Objective: r.objectiveDeadline})
+	r.node.upstream.requestTracker.Begin(overload.Parent{
+		RequestID:    requestID,
+		Priority:     int(r.head.GetPriority()),
+		Objective:    r.objectiveDeadline,
+		Organisation: r.head.GetOrganisation(),
+	})
 	defer r.node.upstream.requestTracker.End(requestID)
 	response, err := r.pool.Do(ctx, request, r.streamed, func() error { return r.dispatch(ctx) })
 	if err != nil {
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -12,19 +12,18 @@
 const nestedCallMargin = 30 * time.Millisecond
 
 // setUrgency sets the priority, urgency and objective of a call. A call that the upstream
-// beside this node makes for a running request is nested: its priority is not above that
-// of this parent request, and its objective is the parent's less nestedCallMargin. A call
+// beside this node makes for a running request is nested: its priority follows from that of
+// this parent request, and its objective is the parent's less nestedCallMargin. A call
 // whose caller has probably retried after a refusal is late: it gets only the capacity
 // that other calls leave.
 func (n *Node) setUrgency(c *call) {
-	if c.route != nil {
-		c.priority = c.route.Priority
-		if c.route.ObjectiveMs > 0 {
-			c.objectiveDeadline = c.started.Add(c.route.Objective())
-		}
+	c.priority = c.ownPriority()
+	if c.route != nil && c.route.ObjectiveMs > 0 {
+		c.objectiveDeadline = c.started.Add(c.route.Objective())
 	}
-	if parent, nested := n.upstream.requestTracker.Parent(c.requestID); nested {
-		c.priority, c.urgency, c.parentRequestID = max(c.priority, parent.Priority), overload.Nested, parent.RequestID
+	if c.isNested {
+		parent := &c.parent
+		c.priority, c.urgency, c.parentRequestID = c.nestedPriority(parent), overload.Nested, parent.RequestID
 		c.objectiveDeadline = time.Time{}
 		if !parent.Objective.IsZero() {
 			c.objectiveDeadline = parent.Objective.Add(-nestedCallMargin)
--- a/internal/protocol/httpapi/dialect.go
+++ b/internal/protocol/httpapi/dialect.go
@@ -26,6 +26,11 @@
 	Instance string
 	// InstanceID carries, in a response, the instance of the upstream that sent it.
 	InstanceID string
+	// APIKey carries the key of an organisation in a caller's request. It is never sent on.
+	APIKey string
+	// Organisation carries, in a request to an upstream, the name of the organisation whose
+	// key the caller sent.
+	Organisation string
 	// CallerService carries, in a request to an upstream, the service of the VM on which
 	// the request originated.
 	CallerService string
@@ -65,13 +70,15 @@
 // DefaultDialect returns the project's default header names.
 func DefaultDialect() *Dialect {
 	return &Dialect{
-		RequestID: HeaderRequestID,
-		Timeout:   HeaderTimeout,
-		Depth:     HeaderDepth,
-		Load:      HeaderLoad,
-		ParseLoad: parseInFlight,
-		RateLimit: HeaderRateLimit,
-		Leaving:   HeaderLeaving,
+		RequestID:    HeaderRequestID,
+		Timeout:      HeaderTimeout,
+		Depth:        HeaderDepth,
+		Load:         HeaderLoad,
+		ParseLoad:    parseInFlight,
+		RateLimit:    HeaderRateLimit,
+		Leaving:      HeaderLeaving,
+		APIKey:       HeaderAPIKey,
+		Organisation: HeaderOrganisation,
 	}
 }
 
@@ -80,10 +87,10 @@
 	return UpstreamLoad{InFlight: inFlight}, err == nil && inFlight >= 0
 }
 
-// SystemRequestHeaders returns the request headers that only the system sets; values from
-// a caller are dropped.
+// SystemRequestHeaders returns the request headers that only the system sets or reads;
+// values from a caller are not forwarded.
 func (d *Dialect) SystemRequestHeaders() map[string]bool {
-	return canonicalSet(d.Instance, d.CallerService)
+	return canonicalSet(d.Instance, d.CallerService, d.APIKey, d.Organisation)
 }
 
 // UpstreamOnlyHeaders returns the response headers that are only for the node beside the
--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -36,6 +36,11 @@
 	HeaderLeaving = "Chicory-Leaving"
 	// LeavingValue is the value of HeaderLeaving.
 	LeavingValue = "1"
+	// HeaderAPIKey carries the key of an organisation in a caller's request.
+	HeaderAPIKey = "Chicory-Api-Key" //nolint:gosec // the name of a header
+	// HeaderOrganisation carries, in a request to an upstream, the name of the organisation
+	// whose key the caller sent.
+	HeaderOrganisation = "Chicory-Organisation"
 	// HeaderIdempotencyKey carries the key that all submissions of one request share.
 	HeaderIdempotencyKey = "Idempotency-Key"
 
@@ -55,6 +60,17 @@
 	// configuration yet.
 	ReasonNotReady = "not-ready"
 
+	// ReasonKeyMissing is the reason for refusing a request without the key that it needs.
+	ReasonKeyMissing = "key-missing"
+	// ReasonKeyRepeated is the reason for refusing a request with several keys.
+	ReasonKeyRepeated = "key-repeated"
+	// ReasonKeyUnknown is the reason for refusing a request whose key belongs to no
+	// organisation.
+	ReasonKeyUnknown = "key-unknown"
+	// ReasonKeyRemoved is the reason for refusing a request whose key was removed after the
+	// request had arrived.
+	ReasonKeyRemoved = "key-removed"
+
 	// MaxDepth is the maximum number of hops between services in a call chain.
 	MaxDepth = 16
 )
--- a/internal/state/document/organisation.go
+++ b/internal/state/document/organisation.go
@@ -13,9 +13,6 @@
 	maxKeyBytes = 256
 	// maxOrganisationPriority bounds the priority of an organisation.
 	maxOrganisationPriority = 100
-	// maxRequestRate bounds the rate and the burst of an organisation, so that sums over the
-	// time that a node keeps stay finite.
-	maxRequestRate = 1e9
 )
 
 // Organisation is a set of callers that share keys, a priority and a quota.
@@ -69,9 +66,9 @@
 	case o.Priority < 0 || o.Priority > maxOrganisationPriority:
 		return &FieldError{path + "/priority", "must be between 0 and " + strconv.Itoa(maxOrganisationPriority)}
 	case !isRequestRate(o.RatePerSecond):
-		return &FieldError{path + "/rate_per_second", "must be between 0 and 1e9"}
+		return &FieldError{path + "/rate_per_second", "must be a number of at least 0"}
 	case !isRequestRate(o.Burst):
-		return &FieldError{path + "/burst", "must be between 0 and 1e9"}
+		return &FieldError{path + "/burst", "must be a number of at least 0"}
 	}
 	return o.validateKeys(path + "/keys")
 }
@@ -91,8 +88,8 @@
 	return nil
 }
 
-// isRequestRate reports whether a rate or burst is a number from 0 to maxRequestRate.
-func isRequestRate(v float64) bool { return !math.IsNaN(v) && v >= 0 && v <= maxRequestRate }
+// isRequestRate reports whether a rate or burst is a finite number of at least 0.
+func isRequestRate(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
 
 // validateOrganisations checks all organisations and that no key belongs to two of them.
 func (d *Document) validateOrganisations() error {
