--- a/internal/state/document/organisation.go
+++ b/internal/state/document/organisation.go
@@ -158,6 +158,13 @@
 	return team != "" && (team == o.Owner || d.Teams[team].Admin)
 }
 
+// hidden returns the organisation without what other teams may not see. Labels may hold
+// fields of operators' tools that this version does not know, keys among them.
+func (o Organisation) hidden() Organisation {
+	o.Keys, o.Labels = nil, nil
+	return o
+}
+
 // organisationsFor returns the organisations, without the keys that the team may not see.
 func (d *Document) organisationsFor(team string) map[string]Organisation {
 	if len(d.Organisations) == 0 {
@@ -166,7 +173,7 @@
 	visible := make(map[string]Organisation, len(d.Organisations))
 	for name, organisation := range d.Organisations {
 		if !d.maySeeKeys(team, &organisation) {
-			organisation.Keys = nil
+			organisation = organisation.hidden()
 		}
 		visible[name] = organisation
 	}
--- a/internal/state/document/view.go
+++ b/internal/state/document/view.go
@@ -79,8 +79,7 @@
 		section = team
 	}
 	if organisation, ok := section.(Organisation); ok && !v.Document.maySeeKeys(readerTeam, &organisation) {
-		organisation.Keys = nil
-		section = organisation
+		section = organisation.hidden()
 	}
 	body, err := json.Marshal(section)
 	return info, body, err == nil
