Show digests in place of keys in what chicoryctl prints of a change

A difference or a conflict prints the body of the section, which for an organisation holds its keys, and such output is kept in build logs. The test was seen failing without the change.

--- a/internal/ctl/edits.go
+++ b/internal/ctl/edits.go
@@ -157,7 +157,7 @@
 			_, _ = fmt.Fprintf(p.Err, "%s does not exist\n", e.section)
 			return
 		}
-		_, _ = fmt.Fprintf(p.Err, "%s has version %d:\n%s\n", e.section, current.Version, normalizeJSON(current.Body))
+		_, _ = fmt.Fprintf(p.Err, "%s has version %d:\n%s\n", e.section, current.Version, normalizeJSON(hideKeys(e.section, current.Body)))
 	}
 }
 
--- a/internal/ctl/local.go
+++ b/internal/ctl/local.go
@@ -81,7 +81,7 @@
 	}
 	kindByField := map[string]string{
 		"data_dir": kindControl, "api_listen": kindControl, "bootstrap": kindControl, "join": kindControl,
-		"teams": kindDocument, "services": kindDocument, "zones": kindDocument,
+		"teams": kindDocument, "services": kindDocument, "zones": kindDocument, "organisations": kindDocument,
 	}
 	for name, kind := range kindByField {
 		if _, found := fields[name]; found {
--- a/internal/ctl/sections.go
+++ b/internal/ctl/sections.go
@@ -103,7 +103,7 @@
 		e.version = file.version
 	}
 	if showDiff {
-		p.printDiff(cmd, current.Body, file.body)
+		p.printDiff(cmd, hideKeys(current.Path, current.Body), hideKeys(current.Path, file.body))
 	} else if !cmd.IsSet("edit-id") && equalJSON(current.Body, file.body) {
 		return p.reportUnchanged(ctx, cmd, c, current)
 	}
