Recognise nested calls of nested calls under the default header names

The node beside an upstream tracked a request under the ID that its caller sent, while the upstream receives a new ID unless that one is a UUID. A call nested twice was therefore an ordinary request, which a document with organisations refuses. The tracker now uses the ID that the upstream receives.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -39,7 +39,7 @@
 	outcome.Result = admissionResultForStatus(response.StatusCode)
 	r.recordUpstreamOutcome(outcome.Result)
 	if outcome.Result == admission.ResultSuccess {
-		r.node.upstream.observeWork(r.head.GetRoute(), r.requestID(), outcome.ServiceTime, r.slowdownPercent)
+		r.node.upstream.observeWork(r.head.GetRoute(), r.upstreamRequestID(), outcome.ServiceTime, r.slowdownPercent)
 	}
 	// The connection and the permit are released before the caller can send its next
 	// request.
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
 
 	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -86,6 +87,16 @@
 	return ""
 }
 
+// upstreamRequestID returns the request ID that the upstream receives and extends for its
+// nested calls. It differs from requestID if the caller sent none that is forwarded.
+func (r *receivedAttempt) upstreamRequestID() string {
+	id, err := uuid.FromBytes(r.head.GetRequestId())
+	if r.node.dialect.OpaqueRequestID || err != nil {
+		return r.requestID()
+	}
+	return id.String()
+}
+
 func (o outcome) String() string {
 	switch o {
 	case outcomeNotRun:
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -220,7 +220,7 @@
 			return admission.Outcome{Result: admission.ResultCancelled}
 		}
 	}
-	requestID := r.requestID()
+	requestID := r.upstreamRequestID()
 	r.node.upstream.requestTracker.Begin(overload.Parent{
 		RequestID:    requestID,
 		Priority:     int(r.head.GetPriority()),
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -59,7 +59,7 @@
 	case result == admission.ResultCancelled:
 	case result == admission.ResultSuccess:
 		r.node.upstream.recordOutcome(false)
-	case !r.node.upstream.requestTracker.NestedFailed(r.requestID()):
+	case !r.node.upstream.requestTracker.NestedFailed(r.upstreamRequestID()):
 		r.node.upstream.recordOutcome(true)
 	}
 }
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -21,6 +21,9 @@
 	if c.route != nil && c.route.ObjectiveMs > 0 {
 		c.objectiveDeadline = c.started.Add(c.route.Objective())
 	}
+	if !c.isNested { // the parent may have begun after the key was checked
+		c.parent, c.isNested = n.upstream.requestTracker.Parent(c.requestID)
+	}
 	if c.isNested {
 		parent := &c.parent
 		c.priority, c.urgency, c.parentRequestID = c.nestedPriority(parent), overload.Nested, parent.RequestID
