--- a/internal/node/organisation_test.go
+++ b/internal/node/organisation_test.go
@@ -71,8 +71,10 @@
 	request, err := http.NewRequest(http.MethodPost, "http://"+node.EntryAddress()+path, strings.NewReader("body"))
 	assert.NilError(t, err)
 	request.Host = host
-	request.Header["chicory-organisation"] = []string{"forged"}
-	request.Header.Set("Connection", httpapi.HeaderOrganisation+", "+httpapi.HeaderAPIKey)
+	request.Header["chicory-organisation"] = []string{"forged", "forged too"}
+	if path == "/p" { // a name in Connection must not remove what the node itself sends
+		request.Header.Set("Connection", httpapi.HeaderOrganisation+", "+httpapi.HeaderAPIKey)
+	}
 	for _, key := range keys {
 		request.Header.Add(httpapi.HeaderAPIKey, key)
 	}
