--- a/internal/node/directory/organisation_test.go
+++ b/internal/node/directory/organisation_test.go
@@ -122,15 +122,26 @@
 	return data
 }
 
+// applyDocument applies a full document and returns the bytes that this allocates and the size
+// of the document.
+func applyDocument(d *Directory, data []byte) (allocatedBytes, documentBytes float64) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	d.Apply(&wire.StateFull{Revision: 1, Document: data})
+	runtime.ReadMemStats(&after)
+	return float64(after.TotalAlloc - before.TotalAlloc), float64(len(data))
+}
+
 // BenchmarkOrganisations measures the heap memory of the directory with organisations of two
-// keys each, the memory and the time of a diff of one organisation, and the time of a lookup.
+// keys each, the size of the document, what the directory allocates to apply it, the memory and
+// the time of a diff of one organisation, and the time of a lookup.
 func BenchmarkOrganisations(b *testing.B) {
 	for _, size := range [][2]int{{0, 2400}, {88, 2400}, {10_000, 2400}} {
 		name := fmt.Sprintf("organisations=%d/routes=%d", size[0], size[1])
 		b.Run("apply/"+name, func(b *testing.B) {
 			before := heapBytes()
 			d := New(nil)
-			d.Apply(&wire.StateFull{Revision: 1, Document: organisationsDocument(b, size[0], size[1])})
+			allocatedBytes, documentBytes := applyDocument(d, organisationsDocument(b, size[0], size[1]))
 			usedBytes := heapBytes() - before
 			revision := uint64(1)
 			sections := [2]*wire.Section{organisationSection(b, "organisation-5", "x"), organisationSection(b, "organisation-5", "y")}
@@ -140,6 +151,8 @@
 				revision++
 			}
 			b.ReportMetric(usedBytes/1024, "KB")
+			b.ReportMetric(documentBytes/1024, "document-KB")
+			b.ReportMetric(allocatedBytes/1024, "full-KB")
 			runtime.KeepAlive(d)
 		})
 		b.Run("lookup/"+name, func(b *testing.B) {
