Refuse a key first in the test that searches the log for keys

The rate limit of the log line let only a refusal without a key through, so that a key in that line went unnoticed.

--- a/internal/node/organisation_test.go
+++ b/internal/node/organisation_test.go
@@ -108,11 +108,12 @@
 		keys                 []string
 		reason, organisation string
 	}{
+		// The rate limit of the log lets the first refusal through: it must be one with a key.
+		{"r.example", "/private/", []string{unknownKey}, httpapi.ReasonKeyUnknown, ""},
 		{"r.example", "/private/", []string{acmeKey}, "", "acme"},
 		{"r.example", "/private/", []string{otherKey}, "", "other"},
 		{"r.example", "/private/", nil, httpapi.ReasonKeyMissing, ""},
 		{"r.example", "/private/", []string{""}, httpapi.ReasonKeyMissing, ""},
-		{"r.example", "/private/", []string{unknownKey}, httpapi.ReasonKeyUnknown, ""},
 		{"r.example", "/private/", []string{acmeKey + "," + otherKey}, httpapi.ReasonKeyUnknown, ""},
 		{"r.example", "/private/", []string{acmeKey, acmeKey}, httpapi.ReasonKeyRepeated, ""},
 		{"r.example", "/public/", nil, "", ""},
