--- a/internal/node/organisation_test.go
+++ b/internal/node/organisation_test.go
@@ -87,6 +87,7 @@
 		response, err := http.ReadResponse(reader, nil)
 		assert.NilError(t, err)
 		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
 		assert.NilError(t, err)
 		responses = append(responses, testResponse{response, string(body), nil})
 		statuses = append(statuses, response.StatusCode)
