Order queued requests by the fair share of their organisations

The node beside an upstream now records the recent work of each organisation, and requests of those that use more than twice as much by weight as the others wait behind the rest of their priority.

--- a/internal/coordination/admission/burst_test.go
+++ b/internal/coordination/admission/burst_test.go
@@ -46,13 +46,14 @@
 )
 
 type burstRequest struct {
-	startedAt time.Time
-	retries   int // by the caller
-	refusals  int // since the last retry by the caller
-	tried     map[int]bool
-	arrived   time.Time // at the entry node, of the latest retry by the caller
-	work      time.Duration
-	isLate    bool // set by the entry node for a retry by the caller
+	organisation string
+	startedAt    time.Time
+	retries      int // by the caller
+	refusals     int // since the last retry by the caller
+	tried        map[int]bool
+	arrived      time.Time // at the entry node, of the latest retry by the caller
+	work         time.Duration
+	isLate       bool // set by the entry node for a retry by the caller
 }
 
 type burstUpstream struct {
@@ -82,45 +83,76 @@
 // burstSimulation simulates the load. With objectives set, requests carry the objective,
 // urgency and work that the entry node knows, and machines learn the speed of their upstream.
 type burstSimulation struct {
-	random     *rand.Rand
-	now        time.Time
-	events     burstEvents
-	upstreams  []*burstUpstream
+	random         *rand.Rand
+	startedAt      time.Time
+	now            time.Time
+	events         burstEvents
+	upstreams      []*burstUpstream
+	load           burstLoad
+	result         burstResult
+	byOrganisation map[string]*burstResult
+}
+
+// burstLoad is what a simulation plays.
+type burstLoad struct {
+	upstreams  int
 	objectives bool
-	result     burstResult
+	// perSecond is the rate of new requests of all callers at a time since the start.
+	perSecond func(at time.Duration) float64
+	// organisation returns that of a request that starts at a time, nil for requests
+	// without one.
+	organisation func(random *rand.Rand, at time.Duration) string
+	// weight returns the weight of an organisation, nil for equal ones.
+	weight func(organisation string) float64
+	// hideOrganisations leaves the organisation out of what machines see.
+	hideOrganisations bool
+	// start and end delimit the requests that are counted.
+	start, end time.Duration
+}
+
+// usualBurst is the load of TestBurst.
+func usualBurst(objectives bool) burstLoad {
+	return burstLoad{
+		upstreams: burstUpstreams, objectives: objectives, start: burstStart, end: burstEnd,
+		perSecond: func(at time.Duration) float64 {
+			if at >= burstStart && at < burstEnd {
+				return burstRequestsPerSecond
+			}
+			return baseRequestsPerSecond
+		},
+	}
 }
 
 // burstResult counts the requests that start during the burst and, in the fields with the
 // prefix all, those of the whole simulation.
-type burstResult struct{ requests, inTime, allRequests, allServed int }
+type burstResult struct{ requests, inTime, served, allRequests, allServed int }
+
+func (r burstResult) inTimeShare() float64 { return float64(r.inTime) / float64(r.requests) }
+
+func (r burstResult) servedShare() float64 { return float64(r.served) / float64(r.requests) }
 
 func (b *burstSimulation) after(delay time.Duration, run func()) {
 	heap.Push(&b.events, burstEvent{b.now.Add(delay), run})
 }
 
-func simulateBurst(seed uint64, objectives bool) burstResult {
-	b := &burstSimulation{random: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), objectives: objectives}
-	for range burstUpstreams {
+func simulateBurst(seed uint64, load burstLoad) *burstSimulation {
+	start := time.Unix(1000, 0)
+	b := &burstSimulation{random: rand.New(rand.NewPCG(seed, 3)), startedAt: start, now: start, load: load, byOrganisation: map[string]*burstResult{}}
+	for range load.upstreams {
 		u := &burstUpstream{machine: admission.NewMachine(admission.Config{}), slowdown: 1, queued: map[admission.Ticket]*burstRequest{}}
 		u.machine.Start(b.now, "1", burstSlots)
 		u.machine.SetWarmup(b.now, 8.2, b.now)
 		b.upstreams = append(b.upstreams, u)
 		b.after(time.Duration(b.random.Float64()*float64(burstSpeedInterval)), func() { b.changeSpeed(u) })
 	}
-	start := b.now
 	for at := time.Duration(0); at < simulationLength; {
-		rate := baseRequestsPerSecond
-		if at >= burstStart && at < burstEnd {
-			rate = burstRequestsPerSecond
-		}
-		at += time.Duration(b.random.ExpFloat64() / rate * float64(time.Second))
+		at += time.Duration(b.random.ExpFloat64() / load.perSecond(at) * float64(time.Second))
 		b.after(at, func() {
 			r := &burstRequest{startedAt: b.now, work: time.Duration((0.5 + b.random.Float64()) * float64(burstOwnTime))}
-			b.result.allRequests++
-			if b.startedInBurst(r, start) {
-				b.result.requests++
+			if load.organisation != nil {
+				r.organisation = load.organisation(b.random, b.now.Sub(start))
 			}
-			b.arrive(r)
+			b.begin(r)
 		})
 	}
 	for len(b.events) > 0 {
@@ -131,12 +163,29 @@
 		b.now = event.at
 		event.run()
 	}
-	return b.result
+	return b
 }
 
-func (b *burstSimulation) startedInBurst(r *burstRequest, start time.Time) bool {
-	at := r.startedAt.Sub(start)
-	return at >= burstStart && at < burstEnd
+func (b *burstSimulation) begin(r *burstRequest) {
+	b.result.allRequests++
+	if b.isCounted(r) {
+		b.result.requests++
+		b.of(r.organisation).requests++
+	}
+	b.arrive(r)
+}
+
+// of returns the result of an organisation.
+func (b *burstSimulation) of(organisation string) *burstResult {
+	if b.byOrganisation[organisation] == nil {
+		b.byOrganisation[organisation] = &burstResult{}
+	}
+	return b.byOrganisation[organisation]
+}
+
+func (b *burstSimulation) isCounted(r *burstRequest) bool {
+	at := r.startedAt.Sub(b.startedAt)
+	return at >= b.load.start && at < b.load.end
 }
 
 func (b *burstSimulation) changeSpeed(u *burstUpstream) {
@@ -144,7 +193,7 @@
 	if b.random.Float64() < burstSlowShare {
 		u.slowdown = burstSlowdown
 	}
-	if b.objectives {
+	if b.load.objectives {
 		b.handleEvents(u, u.machine.SetSlowdown(b.now, u.slowdown))
 	}
 	b.after(burstSpeedInterval, func() { b.changeSpeed(u) })
@@ -159,7 +208,7 @@
 
 func (b *burstSimulation) sendToBest(r *burstRequest) {
 	var sample []int
-	for _, i := range b.random.Perm(burstUpstreams) {
+	for _, i := range b.random.Perm(b.load.upstreams) {
 		if len(sample) < burstSampleSize && !r.tried[i] {
 			sample = append(sample, i)
 		}
@@ -186,7 +235,13 @@
 		deadline = timeout
 	}
 	request := admission.Request{Deadline: deadline, Attempt: 1 + r.refusals}
-	if b.objectives {
+	if !b.load.hideOrganisations {
+		request.Organisation = r.organisation
+		if b.load.weight != nil {
+			request.Weight = b.load.weight(r.organisation)
+		}
+	}
+	if b.load.objectives {
 		request.Objective = r.arrived.Add(burstObjective - burstNetworkTime)
 		request.Work = admission.Work{OwnTime: burstOwnTime, NestedWait: burstNestedWait}
 		if r.isLate {
@@ -240,8 +295,14 @@
 		return
 	}
 	b.result.allServed++
-	if latency <= burstObjective && b.startedInBurst(r, time.Unix(1000, 0)) {
+	if !b.isCounted(r) {
+		return
+	}
+	b.result.served++
+	b.of(r.organisation).served++
+	if latency <= burstObjective {
 		b.result.inTime++
+		b.of(r.organisation).inTime++
 	}
 }
 
@@ -258,7 +319,7 @@
 	report := u.machine.Report()
 	expectedWait := time.Duration(report.GetQueued()+1) * (burstOwnTime + burstNestedWait) / time.Duration(max(1, report.GetLimit()))
 	delay := overload.RetryDelay(b.random, expectedWait)
-	if b.objectives {
+	if b.load.objectives {
 		delay = overload.BusyRetryDelay(b.random, remaining)
 	}
 	b.after(delay+burstReconnectTime, func() { b.arrive(r) })
@@ -270,7 +331,7 @@
 // Plain requests, which carry no objective or urgency, miss the target.
 func TestBurst(t *testing.T) {
 	for seed := range uint64(3) {
-		plain, ordered := simulateBurst(seed, false), simulateBurst(seed, true)
+		plain, ordered := simulateBurst(seed, usualBurst(false)).result, simulateBurst(seed, usualBurst(true)).result
 		t.Logf("seed %d: share in time %.2f plain, %.2f ordered; share served %.3f plain, %.3f ordered", seed,
 			float64(plain.inTime)/float64(plain.requests), float64(ordered.inTime)/float64(ordered.requests),
 			float64(plain.allServed)/float64(plain.allRequests), float64(ordered.allServed)/float64(ordered.allRequests))
--- /dev/null
+++ b/internal/coordination/admission/fairshare.go
@@ -0,0 +1,149 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shareMemory is the time after which the work of an organisation counts 1/e. It spans
+	// several requests of an organisation at one of many upstreams, and is short against a
+	// burst of some seconds.
+	shareMemory = 1500 * time.Millisecond
+	// forgottenShare is the part of a request's usual work below which an organisation is
+	// forgotten.
+	forgottenShare = 0.05
+	// maxTrackedOrganisations bounds the organisations whose work is remembered. Beyond it
+	// the one with the least work is forgotten, which is treated like one without work.
+	maxTrackedOrganisations = 256
+	// shareTolerance times what the others use by weight is what an organisation may use
+	// before its requests wait behind theirs: an upstream sees few requests of each.
+	shareTolerance = 2.0
+)
+
+// fairShare records the recent work of each organisation at an upstream, as the total
+// processing time of the requests that were started. Its zero value has no records and
+// never prefers a request.
+type fairShare struct {
+	recent    map[string]*recentWork
+	updatedAt time.Time
+	// seconds and weight are the sums over all organisations in recent.
+	seconds, weight float64
+}
+
+// recentWork is the work of one organisation.
+type recentWork struct{ seconds, weight float64 }
+
+// record counts a started request. Requests without an organisation don't count.
+func (f *fairShare) record(now time.Time, w *waiter, seconds float64) {
+	if w.organisation == "" {
+		return
+	}
+	f.decay(now, seconds)
+	work, known := f.recent[w.organisation]
+	if !known {
+		f.makeRoom()
+		if f.recent == nil {
+			f.recent = map[string]*recentWork{}
+		}
+		work = &recentWork{}
+		f.recent[w.organisation] = work
+	}
+	f.weight += w.weight - work.weight
+	work.weight = w.weight
+	work.seconds += seconds
+	f.seconds += seconds
+}
+
+// decay reduces the work that was recorded before, and forgets organisations with little
+// of it.
+func (f *fairShare) decay(now time.Time, usualSeconds float64) {
+	elapsed := now.Sub(f.updatedAt)
+	if elapsed <= 0 {
+		return
+	}
+	f.updatedAt = now
+	remaining := math.Exp(-elapsed.Seconds() / shareMemory.Seconds())
+	f.seconds *= remaining
+	for organisation, work := range f.recent {
+		work.seconds *= remaining
+		if work.seconds < forgottenShare*usualSeconds {
+			f.forget(organisation)
+		}
+	}
+}
+
+// makeRoom forgets the organisation with the least work when there are too many.
+func (f *fairShare) makeRoom() {
+	if len(f.recent) < maxTrackedOrganisations {
+		return
+	}
+	least := ""
+	for organisation, work := range f.recent {
+		if least == "" || work.seconds < f.recent[least].seconds || work.seconds == f.recent[least].seconds && organisation < least {
+			least = organisation
+		}
+	}
+	f.forget(least)
+}
+
+func (f *fairShare) forget(organisation string) {
+	work := f.recent[organisation]
+	delete(f.recent, organisation)
+	f.seconds = max(0, f.seconds-work.seconds)
+	f.weight = max(0, f.weight-work.weight)
+}
+
+// excess returns how far an organisation is above its weighted share of the recent work, as
+// the others use theirs: 0 up to shareTolerance times as much by weight as they, and one more
+// for each further doubling. Steps keep the order by latest start among organisations that
+// use about as much as each other.
+func (f *fairShare) excess(organisation string) int {
+	work, known := f.recent[organisation]
+	if !known || len(f.recent) == 1 {
+		return 0
+	}
+	othersSeconds, othersWeight := f.seconds-work.seconds, f.weight-work.weight
+	if othersSeconds <= 0 || othersWeight <= 0 {
+		return 0
+	}
+	ratio := work.seconds / work.weight * othersWeight / othersSeconds
+	if ratio <= shareTolerance {
+		return 0
+	}
+	return 1 + int(math.Log2(ratio/shareTolerance))
+}
+
+// newWaiter returns the queue entry of a request without its ticket and times.
+func (m *Machine) newWaiter(now time.Time, req Request) waiter {
+	w := waiter{
+		urgency: m.urgency(now, req), priority: req.Priority, ownTime: req.Work.OwnTime,
+		organisation: req.Organisation, weight: req.Weight,
+	}
+	if w.weight <= 0 {
+		w.weight = 1
+	}
+	w.excess = m.fairShare.excess(w.organisation)
+	return w
+}
+
+// recordShare counts a request that starts for its organisation.
+func (m *Machine) recordShare(now time.Time, w *waiter) {
+	seconds := w.ownTime.Seconds()
+	if seconds == 0 {
+		seconds = m.ramp.serviceTime().Seconds()
+	}
+	m.fairShare.record(now, w, seconds)
+}
+
+// updateExcess updates the shares of the queued requests and reports whether any changed.
+func (m *Machine) updateExcess() bool {
+	changed := false
+	for i := range m.queue {
+		w := &m.queue[i]
+		if excess := m.fairShare.excess(w.organisation); excess != w.excess {
+			w.excess, changed = excess, true
+		}
+	}
+	return changed
+}
--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -91,6 +91,7 @@
 	warmup        warmup
 	stated        statedRate
 	speed         speed
+	fairShare     fairShare
 	// updatedAt is the time of the last transition or, with a Gate, of the last report.
 	updatedAt time.Time
 	// reassessQueue is set at a cold start, or when the upstream states a lower rate, until
@@ -110,6 +111,11 @@
 	ticket   Ticket
 	urgency  overload.Urgency
 	priority int
+	// organisation is empty when unknown, and weight is the size of its share.
+	organisation string
+	weight       float64
+	// excess is how far the organisation is above its share; see fairShare.excess.
+	excess int
 	// latestStart is when the request must start to meet its objective, zero when unknown.
 	latestStart time.Time
 	// overdue is set for a nested request once latestStart has passed.
@@ -202,14 +208,15 @@
 	m.lastTicket++
 	ticket := m.lastTicket
 	m.updatedAt = now
-	w := waiter{ticket: ticket, urgency: m.urgency(now, req), priority: req.Priority, ownTime: req.Work.OwnTime}
+	w := m.newWaiter(now, req)
+	w.ticket = ticket
 	if w.urgency != overload.Late && !req.Objective.IsZero() {
 		w.latestStart = m.latestStart(req)
 		w.overdue = now.After(w.latestStart)
 	}
 	ahead := m.countAhead(&w)
 	if (ahead == 0 || m.mayOvertake(&w)) && m.tryStart(now, &w) {
-		m.admit(&w)
+		m.admit(now, &w)
 		return ticket, Admitted, notRefused
 	}
 	if reason := m.checkQueueWait(now, &w, ahead, req); reason != notRefused {
@@ -220,7 +227,8 @@
 }
 
 // admit counts a request as running.
-func (m *Machine) admit(w *waiter) {
+func (m *Machine) admit(now time.Time, w *waiter) {
+	m.recordShare(now, w)
 	nested := w.urgency == overload.Nested
 	m.running[w.ticket] = runningRequest{epoch: m.epoch, nested: nested}
 	if nested {
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -63,6 +63,8 @@
 		return w.priority < other.priority
 	case w.urgency != other.urgency:
 		return w.urgency.Precedes(other.urgency)
+	case w.excess != other.excess:
+		return w.excess < other.excess
 	}
 	return !w.latestStart.IsZero() && (other.latestStart.IsZero() || w.latestStart.Before(other.latestStart))
 }
@@ -71,9 +73,10 @@
 // meet their objectives.
 func (w *waiter) isLate() bool { return w.urgency == overload.Late || w.overdue }
 
-// demoteOverdue moves requests that can no longer meet their objective behind the others.
-// Only nested requests are affected, since others are refused at their latest start.
-func (m *Machine) demoteOverdue(now time.Time) {
+// demoteOverdue marks requests that can no longer meet their objective, which then go behind
+// the others, and reports whether there are any. Only nested requests are affected, since
+// others are refused at their latest start.
+func (m *Machine) demoteOverdue(now time.Time) bool {
 	changed := false
 	for i := range m.queue {
 		w := &m.queue[i]
@@ -81,17 +84,20 @@
 			w.overdue, changed = true, true
 		}
 	}
-	if changed {
-		slices.SortStableFunc(m.queue, func(a, b waiter) int {
-			switch {
-			case a.precedes(&b):
-				return -1
-			case b.precedes(&a):
-				return 1
-			}
-			return 0
-		})
-	}
+	return changed
+}
+
+// sortQueue restores the order of the queue after requests in it have changed.
+func (m *Machine) sortQueue() {
+	slices.SortStableFunc(m.queue, func(a, b waiter) int {
+		switch {
+		case a.precedes(&b):
+			return -1
+		case b.precedes(&a):
+			return 1
+		}
+		return 0
+	})
 }
 
 // checkQueueWait decides whether queueing is worthwhile for a request that cannot start now
@@ -99,7 +105,7 @@
 func (m *Machine) checkQueueWait(now time.Time, w *waiter, ahead int, req Request) wire.RefusalReason {
 	queueTimeout := m.queueTimeout(now, w, req)
 	wait := m.expectedWait(now, w, ahead)
-	if wait > queueTimeout || len(m.queue) >= maxQueuedPerSlot*m.slots {
+	if wait > queueTimeout || m.isQueueFull(w, ahead) {
 		return m.fullReason()
 	}
 	w.expiry = now.Add(queueTimeout)
@@ -117,6 +123,17 @@
 	return notRefused
 }
 
+// isQueueFull reports whether a request with ahead others before it finds no room in the
+// queue. One of an organisation below its share replaces the last of one above it, which the
+// next transition refuses.
+func (m *Machine) isQueueFull(w *waiter, ahead int) bool {
+	room := maxQueuedPerSlot * m.slots
+	if len(m.queue) == room && ahead < room && m.queue[room-1].excess > w.excess {
+		return false
+	}
+	return len(m.queue) >= room
+}
+
 // expectedServiceTime is the expected time from the start of the request to the end of its
 // response.
 func (m *Machine) expectedServiceTime(req Request) time.Duration {
@@ -194,11 +211,13 @@
 func (m *Machine) processQueue(now time.Time) {
 	m.updatedAt = now
 	m.refuseQueued(now)
-	m.demoteOverdue(now)
+	if m.demoteOverdue(now) {
+		m.sortQueue()
+	}
 	for i := m.takeStartable(now); i >= 0; i = m.takeStartable(now) {
 		w := m.queue[i]
 		m.queue = slices.Delete(m.queue, i, i+1)
-		m.admit(&w)
+		m.admit(now, &w)
 		m.events = append(m.events, Event{Ticket: w.ticket, Admitted: true})
 	}
 }
@@ -209,6 +228,9 @@
 	if len(m.queue) == 0 {
 		return -1
 	}
+	if m.updateExcess() {
+		m.sortQueue()
+	}
 	next := slices.IndexFunc(m.queue, func(w waiter) bool { return m.isBelowNestedShare(&w) && m.hasCapacity(now, &w) })
 	if next < 0 {
 		next = 0
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -75,6 +75,6 @@
 // Wait estimates the time until a request that arrives now can start, without the remainder
 // of a transient slowdown.
 func (m *Machine) Wait(now time.Time, req Request) time.Duration {
-	w := waiter{urgency: m.urgency(now, req), priority: req.Priority, ownTime: req.Work.OwnTime}
+	w := m.newWaiter(now, req)
 	return m.slotWait(now, &w, m.countAhead(&w))
 }
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -24,6 +24,11 @@
 	// Urgency and Priority determine the order of queued requests; priority 0 goes first.
 	Urgency  overload.Urgency
 	Priority int
+	// Organisation is whose request this is, empty when unknown. Within a priority,
+	// requests of organisations that use less than their share of the upstream go first.
+	Organisation string
+	// Weight is the size of the share of the organisation relative to others; 0 counts as 1.
+	Weight float64
 	// Work is the expected service time; Work.OwnTime is 0 when unknown.
 	Work Work
 	// Attempt is 1 for the first attempt of a request. Later attempts may wait longer,
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -86,6 +86,9 @@
 	// priority is that of the route, or of the parent request when that is lower. 0 is
 	// the highest priority.
 	priority int
+	// organisation is whose key the caller sent, empty without one. For a nested call it is
+	// that of the parent request.
+	organisation string
 	// sentAttempts counts the attempts that may have reached an upstream, refusedAttempts those
 	// that a node refused.
 	sentAttempts, refusedAttempts int
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -132,7 +132,8 @@
 func (n *Node) requestQuote(instance *wire.Instance, c *call, responses chan<- datagram.Response, index uint64) (uint64, bool) {
 	payload, err := proto.Marshal(&wire.QuoteRequest{
 		Instance: instance.GetId(), Route: c.routeName(), Urgency: urgencyToWire(c.currentUrgency()),
-		Priority: uint32(c.priority), //nolint:gosec // checked by the document
+		Priority:     uint32(c.priority), //nolint:gosec // checked by the document
+		Organisation: c.organisation,
 	})
 	if err != nil {
 		return 0, false
@@ -220,9 +221,10 @@
 func (n *Node) currentQuote(request *wire.QuoteRequest) *wire.Quote {
 	n.syncZone()
 	wait := n.upstream.gate.Wait(admission.Request{
-		Urgency:  urgencyFromWire(request.GetUrgency()),
-		Priority: int(request.GetPriority()),
-		Work:     n.expectedWork(request.GetRoute()),
+		Urgency:      urgencyFromWire(request.GetUrgency()),
+		Priority:     int(request.GetPriority()),
+		Organisation: request.GetOrganisation(),
+		Work:         n.expectedWork(request.GetRoute()),
 	})
 	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.loadReportForRoute(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.View().Revision}
 	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance())
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -175,11 +175,12 @@
 
 func (r *receivedAttempt) admissionRequest() admission.Request {
 	request := admission.Request{
-		Deadline: r.deadline,
-		Urgency:  urgencyFromWire(r.head.GetUrgency()),
-		Priority: int(r.head.GetPriority()),
-		Work:     r.node.expectedWork(r.head.GetRoute()),
-		Attempt:  int(r.head.GetAttemptNumber()),
+		Deadline:     r.deadline,
+		Urgency:      urgencyFromWire(r.head.GetUrgency()),
+		Priority:     int(r.head.GetPriority()),
+		Organisation: r.head.GetOrganisation(),
+		Work:         r.node.expectedWork(r.head.GetRoute()),
+		Attempt:      int(r.head.GetAttemptNumber()),
 	}
 	request.Objective = r.objectiveDeadline
 	return request
