Leave a slot to others of an organisation far above its share

An organisation far above its share now leaves one slot free when the others have recently used as much, and goes behind them from 1.3 instead of 2 times their use.

--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -18,7 +18,11 @@
 	maxTrackedOrganisations = 256
 	// shareTolerance times what the others use by weight is what an organisation may use
 	// before its requests wait behind theirs: an upstream sees few requests of each.
-	shareTolerance = 2.0
+	shareTolerance = 1.3
+	// farAboveShare is the excess from which an organisation leaves a slot to the others.
+	// Otherwise theirs would often arrive while all slots are taken for longer than they can
+	// wait.
+	farAboveShare = 2
 )
 
 // fairShare records the recent work of each organisation at an upstream, as the total
@@ -99,21 +103,37 @@
 // for each further doubling. Steps keep the order by latest start among organisations that
 // use about as much as each other.
 func (f *fairShare) excess(organisation string) int {
-	work, known := f.recent[organisation]
-	if !known || len(f.recent) == 1 {
+	work, others := f.compare(organisation)
+	if work.seconds <= 0 || others.seconds <= 0 || others.weight <= 0 {
 		return 0
 	}
-	othersSeconds, othersWeight := f.seconds-work.seconds, f.weight-work.weight
-	if othersSeconds <= 0 || othersWeight <= 0 {
-		return 0
-	}
-	ratio := work.seconds / work.weight * othersWeight / othersSeconds
+	ratio := work.seconds / work.weight * others.weight / others.seconds
 	if ratio <= shareTolerance {
 		return 0
 	}
 	return 1 + int(math.Log2(ratio/shareTolerance))
 }
 
+// compare returns the recent work of an organisation and that of all others together.
+func (f *fairShare) compare(organisation string) (work, others recentWork) {
+	if known := f.recent[organisation]; known != nil && len(f.recent) > 1 {
+		return *known, recentWork{seconds: f.seconds - known.seconds, weight: f.weight - known.weight}
+	}
+	return recentWork{}, recentWork{}
+}
+
+// reservedSlots returns how many of the slots an organisation leaves free for the others: one,
+// if it is far above its share and the others have recently used as much.
+func (f *fairShare) reservedSlots(w *waiter, slots int) int {
+	if w.excess < farAboveShare || slots < 2 {
+		return 0
+	}
+	if work, others := f.compare(w.organisation); others.seconds*float64(slots) < work.seconds+others.seconds {
+		return 0
+	}
+	return 1
+}
+
 // newWaiter returns the queue entry of a request without its ticket and times.
 func (m *Machine) newWaiter(now time.Time, req Request) waiter {
 	w := waiter{
