Keep half of the slots of cold upstreams for requests in time

When power returns, late callers of the outage took free slots of cold upstreams, for longer than new requests can wait. Requests that are late, or would be at the current speed, now leave half of the slots free, wait up to 2 s for the rest, and are replaced in a full queue.

--- a/internal/coordination/admission/burst_test.go
+++ b/internal/coordination/admission/burst_test.go
@@ -142,6 +142,8 @@
 
 func (r burstResult) inTimeShare() float64 { return float64(r.inTime) / float64(r.requests) }
 
+func (r burstResult) allServedShare() float64 { return float64(r.allServed) / float64(r.allRequests) }
+
 func (r burstResult) servedShare() float64 { return float64(r.served) / float64(r.requests) }
 
 func (b *burstSimulation) after(delay time.Duration, run func()) {
--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -118,6 +118,9 @@
 	excess int
 	// latestStart is when the request must start to meet its objective, zero when unknown.
 	latestStart time.Time
+	// ownObjective is when the processing in the upstream itself must be complete to meet the
+	// objective, zero without one.
+	ownObjective time.Time
 	// overdue is set for a nested request once latestStart has passed.
 	overdue bool
 	// ownTime is the processing time in the upstream itself at its usual speed, 0 when
@@ -212,6 +215,7 @@
 	w.ticket = ticket
 	if w.urgency != overload.Late && !req.Objective.IsZero() {
 		w.latestStart = m.latestStart(req)
+		w.ownObjective = req.Objective.Add(-req.Work.NestedWait)
 		w.overdue = now.After(w.latestStart)
 	}
 	ahead := m.countAhead(&w)
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -124,12 +124,17 @@
 }
 
 // isQueueFull reports whether a request with ahead others before it finds no room in the
-// queue. One of an organisation below its share replaces the last of one above it, which the
-// next transition refuses.
+// queue. One of an organisation below its share replaces the last of one above it, and at a
+// cold upstream one that is not late replaces the last late one. The next transition refuses
+// the one that is replaced.
 func (m *Machine) isQueueFull(w *waiter, ahead int) bool {
 	room := maxQueuedPerSlot * m.slots
-	if len(m.queue) == room && ahead < room && m.queue[room-1].excess > w.excess {
-		return false
+	if len(m.queue) == room && ahead < room {
+		last := &m.queue[room-1]
+		givesWay := last.excess > w.excess || m.warmup.isCold(m.updatedAt) && last.isLate() && !w.isLate()
+		if givesWay {
+			return false
+		}
 	}
 	return len(m.queue) >= room
 }
@@ -156,6 +161,9 @@
 	case w.urgency == overload.InTime && !req.Objective.IsZero():
 		return max(0, m.latestStart(req).Sub(now))
 	}
+	if timeout, isColdLate := m.coldLateTimeout(now, w, req); isColdLate {
+		return timeout
+	}
 	otherInstanceWait := m.config.BaseQueueTimeout + fromSeconds(m.ramp.usualSeconds/2)
 	return min(otherInstanceWait, maxBaseQueueTimeout) * time.Duration(max(1, req.Attempt))
 }
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -69,13 +69,13 @@
 // hasCapacity reports whether the concurrency limit and the current speed allow a request
 // to be sent now. It leaves out rate limits.
 func (m *Machine) hasCapacity(now time.Time, w *waiter) bool {
-	return len(m.running) < m.limitFor(w) && !m.speed.shouldDelay(now, w.ownTime)
+	return len(m.running) < m.limitFor(now, w) && !m.speed.shouldDelay(now, w.ownTime)
 }
 
 // limitFor is the concurrency limit for a request, less the slots that it leaves to others.
-func (m *Machine) limitFor(w *waiter) int {
+func (m *Machine) limitFor(now time.Time, w *waiter) int {
 	limit := m.limit()
-	return limit - m.fairShare.reservedSlots(w, limit)
+	return limit - max(m.fairShare.reservedSlots(w, limit), m.coldReserve(now, w, limit))
 }
 
 // Wait estimates the time until a request that arrives now can start, without the remainder
