Send less to upstreams that reset connections, and keep theirs

An upstream that is full with work that its node does not count resets each request beyond it, which fails requests that must not be repeated. A reset before any byte of a response, shortly after dispatch, now lowers the limit to the other requests in progress for some seconds, or pauses without others. Responses that decline a request are read to their end, since each cost a new connection before.

--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -92,6 +92,7 @@
 	stated        statedRate
 	speed         speed
 	fairShare     fairShare
+	full          fullBound
 	// updatedAt is the time of the last transition or, with a Gate, of the last report.
 	updatedAt time.Time
 	// reassessQueue is set at a cold start, or when the upstream states a lower rate, until
@@ -148,6 +149,7 @@
 		m.startID = startID
 		m.leaving = false
 		m.stated.active = false
+		m.full = fullBound{}
 		m.startCold(now)
 	}
 	m.ramp.limit = max(1, min(m.ramp.limit, m.slots))
@@ -259,6 +261,9 @@
 // observe updates the service times and the limit. Requests admitted before the last cold
 // start do not affect the limit.
 func (m *Machine) observe(now time.Time, epoch uint64, outcome Outcome) {
+	if outcome.Result == ResultReset && epoch == m.epoch {
+		m.full.observeReset(now, len(m.running))
+	}
 	if m.warmup.isConfigured() {
 		m.ramp.observeServiceTime(outcome)
 		return
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -180,7 +180,7 @@
 // slotWait is the expected time until a request with ahead others before it gets a slot and
 // the rate limit of a cold upstream allows it.
 func (m *Machine) slotWait(now time.Time, w *waiter, ahead int) time.Duration {
-	wait := m.rateWait(now, ahead)
+	wait := max(m.rateWait(now, ahead), m.full.pause(now))
 	limit := m.limit()
 	overLimit := len(m.running) - limit
 	if overLimit+ahead < 0 {
@@ -193,13 +193,15 @@
 	return max(wait, time.Duration(serviceTimes*float64(m.ramp.serviceTime())))
 }
 
-// NextStart returns when a rate limit allows the next queued request to start. It returns false
-// when the queue is empty, or when that request waits for something other than a rate limit.
+// NextStart returns when a rate limit, or the end of the pause of a full upstream, allows the
+// next queued request to start. It returns false when the queue is empty, or when that request
+// waits for something else.
 func (m *Machine) NextStart(now time.Time) (time.Time, bool) {
-	if len(m.queue) == 0 || !m.isRateLimited() || !m.hasCapacity(now, &m.queue[0]) {
+	pause := m.full.pause(now)
+	if len(m.queue) == 0 || pause == 0 && !m.isRateLimited() || !m.hasCapacity(now, &m.queue[0]) {
 		return time.Time{}, false
 	}
-	return now.Add(m.rateWait(now, 0)), true
+	return now.Add(max(pause, m.rateWait(now, 0))), true
 }
 
 // fullReason is the refusal reason of a request whose queue wait would be too long.
--- a/internal/coordination/admission/ramp.go
+++ b/internal/coordination/admission/ramp.go
@@ -65,7 +65,7 @@
 		return r.observeSlow(now)
 	case ResultOverloaded:
 		r.shrink(now)
-	case ResultError:
+	case ResultError, ResultReset:
 		// Application errors alone, a minority of the responses, must not keep an upstream
 		// cold.
 		if r.cold {
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -59,7 +59,7 @@
 // tryStart reports whether a request may be sent now, and counts it against the rates that
 // bound the requests to the upstream.
 func (m *Machine) tryStart(now time.Time, w *waiter) bool {
-	if !m.hasCapacity(now, w) || m.rateWait(now, 0) > 0 {
+	if !m.hasCapacity(now, w) || m.rateWait(now, 0) > 0 || m.full.pause(now) > 0 {
 		return false
 	}
 	m.takeRate(now)
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -46,6 +46,9 @@
 	ResultError
 	// ResultOverloaded is a response by which the upstream sheds load.
 	ResultOverloaded
+	// ResultReset is a connection that the upstream has closed shortly after dispatch and
+	// before any byte of a response, as some do when they are full.
+	ResultReset
 	// ResultConnectRefused is a refused connection; nothing was written.
 	ResultConnectRefused
 	// ResultTimeout is an attempt whose deadline passed after dispatch.
--- a/internal/coordination/admission/warmup.go
+++ b/internal/coordination/admission/warmup.go
@@ -79,10 +79,14 @@
 	return m.events
 }
 
-// limit is the concurrency limit. It leaves slots free, because an upstream whose slots are
+// limit is the concurrency limit. It is lower for a while after the upstream has shown that it
+// is full.
+func (m *Machine) limit() int { return m.full.bound(m.updatedAt, m.usualLimit()) }
+
+// usualLimit is the concurrency limit of an upstream that is not known to be full. It leaves slots free, because an upstream whose slots are
 // nearly all taken works slower. Nested requests have no slots beyond it: under a lasting
 // overload the upstream would always be slow, and serve fewer nested requests than without.
-func (m *Machine) limit() int {
+func (m *Machine) usualLimit() int {
 	if !m.warmup.isConfigured() {
 		return m.ramp.limit
 	}
--- a/internal/node/egress/conn.go
+++ b/internal/node/egress/conn.go
@@ -27,7 +27,10 @@
 
 var (
 	errHeadTooLarge = errors.New("response head exceeds the size limit")
-	errNotHTTP      = errors.New("the upstream sent bytes that are no HTTP response")
+	// errClosedUnanswered reports that the upstream closed the connection before any byte of
+	// a response.
+	errClosedUnanswered = errors.New("connection closed before a response")
+	errNotHTTP          = errors.New("the upstream sent bytes that are no HTTP response")
 )
 
 // conn is one connection to the upstream.
@@ -40,6 +43,8 @@
 	// headBytesLeft bounds the bytes read while a response head is read; -1 means no limit.
 	headBytesLeft int
 	idleSince     time.Time
+	// idleTime is how long the connection was idle before its current request.
+	idleTime time.Duration
 	// maxIdleTime is the longest idle time after which the connection may be reused.
 	maxIdleTime time.Duration
 	// beforeDispatch is called before the first byte of a request is written; dispatched is
@@ -106,6 +111,22 @@
 	return nil
 }
 
+// recentUse is the idle time up to which a connection that is closed without a response was
+// not closed for being idle. Idle timeouts of servers are longer.
+const recentUse = time.Second
+
+// wasRecentlyUsed reports whether the connection was new or idle for a short time only before
+// its current request.
+func (c *conn) wasRecentlyUsed() bool {
+	return c.idleSince.IsZero() || c.idleTime < recentUse
+}
+
+// isClosedByPeer reports whether a read or write failed because the peer has closed or reset
+// the connection.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // abort makes all pending and later reads and writes fail.
 func (c *conn) abort() {
 	c.aborted.Store(true)
--- a/internal/node/egress/egress_test.go
+++ b/internal/node/egress/egress_test.go
@@ -107,6 +107,40 @@
 	}
 }
 
+// TestDiscardKeepsConnection guards against a new connection after each response whose body
+// is of no use, such as one by which the upstream sheds load.
+func TestDiscardKeepsConnection(t *testing.T) {
+	shed := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy"
+	s := newScriptedUpstream(t, shed, shed, okResponse)
+	p := s.pool()
+	for range 2 {
+		response, err := p.Do(context.Background(), newRequest(t, http.MethodPost, "b"), false, allowDispatch)
+		assert.NilError(t, err)
+		response.Discard()
+		response.Close()
+	}
+	_, _, err := roundTrip(t, p, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.connectionEnded), 0)
+}
+
+// TestReset guards against not telling an upstream that closes new connections, because it is
+// full, from one that fails a request in another way.
+func TestReset(t *testing.T) {
+	s := newScriptedUpstream(t, "", "no HTTP", okResponse, "")
+	p := s.pool()
+	for _, isReset := range []bool{true, false} {
+		_, _, err := roundTrip(t, p, http.MethodPost)
+		assert.ErrorIs(t, err, ErrNoResponse)
+		assert.Equal(t, errors.Is(err, ErrReset), isReset, "%v", err)
+	}
+	_, _, err := roundTrip(t, p, http.MethodPost)
+	assert.NilError(t, err)
+	p.idle[0].idleSince = p.idle[0].idleSince.Add(-recentUse)
+	_, _, err = roundTrip(t, p, http.MethodPost)
+	assert.Assert(t, errors.Is(err, ErrNoResponse) && !errors.Is(err, ErrReset), "%v", err)
+}
+
 // TestClosedIdleConnection guards against an error or an unknown outcome for a request
 // because the upstream had already closed an idle connection.
 func TestClosedIdleConnection(t *testing.T) {
--- a/internal/node/egress/exchange.go
+++ b/internal/node/egress/exchange.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -16,6 +17,13 @@
 // discarded to reach the next response on the connection.
 const maxSkippedBodyBytes = 1 << 20
 
+const (
+	// maxDiscardedBytes and discardTimeout bound the body that is read only to keep its
+	// connection. A new connection costs less than reading more.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 50 * time.Millisecond
+)
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	pool        *Pool
@@ -54,6 +62,9 @@
 	if streamed && x.endedUndispatched() {
 		return nil, errors.WithMessagef(ErrNotSent, "%v", x.sendErr)
 	}
+	if errors.Is(err, errClosedUnanswered) && x.conn.wasRecentlyUsed() {
+		return nil, errors.WithMessagef(ErrReset, "%v", err)
+	}
 	return nil, errors.WithMessagef(ErrNoResponse, "%v", err)
 }
 
@@ -91,8 +102,12 @@
 func (x *exchange) readHead() (*http.Response, error) {
 	x.conn.headBytesLeft = maxHeadBytes
 	defer func() { x.conn.headBytesLeft = -1 }()
-	for range maxResponseHeads {
-		if err := x.conn.awaitResponse(); err != nil {
+	for i := range maxResponseHeads {
+		err := x.conn.awaitResponse()
+		if i == 0 && x.conn.reader.Buffered() == 0 && isClosedByPeer(err) {
+			return nil, errors.WithMessagef(errClosedUnanswered, "%v", err)
+		}
+		if err != nil {
 			return nil, err
 		}
 		response, err := http.ReadResponse(x.conn.reader, x.request)
@@ -188,6 +203,15 @@
 	r.exchange.end(r.complete && !r.Response.Close && r.IsSendDone())
 }
 
+// Discard reads the rest of a short body that arrives soon, so that Close keeps the connection.
+func (r *Response) Discard() {
+	timer := time.AfterFunc(discardTimeout, r.exchange.conn.abort)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDiscardedBytes))
+	if !timer.Stop() {
+		r.complete = false
+	}
+}
+
 // IsSendDone reports whether sending has ended: the request was written in full or sending
 // it has failed.
 func (r *Response) IsSendDone() bool {
--- a/internal/node/egress/pool.go
+++ b/internal/node/egress/pool.go
@@ -36,6 +36,9 @@
 	ErrUnreachable = errors.WithMessage(ErrNotSent, "upstream unreachable")
 	// ErrNoResponse reports that bytes were written but no valid response head arrived.
 	ErrNoResponse = errors.New("egress: no valid response head")
+	// ErrReset wraps ErrNoResponse and reports that the upstream has closed the connection
+	// before any byte of a response, although it was new or had been used recently.
+	ErrReset = errors.WithMessage(ErrNoResponse, "connection reset by the upstream")
 	// ErrIncomplete reports a response body that ended early.
 	ErrIncomplete = errors.New("egress: response body ended early")
 )
@@ -124,7 +127,8 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Since(c.idleSince) < c.maxIdleTime && c.isReusable() {
+		c.idleTime = time.Since(c.idleSince)
+		if c.idleTime < c.maxIdleTime && c.isReusable() {
 			return c, nil
 		}
 		p.discard(c)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -47,6 +47,9 @@
 	// upstreamRequests counts the requests sent to the upstream beside this node, without
 	// probes.
 	upstreamRequests *metrics.Counter
+	// upstreamResets counts the requests after which the upstream closed the connection at
+	// once, without a response, as when it is full.
+	upstreamResets *metrics.Counter
 	// ejections counts the ejections of failing instances by this entry node.
 	ejections *metrics.Counter
 	// rejectedAnnouncements counts the announcements that describe no instance.
@@ -75,6 +78,7 @@
 		retries:               set.NewCounter("chicorylever_retries_total"),
 		hedges:                set.NewCounter("chicorylever_hedges_total"),
 		upstreamRequests:      set.NewCounter("chicorylever_upstream_requests_total"),
+		upstreamResets:        set.NewCounter("chicorylever_upstream_resets_total"),
 		ejections:             set.NewCounter("chicorylever_ejections_total"),
 		rejectedAnnouncements: set.NewCounter("chicorylever_announcements_rejected_total"),
 		addedLatency:          set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -12,6 +12,10 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
+// resetWindow is the time after dispatch in which a reset means that the upstream is full. One
+// that is running a request and stops resets it later.
+const resetWindow = 100 * time.Millisecond
+
 // refuseDeclined refuses an attempt after the upstream has responded that it did not run
 // the attempt.
 func (r *receivedAttempt) refuseDeclined(response *egress.Response) admission.Outcome {
@@ -26,6 +30,11 @@
 		r.node.upstream.observeSignals(r.pool, r.dispatchedAt, response.Header)
 	}
 	r.recordUpstreamOutcome(outcome.Result)
+	if response.IsSendDone() {
+		// The connection is kept for the next request, which the permit may allow at once.
+		response.Discard()
+		response.Close()
+	}
 	r.permit.Release(outcome)
 	r.declined = true
 	r.refuse(reason, "declined by the upstream")
@@ -74,6 +83,9 @@
 		return admission.ResultCancelled
 	case ctx.Err() != nil:
 		return admission.ResultTimeout
+	case errors.Is(err, egress.ErrReset) && time.Since(r.dispatchedAt) < resetWindow:
+		r.node.metrics.upstreamResets.Inc()
+		return admission.ResultReset
 	default:
 		return admission.ResultError
 	}
