--- a/internal/coordination/admission/burst_test.go
+++ b/internal/coordination/admission/burst_test.go
@@ -63,6 +63,7 @@
 type burstUpstream struct {
 	machine  *admission.Machine
 	slowdown float64
+	reported reportedSpeed
 	queued   map[admission.Ticket]*burstRequest
 }
 
@@ -117,6 +118,9 @@
 	// coldFor is how long all upstreams are cold after the start, for the rate coldPerSecond.
 	coldFor       time.Duration
 	coldPerSecond float64
+	// needsProbe decides whether an upstream is probed before a quote, nil when nodes always
+	// know its speed.
+	needsProbe func(admission.LoadFacts) bool
 	// returning is the number of callers whose first attempt failed within returningAge
 	// before the start, and who all come back at the start.
 	returning    int
@@ -138,12 +142,14 @@
 
 // burstResult counts the requests that start during the burst and, in the fields with the
 // prefix all, those of the whole simulation.
-type burstResult struct{ requests, inTime, served, allRequests, allServed int }
+type burstResult struct{ requests, inTime, served, allRequests, allServed, probes int }
 
 func (r burstResult) inTimeShare() float64 { return float64(r.inTime) / float64(r.requests) }
 
 func (r burstResult) allServedShare() float64 { return float64(r.allServed) / float64(r.allRequests) }
 
+func (r burstResult) probesPerRequest() float64 { return float64(r.probes) / float64(r.allRequests) }
+
 func (r burstResult) servedShare() float64 { return float64(r.served) / float64(r.requests) }
 
 func (b *burstSimulation) after(delay time.Duration, run func()) {
@@ -227,7 +233,7 @@
 	if b.random.Float64() < burstSlowShare {
 		u.slowdown = burstSlowdown
 	}
-	if b.load.objectives {
+	if b.load.objectives && b.load.needsProbe == nil {
 		b.handleEvents(u, u.machine.SetSlowdown(b.now, b.currentSlowdown(u)))
 	}
 	b.after(burstSpeedInterval, func() { b.changeSpeed(u) })
@@ -250,10 +256,11 @@
 	quotes := make([]*balance.Quote, len(sample))
 	for k, i := range sample {
 		u := b.upstreams[i]
+		b.look(u)
 		report := u.machine.Report()
 		quotes[k] = &balance.Quote{
 			Open: true, Running: int(report.GetInFlight()), Queued: int(report.GetQueued()), Limit: int(report.GetLimit()),
-			Slowdown: b.currentSlowdown(u), ServiceTime: b.load.ownTime + b.load.nestedWait, Cold: b.isCold(),
+			Slowdown: b.knownSlowdown(u), ServiceTime: b.load.ownTime + b.load.nestedWait, Cold: b.isCold(),
 			QueueWait: u.machine.Wait(b.now, b.admissionRequest(r)),
 		}
 	}
@@ -293,6 +300,7 @@
 	case admission.Queued:
 		u.queued[ticket] = r
 		b.awaitStart(u)
+		b.watch(u)
 		expiry, _ := u.machine.Expiry(ticket)
 		b.after(expiry.Sub(b.now), func() { b.handleEvents(u, u.machine.Expire(b.now)) })
 	default:
@@ -328,6 +336,7 @@
 	serviceTime := work + b.load.nestedWait
 	b.after(serviceTime, func() {
 		b.finish(r)
+		b.learn(u)
 		b.handleEvents(u, u.machine.Release(b.now, ticket, admission.Outcome{ServiceTime: serviceTime}))
 	})
 }
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -125,7 +125,7 @@
 		_, _, beside := startEndlessPair(t, upstream)
 		probed := make(chan struct{})
 		beside.Node.upstream.measurementBudget.SetRate(time.Now(), defaultProbesPerSecond)
-		beside.Node.upstream.refreshLoad("/health", func() { close(probed) })
+		beside.Node.upstream.refreshLoad("/health", beside.Node.upstream.needsProbeForSpeed, func() { close(probed) })
 		select {
 		case <-probed:
 		case <-time.After(endlessTimeout):
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -9,12 +9,13 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
 )
 
 const (
 	// freshLoadAge is the age up to which the upstream's report of its load is used
-	// without a new probe.
+	// without a new probe while requests wait for its speed.
 	freshLoadAge = 40 * time.Millisecond
 	// probeTimeout bounds a probe of the upstream.
 	probeTimeout = 100 * time.Millisecond
@@ -31,13 +32,29 @@
 	defaultProbesPerSecond = 40.0
 )
 
-// refreshLoad calls done once the upstream's load report is as recent as possible. It probes the
-// upstream when the last report is older than freshLoadAge, or older still when the upstream
-// states a rate limit, and the measurement budget allows it. The callback may run before
+// needsProbeForQuote reports whether a quote needs a probe of the upstream; see
+// admission.NeedsProbe. The caller holds u.mu.
+func (u *upstream) needsProbeForQuote() bool {
+	report := u.gate.Report()
+	return admission.NeedsProbe(admission.LoadFacts{
+		Age:      time.Since(u.reportedLoadAt),
+		Slowdown: float64(u.slowdownPercent) / normalSlowdownPercent,
+		Running:  int(report.GetInFlight()),
+		Limit:    int(report.GetLimit()),
+	})
+}
+
+// needsProbeForSpeed reports whether requests that wait for a slow upstream need a probe. The
+// caller holds u.mu.
+func (u *upstream) needsProbeForSpeed() bool { return time.Since(u.reportedLoadAt) >= freshLoadAge }
+
+// refreshLoad calls done once the upstream's load report is recent enough. It probes the
+// upstream when needsProbe, which is called with u.mu locked, asks for it, no stated rate limit
+// speaks against it, and the measurement budget allows it. The callback may run before
 // refreshLoad returns; it must not block.
-func (u *upstream) refreshLoad(path string, done func()) {
+func (u *upstream) refreshLoad(path string, needsProbe func() bool, done func()) {
 	u.mu.Lock()
-	if path == "" || u.pool == nil || time.Since(u.reportedLoadAt) < freshLoadAge ||
+	if path == "" || u.pool == nil || !needsProbe() ||
 		time.Since(u.unreachableAt) < unreachableDuration || u.rateLimit.needsNoProbe(time.Now()) {
 		u.mu.Unlock()
 		done()
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -195,13 +195,13 @@
 const crossZoneRoundTrip = 3 * time.Millisecond
 
 // answerQuote answers a quote request for the upstream beside this node. When the last
-// load report is old, it probes the upstream first.
+// load report may be misleading, it probes the upstream first.
 func (n *Node) answerQuote(payload []byte, reply func(response []byte)) {
 	request := &wire.QuoteRequest{}
 	if proto.Unmarshal(payload, request) != nil {
 		return
 	}
-	n.upstream.refreshLoad(n.healthPath(), func() {
+	n.upstream.refreshLoad(n.healthPath(), n.upstream.needsProbeForQuote, func() {
 		response, err := proto.Marshal(n.currentQuote(request))
 		if err == nil {
 			reply(response)
--- a/internal/node/signals_test.go
+++ b/internal/node/signals_test.go
@@ -126,7 +126,7 @@
 			probed := make(chan struct{}, 1)
 			beside.Node.upstream.measurementBudget.SetRate(time.Now(), defaultProbesPerSecond)
 			eventually(t, func() bool {
-				beside.Node.upstream.refreshLoad("/health", func() { probed <- struct{}{} })
+				beside.Node.upstream.refreshLoad("/health", beside.Node.upstream.needsProbeForSpeed, func() { probed <- struct{}{} })
 				<-probed
 				return beside.Node.upstream.gate.Report().GetState() == wire.InstanceState_INSTANCE_LEAVING
 			})
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -90,7 +90,7 @@
 }
 
 func (u *upstream) probeWhileSlow(path string) {
-	u.refreshLoad(path, func() {
+	u.refreshLoad(path, u.needsProbeForSpeed, func() {
 		hasQueue := u.gate.Report().GetQueued() > 0
 		u.mu.Lock()
 		u.watchingSlowdown = hasQueue && u.slowdownPercent > normalSlowdownPercent
