Count only resets as a sign of a full upstream

An upstream that closes its connection in order, as a server does whose handler fails, was paused like a full one: TestClaimSettled and TestRunsAtMostOnce failed, since the next request was refused. Now only a reset counts, and the pause needs a second one within 2 s, so that one request that makes an upstream fail does not stop others.

--- a/internal/coordination/admission/full.go
+++ b/internal/coordination/admission/full.go
@@ -7,9 +7,9 @@
 	// request. Then it rises by one in each fullStep.
 	fullHold = 2 * time.Second
 	fullStep = 500 * time.Millisecond
-	// fullPause is how long an upstream gets no request after it has reset one although no
-	// other was running: it is full of work that did not come through this node, or that this
-	// node no longer waits for.
+	// fullPause is how long an upstream gets no request after it has reset two within
+	// fullHold, the last one although no other was running: it is full of work that did not
+	// come through this node, or that this node no longer waits for.
 	fullPause = 250 * time.Millisecond
 )
 
@@ -23,9 +23,10 @@
 
 // observeReset records that the upstream has reset a request while others were running.
 func (f *fullBound) observeReset(now time.Time, others int) {
+	isRepeated := !f.resetAt.IsZero() && now.Sub(f.resetAt) < fullHold
 	f.limit = max(1, min(f.bound(now, others), others))
 	f.resetAt = now
-	if others == 0 {
+	if others == 0 && isRepeated {
 		f.pausedUntil = now.Add(fullPause)
 	}
 }
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -46,7 +46,7 @@
 	ResultError
 	// ResultOverloaded is a response by which the upstream sheds load.
 	ResultOverloaded
-	// ResultReset is a connection that the upstream has closed shortly after dispatch and
+	// ResultReset is a connection that the upstream has reset shortly after dispatch and
 	// before any byte of a response, as some do when they are full.
 	ResultReset
 	// ResultConnectRefused is a refused connection; nothing was written.
--- a/internal/node/egress/conn.go
+++ b/internal/node/egress/conn.go
@@ -27,10 +27,10 @@
 
 var (
 	errHeadTooLarge = errors.New("response head exceeds the size limit")
-	// errClosedUnanswered reports that the upstream closed the connection before any byte of
-	// a response.
-	errClosedUnanswered = errors.New("connection closed before a response")
-	errNotHTTP          = errors.New("the upstream sent bytes that are no HTTP response")
+	// errResetUnanswered reports that the upstream reset the connection before any byte of a
+	// response.
+	errResetUnanswered = errors.New("connection reset before a response")
+	errNotHTTP         = errors.New("the upstream sent bytes that are no HTTP response")
 )
 
 // conn is one connection to the upstream.
@@ -111,7 +111,7 @@
 	return nil
 }
 
-// recentUse is the idle time up to which a connection that is closed without a response was
+// recentUse is the idle time up to which a connection that is reset without a response was
 // not closed for being idle. Idle timeouts of servers are longer.
 const recentUse = time.Second
 
@@ -121,10 +121,10 @@
 	return c.idleSince.IsZero() || c.idleTime < recentUse
 }
 
-// isClosedByPeer reports whether a read or write failed because the peer has closed or reset
-// the connection.
-func isClosedByPeer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+// isReset reports whether a read failed because the peer has reset the connection. A peer that
+// closes it in order has usually failed at the request.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // abort makes all pending and later reads and writes fail.
--- a/internal/node/egress/exchange.go
+++ b/internal/node/egress/exchange.go
@@ -62,7 +62,7 @@
 	if streamed && x.endedUndispatched() {
 		return nil, errors.WithMessagef(ErrNotSent, "%v", x.sendErr)
 	}
-	if errors.Is(err, errClosedUnanswered) && x.conn.wasRecentlyUsed() {
+	if errors.Is(err, errResetUnanswered) && x.conn.wasRecentlyUsed() {
 		return nil, errors.WithMessagef(ErrReset, "%v", err)
 	}
 	return nil, errors.WithMessagef(ErrNoResponse, "%v", err)
@@ -104,8 +104,8 @@
 	defer func() { x.conn.headBytesLeft = -1 }()
 	for i := range maxResponseHeads {
 		err := x.conn.awaitResponse()
-		if i == 0 && x.conn.reader.Buffered() == 0 && isClosedByPeer(err) {
-			return nil, errors.WithMessagef(errClosedUnanswered, "%v", err)
+		if i == 0 && x.conn.reader.Buffered() == 0 && isReset(err) {
+			return nil, errors.WithMessagef(errResetUnanswered, "%v", err)
 		}
 		if err != nil {
 			return nil, err
--- a/internal/node/egress/pool.go
+++ b/internal/node/egress/pool.go
@@ -36,7 +36,7 @@
 	ErrUnreachable = errors.WithMessage(ErrNotSent, "upstream unreachable")
 	// ErrNoResponse reports that bytes were written but no valid response head arrived.
 	ErrNoResponse = errors.New("egress: no valid response head")
-	// ErrReset wraps ErrNoResponse and reports that the upstream has closed the connection
+	// ErrReset wraps ErrNoResponse and reports that the upstream has reset the connection
 	// before any byte of a response, although it was new or had been used recently.
 	ErrReset = errors.WithMessage(ErrNoResponse, "connection reset by the upstream")
 	// ErrIncomplete reports a response body that ended early.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -47,7 +47,7 @@
 	// upstreamRequests counts the requests sent to the upstream beside this node, without
 	// probes.
 	upstreamRequests *metrics.Counter
-	// upstreamResets counts the requests after which the upstream closed the connection at
+	// upstreamResets counts the requests after which the upstream reset the connection at
 	// once, without a response, as when it is full.
 	upstreamResets *metrics.Counter
 	// ejections counts the ejections of failing instances by this entry node.
