--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -85,6 +85,7 @@
 		return admission.ResultTimeout
 	case errors.Is(err, egress.ErrReset) && time.Since(r.dispatchedAt) < resetWindow:
 		r.node.metrics.upstreamResets.Inc()
+		_ = r.node.upstream.signalLogger.Log("msg", "upstream resets requests and gets fewer for some seconds", "instance", r.head.GetInstance())
 		return admission.ResultReset
 	default:
 		return admission.ResultError
