Compare organisations within their priority only

An organisation of a high priority left a slot to requests of a lower priority, and counted as above its share by comparison with them. Shares are now kept for each priority.

--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -26,15 +26,23 @@
 )
 
 // fairShare records the recent work of each organisation at an upstream, as the total
-// processing time of the requests that were started. Its zero value has no records and
-// never prefers a request.
+// processing time of the requests that were started. Shares are within a priority. Its zero
+// value has no records and never prefers a request.
 type fairShare struct {
-	recent    map[string]*recentWork
+	recent    map[shareKey]*recentWork
 	updatedAt time.Time
-	// seconds and weight are the sums over all organisations in recent.
-	seconds, weight float64
+	// totals has the sums over all organisations of each priority in recent.
+	totals map[int]recentWork
 }
 
+// shareKey is an organisation and a priority of its requests.
+type shareKey struct {
+	organisation string
+	priority     int
+}
+
+func (w *waiter) shareKey() shareKey { return shareKey{w.organisation, w.priority} }
+
 // recentWork is the work of one organisation.
 type recentWork struct{ seconds, weight float64 }
 
@@ -44,19 +52,22 @@
 		return
 	}
 	f.decay(now, seconds)
-	work, known := f.recent[w.organisation]
+	key := w.shareKey()
+	work, known := f.recent[key]
 	if !known {
 		f.makeRoom()
-		if f.recent == nil {
-			f.recent = map[string]*recentWork{}
-		}
 		work = &recentWork{}
-		f.recent[w.organisation] = work
+		f.recent[key] = work
 	}
-	f.weight += w.weight - work.weight
+	f.add(key.priority, seconds, w.weight-work.weight)
 	work.weight = w.weight
 	work.seconds += seconds
-	f.seconds += seconds
+}
+
+// add adds to the sums of a priority.
+func (f *fairShare) add(priority int, seconds, weight float64) {
+	total := f.totals[priority]
+	f.totals[priority] = recentWork{seconds: max(0, total.seconds+seconds), weight: max(0, total.weight+weight)}
 }
 
 // decay reduces the work that was recorded before, and forgets organisations with little
@@ -68,42 +79,50 @@
 	}
 	f.updatedAt = now
 	remaining := math.Exp(-elapsed.Seconds() / shareMemory.Seconds())
-	f.seconds *= remaining
-	for organisation, work := range f.recent {
+	for priority, total := range f.totals {
+		f.add(priority, (remaining-1)*total.seconds, 0)
+	}
+	for key, work := range f.recent {
 		work.seconds *= remaining
 		if work.seconds < forgottenShare*usualSeconds {
-			f.forget(organisation)
+			f.forget(key)
 		}
 	}
 }
 
 // makeRoom forgets the organisation with the least work when there are too many.
 func (f *fairShare) makeRoom() {
+	if f.recent == nil {
+		f.recent, f.totals = map[shareKey]*recentWork{}, map[int]recentWork{}
+	}
 	if len(f.recent) < maxTrackedOrganisations {
 		return
 	}
-	least := ""
-	for organisation, work := range f.recent {
-		if least == "" || work.seconds < f.recent[least].seconds || work.seconds == f.recent[least].seconds && organisation < least {
-			least = organisation
+	var least shareKey
+	leastSeconds := math.Inf(1)
+	for key, work := range f.recent {
+		if work.seconds < leastSeconds {
+			least, leastSeconds = key, work.seconds
 		}
 	}
 	f.forget(least)
 }
 
-func (f *fairShare) forget(organisation string) {
-	work := f.recent[organisation]
-	delete(f.recent, organisation)
-	f.seconds = max(0, f.seconds-work.seconds)
-	f.weight = max(0, f.weight-work.weight)
+func (f *fairShare) forget(key shareKey) {
+	work := f.recent[key]
+	delete(f.recent, key)
+	f.add(key.priority, -work.seconds, -work.weight)
+	if f.totals[key.priority].weight <= roundingTolerance*work.weight {
+		delete(f.totals, key.priority)
+	}
 }
 
 // excess returns how far an organisation is above its weighted share of the recent work, as
-// the others use theirs: 0 up to shareTolerance times as much by weight as they, and one more
+// the others of the priority use theirs: 0 up to shareTolerance times as much by weight as they, and one more
 // for each further doubling. Steps keep the order by latest start among organisations that
 // use about as much as each other.
-func (f *fairShare) excess(organisation string) int {
-	work, others := f.compare(organisation)
+func (f *fairShare) excess(key shareKey) int {
+	work, others := f.compare(key)
 	if work.seconds <= 0 || others.seconds <= 0 || others.weight <= 0 {
 		return 0
 	}
@@ -114,12 +133,18 @@
 	return 1 + int(math.Log2(ratio/shareTolerance))
 }
 
-// compare returns the recent work of an organisation and that of all others together.
-func (f *fairShare) compare(organisation string) (work, others recentWork) {
-	if known := f.recent[organisation]; known != nil && len(f.recent) > 1 {
-		return *known, recentWork{seconds: f.seconds - known.seconds, weight: f.weight - known.weight}
+// compare returns the recent work of an organisation and that of all others of the priority
+// together.
+func (f *fairShare) compare(key shareKey) (work, others recentWork) {
+	known := f.recent[key]
+	if known == nil {
+		return recentWork{}, recentWork{}
+	}
+	total := f.totals[key.priority]
+	if others := total.weight - known.weight; others > roundingTolerance*total.weight {
+		return *known, recentWork{seconds: total.seconds - known.seconds, weight: others}
 	}
-	return recentWork{}, recentWork{}
+	return *known, recentWork{}
 }
 
 // reservedSlots returns how many of the slots an organisation leaves free for the others: one,
@@ -128,7 +153,7 @@
 	if w.excess < farAboveShare || slots < 2 {
 		return 0
 	}
-	if work, others := f.compare(w.organisation); others.seconds*float64(slots) < work.seconds+others.seconds {
+	if work, others := f.compare(w.shareKey()); others.seconds*float64(slots) < work.seconds+others.seconds {
 		return 0
 	}
 	return 1
@@ -143,7 +168,7 @@
 	if w.weight <= 0 {
 		w.weight = 1
 	}
-	w.excess = m.fairShare.excess(w.organisation)
+	w.excess = m.fairShare.excess(w.shareKey())
 	return w
 }
 
@@ -161,7 +186,7 @@
 	changed := false
 	for i := range m.queue {
 		w := &m.queue[i]
-		if excess := m.fairShare.excess(w.organisation); excess != w.excess {
+		if excess := m.fairShare.excess(w.shareKey()); excess != w.excess {
 			w.excess, changed = excess, true
 		}
 	}
--- a/internal/coordination/admission/fairshare_test.go
+++ b/internal/coordination/admission/fairshare_test.go
@@ -138,3 +138,27 @@
 		assert.Equal(t, int(m.Report().GetQueued()), full)
 	}
 }
+
+// TestSharesAreWithinPriority guards against an organisation of a high priority that waits for
+// others, or leaves a slot to others, whose priority is lower.
+func TestSharesAreWithinPriority(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := warmMachine(now)
+	low := admission.Request{Organisation: "low", Priority: 1, Objective: now.Add(time.Hour)}
+	high := admission.Request{Organisation: "high", Objective: now.Add(time.Hour)}
+	ticket, _, _ := m.Offer(now, low)
+	m.Release(now, ticket, admission.Outcome{Result: admission.ResultCancelled})
+	var running []admission.Ticket
+	for range 4 {
+		ticket, verdict, _ := m.Offer(now, high)
+		assert.Equal(t, verdict, admission.Admitted)
+		running = append(running, ticket)
+	}
+	_, verdict, _ := m.Offer(now, low)
+	assert.Equal(t, verdict, admission.Queued)
+	last, verdict, _ := m.Offer(now, high)
+	assert.Equal(t, verdict, admission.Queued)
+	events := m.Release(now, running[0], admission.Outcome{Result: admission.ResultCancelled})
+	assert.Equal(t, len(events), 1)
+	assert.Equal(t, events[0].Ticket, last)
+}
--- a/internal/coordination/admission/organisations_test.go
+++ b/internal/coordination/admission/organisations_test.go
@@ -22,11 +22,12 @@
 		record("hot")
 	}
 	assert.Equal(t, len(f.recent), maxTrackedOrganisations)
-	assert.Assert(t, f.excess("hot") > 0)
-	assert.Equal(t, f.excess("0"), 0)
+	assert.Assert(t, f.excess(shareKey{organisation: "hot"}) > 0)
+	assert.Equal(t, f.excess(shareKey{organisation: "0"}), 0)
 	now = now.Add(time.Minute)
 	record("last")
 	assert.Equal(t, len(f.recent), 1)
-	assert.Assert(t, f.seconds > 0.99*seconds && f.seconds < 1.01*seconds, "%v", f.seconds)
-	assert.Equal(t, f.weight, 1.0)
+	total := f.totals[0]
+	assert.Assert(t, total.seconds > 0.99*seconds && total.seconds < 1.01*seconds, "%v", total.seconds)
+	assert.Equal(t, total.weight, 1.0)
 }
