Let requests give way whose nested calls have no room

A request whose nested call is refused for lack of room has taken its slot in vain, while others waited for it. The node beside an upstream now records the share of such requests for each route, and that part of the route's requests goes behind the others of its priority.

--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -163,7 +163,7 @@
 func (m *Machine) newWaiter(now time.Time, req Request) waiter {
 	w := waiter{
 		urgency: m.urgency(now, req), priority: req.Priority, ownTime: req.Work.OwnTime,
-		organisation: req.Organisation, weight: req.Weight,
+		organisation: req.Organisation, weight: req.Weight, givesWay: req.GivesWay,
 	}
 	if w.weight <= 0 {
 		w.weight = 1
--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -117,6 +117,8 @@
 	weight       float64
 	// excess is how far the organisation is above its share; see fairShare.excess.
 	excess int
+	// givesWay is set for a request whose nested calls will probably have no room.
+	givesWay bool
 	// latestStart is when the request must start to meet its objective, zero when unknown.
 	latestStart time.Time
 	// ownObjective is when the processing in the upstream itself must be complete to meet the
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -63,6 +63,8 @@
 		return w.priority < other.priority
 	case w.urgency != other.urgency:
 		return w.urgency.Precedes(other.urgency)
+	case w.givesWay != other.givesWay:
+		return other.givesWay
 	case w.excess != other.excess:
 		return w.excess < other.excess
 	}
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -29,6 +29,9 @@
 	Organisation string
 	// Weight is the size of the share of the organisation relative to others; 0 counts as 1.
 	Weight float64
+	// GivesWay is set for a request that will probably fail, since the calls that requests
+	// like it make have had no room recently. Others of its priority go first.
+	GivesWay bool
 	// Work is the expected service time; Work.OwnTime is 0 when unknown.
 	Work Work
 	// Attempt is 1 for the first attempt of a request. Later attempts may wait longer,
--- a/internal/coordination/overload/request_tracker.go
+++ b/internal/coordination/overload/request_tracker.go
@@ -40,6 +40,8 @@
 	nestedWait time.Duration
 	// nestedFailed is set once one of its nested calls has failed.
 	nestedFailed bool
+	// nestedRefused is set once one of its nested calls was refused for lack of room.
+	nestedRefused bool
 }
 
 // NewRequestTracker returns a tracker without requests.
@@ -129,6 +131,25 @@
 	}
 }
 
+// CallRefused records that a nested call was refused because the service that it calls has no
+// room, besides CallFailed.
+func (t *RequestTracker) CallRefused(parentID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if tracked, isRunning := t.requests[parentID]; isRunning {
+		tracked.nestedRefused = true
+	}
+}
+
+// NestedRefused reports whether a nested call of a running request was refused for lack of
+// room.
+func (t *RequestTracker) NestedRefused(requestID string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked, isRunning := t.requests[requestID]
+	return isRunning && tracked.nestedRefused
+}
+
 // NestedFailed reports whether a nested call of the request has failed or is still in
 // progress. A failure of such a request is not one of its upstream.
 func (t *RequestTracker) NestedFailed(requestID string) bool {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -245,7 +245,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return callCancelled
 	}
-	n.recordNestedFailure(c)
+	n.recordNestedFailure(c, failure)
 	body := httpapi.ErrorBody{Outcome: httpapi.OutcomeNotRun, Reason: httpapi.ReasonName(failure.reason)}
 	switch failure.reason {
 	case wire.RefusalReason_REFUSAL_CLAIM_IN_PROGRESS:
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -51,7 +51,7 @@
 	outcome := balance.Outcome{Result: balance.ResultError}
 	defer func() { a.finish(outcome) }()
 	if result.head.GetStatus() >= http.StatusInternalServerError {
-		n.recordNestedFailure(c)
+		n.recordNestedFailure(c, *result)
 	}
 	writer := newResponseWriter(w, c, result.head)
 	end, err := writer.copyFrom(a.stream)
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -183,6 +183,7 @@
 		Attempt:      int(r.head.GetAttemptNumber()),
 	}
 	request.Objective = r.objectiveDeadline
+	request.GivesWay = r.node.upstream.drawGivesWay(r.head.GetRoute())
 	return request
 }
 
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -64,6 +64,9 @@
 // recordUpstreamOutcome records for quotes whether the upstream itself failed the attempt. A
 // cancelled attempt tells nothing, nor does one that failed with a nested call.
 func (r *receivedAttempt) recordUpstreamOutcome(result admission.Result) {
+	if result != admission.ResultCancelled {
+		r.node.upstream.observeNestedRoom(r.head.GetRoute(), r.requestID())
+	}
 	switch {
 	case result == admission.ResultCancelled:
 	case result == admission.ResultSuccess:
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -49,6 +49,7 @@
 	reportedLoadAt time.Time
 	workEstimates  admission.WorkEstimator
 	failures       admission.FailureTracker
+	nestedRoom     admission.NestedRoom
 	// rateLimit is the one that the announced start states in its responses.
 	rateLimit statedLimit
 	// requestTracker holds the requests at the upstream by the request IDs of the callers.
--- a/internal/node/urgency.go
+++ b/internal/node/urgency.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
@@ -45,12 +46,44 @@
 }
 
 // recordNestedFailure records the failure of a nested call before the upstream learns of it.
-func (n *Node) recordNestedFailure(c *call) {
-	if c.urgency == overload.Nested {
-		n.upstream.requestTracker.CallFailed(c.parentRequestID)
+func (n *Node) recordNestedFailure(c *call, failure attemptResult) {
+	if c.urgency != overload.Nested {
+		return
+	}
+	n.upstream.requestTracker.CallFailed(c.parentRequestID)
+	if failure.outcome == outcomeNotRun && isLackOfRoom(failure.reason) {
+		n.upstream.requestTracker.CallRefused(c.parentRequestID)
+	}
+}
+
+// isLackOfRoom reports whether the reason of a refusal is that the upstreams of the service
+// are fully used.
+func isLackOfRoom(reason wire.RefusalReason) bool {
+	switch reason {
+	case wire.RefusalReason_REFUSAL_QUEUE_FULL, wire.RefusalReason_REFUSAL_COLD, wire.RefusalReason_REFUSAL_RATE_LIMITED:
+		return true
+	default:
+		return false
 	}
 }
 
+// observeNestedRoom records at the end of a request whether its nested calls had room.
+func (u *upstream) observeNestedRoom(route, requestID string) {
+	refused := u.requestTracker.NestedRefused(requestID)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.nestedRoom.Observe(time.Now(), route, refused)
+}
+
+// drawGivesWay decides at random whether a request of the route gives way to others, as often
+// as nested calls of such requests have had no room recently.
+func (u *upstream) drawGivesWay(route string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	share := u.nestedRoom.RefusedShare(time.Now(), route)
+	return share > 0 && rand.Float64() < share
+}
+
 func urgencyToWire(urgency overload.Urgency) wire.Urgency {
 	switch urgency {
 	case overload.Nested:
--- a/internal/node/urgency_test.go
+++ b/internal/node/urgency_test.go
@@ -48,3 +48,26 @@
 	n.upstream.requestTracker.Begin(overload.Parent{RequestID: "parent", Priority: 2})
 	assert.Equal(t, newCall().objectiveRemaining(), time.Duration(0))
 }
+
+// TestNestedRefusalIsRecorded guards against requests that keep going before others although
+// their nested calls have no room, and against taking another failure of a call for that.
+func TestNestedRefusalIsRecorded(t *testing.T) {
+	for _, c := range []struct {
+		result  attemptResult
+		isNoted bool
+	}{
+		{attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_QUEUE_FULL}, true},
+		{attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_CONNECT}, false},
+		{attemptResult{outcome: outcomeAnswered}, false},
+	} {
+		n := &Node{upstream: newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())}
+		for range 100 {
+			n.upstream.requestTracker.Begin(overload.Parent{RequestID: "parent"})
+			n.recordNestedFailure(&call{urgency: overload.Nested, parentRequestID: "parent"}, c.result)
+			n.upstream.observeNestedRoom("route", "parent")
+			n.upstream.requestTracker.End("parent")
+		}
+		assert.Equal(t, n.upstream.nestedRoom.RefusedShare(time.Now(), "route") > 0.9, c.isNoted)
+		assert.Assert(t, !n.upstream.drawGivesWay("other"))
+	}
+}
