--- a/internal/coordination/admission/machine.go
+++ b/internal/coordination/admission/machine.go
@@ -91,6 +91,8 @@
 	warmup        warmup
 	stated        statedRate
 	speed         speed
+	fairShare     fairShare
+	full          fullBound
 	// updatedAt is the time of the last transition or, with a Gate, of the last report.
 	updatedAt time.Time
 	// reassessQueue is set at a cold start, or when the upstream states a lower rate, until
@@ -110,8 +112,18 @@
 	ticket   Ticket
 	urgency  overload.Urgency
 	priority int
+	// organisation is empty when unknown, and weight is the size of its share.
+	organisation string
+	weight       float64
+	// excess is how far the organisation is above its share; see fairShare.excess.
+	excess int
+	// givesWay is set for a request whose nested calls will probably have no room.
+	givesWay bool
 	// latestStart is when the request must start to meet its objective, zero when unknown.
 	latestStart time.Time
+	// ownObjective is when the processing in the upstream itself must be complete to meet the
+	// objective, zero without one.
+	ownObjective time.Time
 	// overdue is set for a nested request once latestStart has passed.
 	overdue bool
 	// ownTime is the processing time in the upstream itself at its usual speed, 0 when
@@ -139,6 +151,7 @@
 		m.startID = startID
 		m.leaving = false
 		m.stated.active = false
+		m.full = fullBound{}
 		m.startCold(now)
 	}
 	m.ramp.limit = max(1, min(m.ramp.limit, m.slots))
@@ -202,14 +215,16 @@
 	m.lastTicket++
 	ticket := m.lastTicket
 	m.updatedAt = now
-	w := waiter{ticket: ticket, urgency: m.urgency(now, req), priority: req.Priority, ownTime: req.Work.OwnTime}
+	w := m.newWaiter(now, req)
+	w.ticket = ticket
 	if w.urgency != overload.Late && !req.Objective.IsZero() {
 		w.latestStart = m.latestStart(req)
+		w.ownObjective = req.Objective.Add(-req.Work.NestedWait)
 		w.overdue = now.After(w.latestStart)
 	}
 	ahead := m.countAhead(&w)
 	if (ahead == 0 || m.mayOvertake(&w)) && m.tryStart(now, &w) {
-		m.admit(&w)
+		m.admit(now, &w)
 		return ticket, Admitted, notRefused
 	}
 	if reason := m.checkQueueWait(now, &w, ahead, req); reason != notRefused {
@@ -220,7 +235,8 @@
 }
 
 // admit counts a request as running.
-func (m *Machine) admit(w *waiter) {
+func (m *Machine) admit(now time.Time, w *waiter) {
+	m.recordShare(now, w)
 	nested := w.urgency == overload.Nested
 	m.running[w.ticket] = runningRequest{epoch: m.epoch, nested: nested}
 	if nested {
@@ -247,6 +263,9 @@
 // observe updates the service times and the limit. Requests admitted before the last cold
 // start do not affect the limit.
 func (m *Machine) observe(now time.Time, epoch uint64, outcome Outcome) {
+	if outcome.Result == ResultReset && epoch == m.epoch {
+		m.full.observeReset(now, len(m.running))
+	}
 	if m.warmup.isConfigured() {
 		m.ramp.observeServiceTime(outcome)
 		return
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -59,7 +59,7 @@
 // tryStart reports whether a request may be sent now, and counts it against the rates that
 // bound the requests to the upstream.
 func (m *Machine) tryStart(now time.Time, w *waiter) bool {
-	if !m.hasCapacity(now, w) || m.rateWait(now, 0) > 0 {
+	if !m.hasCapacity(now, w) || m.rateWait(now, 0) > 0 || m.full.pause(now) > 0 {
 		return false
 	}
 	m.takeRate(now)
@@ -69,12 +69,18 @@
 // hasCapacity reports whether the concurrency limit and the current speed allow a request
 // to be sent now. It leaves out rate limits.
 func (m *Machine) hasCapacity(now time.Time, w *waiter) bool {
-	return len(m.running) < m.limit() && !m.speed.shouldDelay(now, w.ownTime)
+	return len(m.running) < m.limitFor(now, w) && !m.speed.shouldDelay(now, w.ownTime)
+}
+
+// limitFor is the concurrency limit for a request, less the slots that it leaves to others.
+func (m *Machine) limitFor(now time.Time, w *waiter) int {
+	limit := m.limit()
+	return limit - max(m.fairShare.reservedSlots(w, limit), m.coldReserve(now, w, limit))
 }
 
 // Wait estimates the time until a request that arrives now can start, without the remainder
 // of a transient slowdown.
 func (m *Machine) Wait(now time.Time, req Request) time.Duration {
-	w := waiter{urgency: m.urgency(now, req), priority: req.Priority, ownTime: req.Work.OwnTime}
+	w := m.newWaiter(now, req)
 	return m.slotWait(now, &w, m.countAhead(&w))
 }
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -217,13 +217,13 @@
 const crossZoneRoundTrip = 3 * time.Millisecond
 
 // answerQuote answers a quote request for the upstream beside this node. When the last
-// load report is old, it probes the upstream first.
+// load report may be misleading, it probes the upstream first.
 func (n *Node) answerQuote(payload []byte, reply func(response []byte)) {
 	request := &wire.QuoteRequest{}
 	if proto.Unmarshal(payload, request) != nil {
 		return
 	}
-	n.upstream.refreshLoad(n.healthPath(), func() {
+	n.upstream.refreshLoad(n.healthPath(), n.upstream.needsProbeForQuote, func() {
 		response, err := proto.Marshal(n.currentQuote(request))
 		if err == nil {
 			reply(response)
@@ -243,9 +243,11 @@
 func (n *Node) currentQuote(request *wire.QuoteRequest) *wire.Quote {
 	n.syncZone()
 	wait := n.upstream.gate.Wait(admission.Request{
-		Urgency:  urgencyFromWire(request.GetUrgency()),
-		Priority: int(request.GetPriority()),
-		Work:     n.expectedWork(request.GetRoute()),
+		Urgency:      urgencyFromWire(request.GetUrgency()),
+		Priority:     int(request.GetPriority()),
+		Organisation: request.GetOrganisation(),
+		Weight:       n.organisationWeight(request.GetOrganisation()),
+		Work:         n.expectedWork(request.GetRoute()),
 	})
 	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.loadReportForRoute(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.View().Revision}
 	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance())
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -175,16 +175,26 @@
 
 func (r *receivedAttempt) admissionRequest() admission.Request {
 	request := admission.Request{
-		Deadline: r.deadline,
-		Urgency:  urgencyFromWire(r.head.GetUrgency()),
-		Priority: int(r.head.GetPriority()),
-		Work:     r.node.expectedWork(r.head.GetRoute()),
-		Attempt:  int(r.head.GetAttemptNumber()),
+		Deadline:     r.deadline,
+		Urgency:      urgencyFromWire(r.head.GetUrgency()),
+		Priority:     int(r.head.GetPriority()),
+		Organisation: r.head.GetOrganisation(),
+		Weight:       r.node.organisationWeight(r.head.GetOrganisation()),
+		Work:         r.node.expectedWork(r.head.GetRoute()),
+		Attempt:      int(r.head.GetAttemptNumber()),
 	}
 	request.Objective = r.objectiveDeadline
+	request.GivesWay = r.node.upstream.drawGivesWay(r.head.GetRoute())
 	return request
 }
 
+// organisationWeight returns the size of the share of an organisation, which is the rate of
+// its quota in requests per second; 0 without one.
+func (n *Node) organisationWeight(name string) float64 {
+	organisation, _ := n.directory.View().Organisations.Get(name)
+	return organisation.RatePerSecond
+}
+
 // dispatch is called just before the first byte is written to the upstream. It reads the
 // clock, because the timer of a context may fire late in a process that was suspended.
 func (r *receivedAttempt) dispatch(ctx context.Context) error {
