Add rollouts to the document and to the sections that nodes receive

Rollouts need a place in the replicated document that nodes get like any other section. Edits of operators to these sections are forbidden.

--- a/internal/coordination/distribute/sections.go
+++ b/internal/coordination/distribute/sections.go
@@ -24,7 +24,7 @@
 
 // splitFields are the top-level fields whose entries are separate sections. Every other
 // top-level field is one section.
-var splitFields = map[string]bool{"services": true, "routes": true, "zones": true}
+var splitFields = map[string]bool{"services": true, "routes": true, "zones": true, "rollouts": true}
 
 // Sections is an immutable revision of the document, split into sections, with the
 // history that is needed to compute diffs from earlier revisions.
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -36,6 +36,8 @@
 	Zones    map[string]Zone    `json:"zones"`
 	Services map[string]Service `json:"services"`
 	Routes   map[string]Route   `json:"routes,omitempty"`
+	// Rollouts holds the latest rollout of each service by the name of the service.
+	Rollouts map[string]Rollout `json:"rollouts,omitempty"`
 	Limits   Limits             `json:"limits"`
 }
 
--- a/internal/state/document/section.go
+++ b/internal/state/document/section.go
@@ -19,6 +19,7 @@
 	kindZones    = "zones"
 	kindTeams    = "teams"
 	kindRoutes   = "routes"
+	kindRollouts = "rollouts"
 	kindLimits   = "limits"
 )
 
@@ -50,13 +51,13 @@
 			return sectionPath{}, &FieldError{"section", "limits has no parts"}
 		}
 		return sectionPath{kind: kind}, nil
-	case kindServices, kindRoutes, kindZones, kindTeams:
+	case kindServices, kindRoutes, kindZones, kindTeams, kindRollouts:
 		if !namePattern.MatchString(name) {
 			return sectionPath{}, &FieldError{"section", nameProblem}
 		}
 		return sectionPath{kind, name}, nil
 	}
-	return sectionPath{}, &FieldError{"section", "must be limits, routes/NAME, services/NAME, zones/NAME or teams/NAME"}
+	return sectionPath{}, &FieldError{"section", "must be limits, routes/NAME, rollouts/NAME, services/NAME, zones/NAME or teams/NAME"}
 }
 
 // DecodeSection decodes the JSON encoding of the section at path and rejects unknown
@@ -75,6 +76,8 @@
 		return decodeStrict[Service](path, body)
 	case kindRoutes:
 		return decodeStrict[Route](path, body)
+	case kindRollouts:
+		return decodeStrict[Rollout](path, body)
 	case kindZones:
 		return decodeStrict[Zone](path, body)
 	case kindTeams:
@@ -127,6 +130,8 @@
 		value, ok = lookup(d.Services, p.name)
 	case kindRoutes:
 		value, ok = lookup(d.Routes, p.name)
+	case kindRollouts:
+		value, ok = lookup(d.Rollouts, p.name)
 	case kindZones:
 		value, ok = lookup(d.Zones, p.name)
 	case kindTeams:
@@ -151,6 +156,8 @@
 		next.Services = withEntry(d.Services, p.name, value)
 	case kindRoutes:
 		next.Routes = withEntry(d.Routes, p.name, value)
+	case kindRollouts:
+		next.Rollouts = withEntry(d.Rollouts, p.name, value)
 	case kindZones:
 		next.Zones = withEntry(d.Zones, p.name, value)
 	case kindTeams:
@@ -182,6 +189,9 @@
 	for _, name := range sortedKeys(d.Routes) {
 		paths = append(paths, kindRoutes+"/"+name)
 	}
+	for _, name := range sortedKeys(d.Rollouts) {
+		paths = append(paths, kindRollouts+"/"+name)
+	}
 	for _, name := range sortedKeys(d.Services) {
 		paths = append(paths, kindServices+"/"+name)
 	}
@@ -202,6 +212,8 @@
 		return s.Owner
 	case Route:
 		return s.Owner
+	case Rollout:
+		return s.Owner
 	case Zone:
 		return s.Owner
 	}
--- a/internal/state/document/view.go
+++ b/internal/state/document/view.go
@@ -110,6 +110,10 @@
 		return nil, invalidResult(err)
 	}
 	info, current := v.lookupSection(edit.Section)
+	if p.kind == kindRollouts {
+		problem := "a rollout is changed by a start request only"
+		return nil, Result{Outcome: Forbidden, Version: info.Version, Problem: problem}
+	}
 	if problem := v.denialReason(edit, p, current); problem != "" {
 		return nil, Result{Outcome: Forbidden, Version: info.Version, Problem: problem}
 	}
