Announce the software version of upstreams

Nodes need the version of each instance to choose between versions during a rollout. Announcements take an optional version (info.version in the platform's heartbeats), the registry entry carries it, and a change of it is a new version of the entry.

--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -283,5 +283,5 @@
 	}
 	return a.GetId() == b.GetId() && a.GetStartId() == b.GetStartId() && a.GetVersion() == b.GetVersion() &&
 		a.GetState() == b.GetState() && a.GetDeparting() == b.GetDeparting() && a.GetNodeAddress() == b.GetNodeAddress() && a.GetService() == b.GetService() &&
-		a.GetNodeId() == b.GetNodeId() && a.GetNodeStart() == b.GetNodeStart()
+		a.GetSoftwareVersion() == b.GetSoftwareVersion() && a.GetNodeId() == b.GetNodeId() && a.GetNodeStart() == b.GetNodeStart()
 }
--- a/internal/node/directory/patch.go
+++ b/internal/node/directory/patch.go
@@ -17,10 +17,13 @@
 func patchSections(old *document.Document, sections []*wire.Section) (*document.Document, error) {
 	doc := *old
 	doc.Services, doc.Zones = maps.Clone(old.Services), maps.Clone(old.Zones)
-	doc.Routes = maps.Clone(old.Routes)
+	doc.Routes, doc.Rollouts = maps.Clone(old.Routes), maps.Clone(old.Rollouts)
 	if doc.Routes == nil {
 		doc.Routes = map[string]document.Route{}
 	}
+	if doc.Rollouts == nil {
+		doc.Rollouts = map[string]document.Rollout{}
+	}
 	if doc.Services == nil {
 		doc.Services = map[string]document.Service{}
 	}
@@ -42,6 +45,8 @@
 		return patchEntry(doc.Services, name, section.GetJson())
 	case "routes":
 		return patchEntry(doc.Routes, name, section.GetJson())
+	case "rollouts":
+		return patchEntry(doc.Rollouts, name, section.GetJson())
 	case "zones":
 		return patchEntry(doc.Zones, name, section.GetJson())
 	case "limits":
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
@@ -20,6 +21,8 @@
 	maxLocalBodyBytes = 64 << 10
 	// maxColdMs is the longest cold start that an upstream may announce.
 	maxColdMs = 60 * 60 * 1000
+	// maxVersionBytes is the maximum length of an upstream's software version.
+	maxVersionBytes = 255
 	// confirmTimeout bounds the wait for control to report whether an upstream is departing
 	// whose first announcement this node has not received. After it the upstream is used.
 	confirmTimeout = 2 * time.Second
@@ -83,10 +86,10 @@
 		time.AfterFunc(confirmTimeout, func() { n.upstream.confirmStart(a.StartID) })
 		go n.askForSignals(a.StartID)
 	}
-	if isNewStart || previous.Leaving != a.Leaving {
+	if isNewStart || previous.Leaving != a.Leaving || a.Version != "" && previous.Version != a.Version {
 		n.directory.RequestHeartbeat()
 		_ = level.Info(n.logger).Log("msg", "upstream announced", "service", a.Service, "instance", a.Instance,
-			"start_id", a.StartID, "sequence", a.Sequence, "cold_ms", a.ColdMs, "leaving", a.Leaving, "provisional", a.Provisional)
+			"start_id", a.StartID, "sequence", a.Sequence, "version", a.Version, "cold_ms", a.ColdMs, "leaving", a.Leaving, "provisional", a.Provisional)
 	}
 	return nil
 }
@@ -151,6 +154,8 @@
 		return "slots must be between 1 and 65536"
 	case a.Connections < 0 || a.Connections > 1<<20:
 		return "connections must be between 0 and 1048576"
+	case len(a.Version) > maxVersionBytes || !utf8.ValidString(a.Version):
+		return "version must have at most 255 bytes of UTF-8"
 	case a.StartedMs < 0 || a.ColdMs < 0 || a.ColdMs > maxColdMs:
 		return "started_ms must not be negative and cold_ms be at most an hour"
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -142,7 +142,13 @@
 	if a.Leaving {
 		u.markDeparting()
 	}
-	if previous == nil || previous.StartID != a.StartID || previous.Address != a.Address || previous.Slots != a.Slots {
+	if a.Version == "" && previous != nil && previous.StartID == a.StartID {
+		kept := *a
+		kept.Version = previous.Version
+		a = &kept
+	}
+	if previous == nil || previous.StartID != a.StartID || previous.Address != a.Address || previous.Slots != a.Slots ||
+		previous.Version != a.Version {
 		u.version++
 	}
 	u.announcement = a
@@ -270,5 +276,7 @@
 		NodeStart:   nodeStart,
 		Version:     u.version,
 		Departing:   u.departing,
+
+		SoftwareVersion: u.announcement.Version,
 	}
 }
--- a/internal/protocol/httpapi/httpapi.go
+++ b/internal/protocol/httpapi/httpapi.go
@@ -73,6 +73,10 @@
 	Slots int `json:"slots"`
 	// Connections is the maximum number of connections that the upstream accepts.
 	Connections int `json:"connections"`
+	// Version is the version of the upstream's software, empty if it is unknown. It stays the
+	// same until the upstream starts again: an announcement that omits it keeps the one that
+	// was announced.
+	Version string `json:"version,omitempty"`
 	// StartedMs is the start time of the upstream in milliseconds since 1970, 0 if it is
 	// unknown. Announcements of an earlier start are stale and ignored.
 	StartedMs int64 `json:"started_ms,omitempty"`
