Choose the software version of each attempt during a rollout

A node sends the share of first attempts that the rollout states to instances of the target version, repeats to the others, and refuses beside the upstream what its own revision excludes.

--- a/internal/coordination/balance/policy.go
+++ b/internal/coordination/balance/policy.go
@@ -141,7 +141,7 @@
 	p.totalLimit = 0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.State == StateLeaving || c.State == StateZoneOut {
+		if c.State == StateLeaving || c.State == StateZoneOut || c.State == StateVersionOut {
 			continue
 		}
 		if len(tried) > 0 && tried[c.ID] {
--- a/internal/coordination/balance/track.go
+++ b/internal/coordination/balance/track.go
@@ -25,7 +25,7 @@
 	// errorTimeConstant is the time constant for the decay of the error rate.
 	errorTimeConstant = 2 * time.Second
 	// exclusionTime is how long an instance is excluded after a refusal because it is leaving,
-	// stopping, gone, replaced or in a zone that is out. It covers the time until the registry
+	// stopping, gone, replaced, of an excluded version or in a zone that is out. It covers the time until the registry
 	// or the configuration document shows the change.
 	exclusionTime = 500 * time.Millisecond
 )
@@ -133,6 +133,7 @@
 	case wire.RefusalReason_REFUSAL_LEAVING,
 		wire.RefusalReason_REFUSAL_STOPPING,
 		wire.RefusalReason_REFUSAL_NO_UPSTREAM,
+		wire.RefusalReason_REFUSAL_VERSION,
 		wire.RefusalReason_REFUSAL_WRONG_INSTANCE:
 		s.excludedUntil, s.excludedByRevision = now.Add(exclusionTime), 0
 	default:
--- a/internal/coordination/balance/types.go
+++ b/internal/coordination/balance/types.go
@@ -29,6 +29,9 @@
 	// only when no other instance is available. The picker's own ejections do not use this
 	// state.
 	StateEjected
+	// StateVersionOut means that the attempt is not for the software version of the instance;
+	// it is never chosen.
+	StateVersionOut
 )
 
 // LoadReport is the load of an upstream as the node beside it reported it.
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -96,9 +96,12 @@
 	learned    atomic.Pointer[[]string]
 	// isolatedUntil maps the address of a member to the time until which it is avoided.
 	isolatedUntil map[string]time.Time
-	dial          Dialer
-	sink          Sink
-	logger        log.Logger
+	// lastContact is the time in Unix nanoseconds of the last message of a member that has
+	// contact with a quorum, 0 before the first.
+	lastContact atomic.Int64
+	dial        Dialer
+	sink        Sink
+	logger      log.Logger
 }
 
 // NewClient returns a client that is not yet running.
@@ -157,6 +160,14 @@
 	return members
 }
 
+// ContactAge returns the time since the last message of a control member that has contact with
+// a quorum. A member without it may not have learned of the latest configuration. Before the
+// first message it is longer than any time that a caller compares it with. Any goroutine may
+// call it.
+func (c *Client) ContactAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.lastContact.Load()))
+}
+
 func (c *Client) logSessionEnd(address string, err error) {
 	_ = level.Warn(c.logger).Log("msg", "subscription to control member failed; reconnecting", "member", address, "err", err)
 }
--- a/internal/coordination/rollout/selector.go
+++ b/internal/coordination/rollout/selector.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// HasFullShare reports whether a node sends all first attempts to the target version.
+func HasFullShare(r *document.Rollout, contactAge time.Duration) bool {
+	return Share(r, contactAge) == fullShare
+}
+
 // Choose returns the versions for the first attempt of a call. Each call makes one draw; the
 // total over all nodes therefore has the share of the rollout without a shared counter.
 func Choose(r *document.Rollout, random Random, contactAge time.Duration) Versions {
@@ -72,12 +77,19 @@
 // versions, so that a bad target version cannot attract repeats, until the target version
 // has the full share: the other instances may stop soon after that.
 func ChooseRepeat(r *document.Rollout, contactAge time.Duration) Versions {
-	if Share(r, contactAge) == fullShare {
+	if HasFullShare(r, contactAge) {
 		return TargetVersion
 	}
 	return OtherVersions
 }
 
+// ChooseHedge returns the versions for a hedged request, and false when the request must not be
+// hedged: the target version of a running rollout gets none.
+func ChooseHedge(r *document.Rollout, contactAge time.Duration) (Versions, bool) {
+	versions := ChooseRepeat(r, contactAge)
+	return versions, versions != TargetVersion || r.State == document.RolloutCompleted
+}
+
 // Fallback returns the versions for an attempt when no instance of the chosen ones is
 // available, and false when the request must not be sent to any other.
 func Fallback(r *document.Rollout, chosen Versions) (Versions, bool) {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -113,6 +113,10 @@
 		}
 		n.syncZone()
 		n.applyUpstreamConfig()
+		n.observeRollouts(time.Now())
+		if n.evidence.isUnreported() {
+			n.directory.RequestHeartbeat()
+		}
 		if current := n.directory.View(); current != lastPruned {
 			n.balancer.removeUnlisted(current)
 			lastPruned = current
--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -33,11 +33,13 @@
 		r.settleClaim(nil)
 		outcome.Result = r.interruptedResult(ctx, err)
 		r.recordUpstreamOutcome(outcome.Result)
+		r.recordBrokenResponse(outcome.Result)
 		return outcome
 	}
 	r.state.Store(int32(stateAnswered))
 	outcome.Result = admissionResultForStatus(response.StatusCode)
 	r.recordUpstreamOutcome(outcome.Result)
+	r.recordResponse(response.StatusCode, outcome.ServiceTime)
 	if outcome.Result == admission.ResultSuccess {
 		r.node.upstream.observeWork(r.head.GetRoute(), r.requestID(), outcome.ServiceTime, r.slowdownPercent)
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -67,6 +67,15 @@
 // isRefusedByNode reports whether the upstream got nothing of the request.
 func (r *attemptResult) isRefusedByNode() bool { return r.outcome == outcomeNotRun && !r.declined }
 
+// isInstanceUnavailable reports whether the instance could not be used at all, so that the
+// attempt says nothing about the load or the faults of its software version.
+func (r *attemptResult) isInstanceUnavailable() bool {
+	if r.outcome == outcomeNotRun {
+		return isInstanceSpecific(r.reason) || r.reason == wire.RefusalReason_REFUSAL_CONNECT || r.reason == wire.RefusalReason_REFUSAL_NO_UPSTREAM
+	}
+	return r.isConnectionLost()
+}
+
 // discard ends an attempt whose response is not forwarded.
 func (r *attemptResult) discard() {
 	if r.outcome == outcomeAnswered {
@@ -117,6 +126,7 @@
 		n.balancer.endAttempt(instance, balance.Outcome{Result: balance.ResultCancelled}, nil)
 		return attemptResult{outcome: outcomeNotRun, reason: wire.RefusalReason_REFUSAL_DEADLINE}
 	}
+	n.countVersion(c, instance)
 	openStream := n.client.OpenOrReuse
 	var result attemptResult
 	for {
@@ -264,7 +274,7 @@
 
 func (a *attempt) sendRequest(attemptNumber int) error {
 	c := a.call
-	head := c.head(a.instance, a.node.settings, attemptNumber)
+	head := c.head(a.instance, a.node.settings, a.node.selectionView(c).Revision, attemptNumber)
 	if err := a.stream.Send(requestHead(head)); err != nil {
 		return err
 	}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -89,6 +89,10 @@
 	// sentAttempts counts the attempts that may have reached an upstream, refusedAttempts those
 	// that a node refused.
 	sentAttempts, refusedAttempts int
+	// versionRefused is set once an available instance of the version that the call chose in a
+	// rollout has not answered the call well. The call then stays with this version: the load or
+	// the fault of one version must not move requests to the other.
+	versionRefused bool
 	// hedged is set once the first attempt has been hedged.
 	hedged atomic.Bool
 	// suppressCallerRetries is set when the hops above must not retry either.
@@ -238,7 +242,7 @@
 }
 
 // head returns the RequestHead message of an attempt.
-func (c *call) head(instance *wire.Instance, entry *settings.Node, attemptNumber int) *wire.RequestHead {
+func (c *call) head(instance *wire.Instance, entry *settings.Node, revision uint64, attemptNumber int) *wire.RequestHead {
 	return &wire.RequestHead{
 		RequestId:      c.id[:],
 		Service:        c.service,
@@ -252,7 +256,7 @@
 		IdempotencyKey: c.idempotencyKey,
 		Repeatable:     c.rule.Repeatable,
 		BodyLength:     c.bodyLength,
-		Revision:       c.view.Revision,
+		Revision:       revision,
 		EntryZone:      entry.Zone,
 		SenderAddress:  entry.MeshAddress,
 		AttemptNumber:  uint32(attemptNumber),                         //nolint:gosec // small
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -64,6 +64,9 @@
 	if !known || configured.HealthPath == "" {
 		return nil
 	}
+	if _, hasRollout := n.directory.View().Doc.Rollouts[service]; hasRollout {
+		return nil // a health response does not state the software version
+	}
 	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
 	response, err := getHealth(ctx, pool, configured.HealthPath)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -119,6 +119,7 @@
 		}
 		result := n.makeAttempt(ctx, c, instance, attemptNumber, hedgeDelay)
 		c.countAttempt(&result)
+		c.versionRefused = c.versionRefused || !result.isInstanceUnavailable()
 		if result.outcome == outcomeAnswered && !isRetryableStatus(c, result) {
 			fallback.discard()
 			if n.forwardToCaller(w, c, &result) {
@@ -296,6 +297,7 @@
 	case wire.RefusalReason_REFUSAL_LEAVING,
 		wire.RefusalReason_REFUSAL_STOPPING,
 		wire.RefusalReason_REFUSAL_ZONE_OUT,
+		wire.RefusalReason_REFUSAL_VERSION,
 		wire.RefusalReason_REFUSAL_WRONG_INSTANCE:
 		return true
 	default:
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -52,7 +52,7 @@
 		assert.Assert(t, !c.deadline.Before(now) && !c.deadline.After(now.Add(maxTimeout)))
 		assert.Assert(t, c.depth >= 1 && c.depth <= httpapi.MaxDepth)
 		assert.Assert(t, c.idempotencyKey == key && key != "" && len(key) <= maxIdempotencyKeyBytes)
-		head := c.head(&wire.Instance{}, &settings.Node{}, 1)
+		head := c.head(&wire.Instance{}, &settings.Node{}, c.view.Revision, 1)
 		encoded, err := proto.Marshal(head)
 		assert.NilError(t, err)
 		decoded := &wire.RequestHead{}
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -101,7 +101,7 @@
 		// and would be slow at another instance too.
 		return attemptResult{}
 	}
-	instance, candidate, ok := n.selectInstance(h.secondaryCtx, c, 1, map[string]bool{h.primary.GetId(): true})
+	instance, candidate, ok := n.selectHedgeInstance(h.secondaryCtx, c, h.primary.GetId())
 	if !ok {
 		return attemptResult{}
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -62,6 +62,7 @@
 type serviceMetrics struct {
 	results  [callResultCount]*metrics.Counter
 	inFlight *metrics.Gauge
+	rollout  rolloutMetrics
 
 	mu   sync.Mutex
 	good uint64
@@ -111,6 +112,7 @@
 		return s
 	}
 	s = &serviceMetrics{inFlight: m.set.NewGauge(fmt.Sprintf("chicorylever_requests_in_flight{service=%q}", name), nil)}
+	s.rollout = newRolloutMetrics(m.set, name)
 	for result, resultName := range callResultNames {
 		s.results[result] = m.set.NewCounter(fmt.Sprintf("chicorylever_requests_total{service=%q,outcome=%q}", name, resultName))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,8 @@
 	settler         *claimSettler
 	suspension      suspension.Detector
 	splitter        trafficSplitter
+	versionChooser  versionChooser
+	evidence        versionEvidence
 	stopping        atomic.Bool
 	// announcedSequence is the sequence number of the first heartbeat that reports the
 	// announced start of the upstream.
@@ -133,6 +135,7 @@
 		systemRequestHeaders: options.Dialect.SystemRequestHeaders(),
 		upstreamOnlyHeaders:  options.Dialect.UpstreamOnlyHeaders(),
 		splitter:             newTrafficSplitter(),
+		versionChooser:       newVersionChooser(),
 		logger:               log.With(logger, "node", s.ID),
 		rejectionLogger:      obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval),
 		startedAtNs:          uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -64,15 +64,12 @@
 
 // pickInstance chooses an instance and counts an attempt in flight to it. Each chosen
 // instance needs one call of endAttempt.
-func (b *balancer) pickInstance(v *directory.View, service string, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
+func (b *balancer) pickInstance(v *directory.View, service string, tried map[string]bool, selection versionSelection) (*wire.Instance, balance.Candidate, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	instances := v.Services[service]
-	b.candidates = b.candidates[:0]
-	for _, instance := range instances {
-		b.candidates = append(b.candidates, b.candidateLocked(now, v, instance))
-	}
+	b.setCandidatesLocked(now, v, instances, selection)
 	chosen, ok := b.policy.Pick(now, service, b.candidates, tried)
 	if !ok {
 		return nil, chosen, false
@@ -86,6 +83,20 @@
 	return nil, chosen, false
 }
 
+// setCandidatesLocked sets b.candidates to those of the instances, in the same order. An
+// instance of a version that is not selected remains in the list, since the balancing policy
+// bounds the ejected instances by the number of all.
+func (b *balancer) setCandidatesLocked(now time.Time, v *directory.View, instances []*wire.Instance, selection versionSelection) {
+	b.candidates = b.candidates[:0]
+	for _, instance := range instances {
+		candidate := b.candidateLocked(now, v, instance)
+		if !selection.admits(instance) {
+			candidate.State = balance.StateVersionOut
+		}
+		b.candidates = append(b.candidates, candidate)
+	}
+}
+
 func (b *balancer) candidateLocked(now time.Time, v *directory.View, instance *wire.Instance) balance.Candidate {
 	state, known := b.states[instance.GetId()]
 	if !known || state.startID != instance.GetStartId() {
@@ -119,15 +130,12 @@
 
 // sampleCandidates returns the candidates to ask for a quote; see
 // balance.Policy.SampleForQuotes.
-func (b *balancer) sampleCandidates(v *directory.View, service string, tried map[string]bool, sameZoneCount int) []quoteCandidate {
+func (b *balancer) sampleCandidates(v *directory.View, service string, tried map[string]bool, selection versionSelection, sameZoneCount int) []quoteCandidate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	instances := v.Services[service]
-	b.candidates = b.candidates[:0]
-	for _, instance := range instances {
-		b.candidates = append(b.candidates, b.candidateLocked(now, v, instance))
-	}
+	b.setCandidatesLocked(now, v, instances, selection)
 	indexes := b.policy.SampleForQuotes(now, service, b.candidates, tried, quoteSampleSize, sameZoneCount)
 	sample := make([]quoteCandidate, 0, len(indexes))
 	for _, i := range indexes {
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -9,6 +9,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/datagram"
 )
@@ -43,21 +44,49 @@
 // some upstreams, and counts an attempt in flight to it. Load changes within
 // milliseconds, so that the reports in earlier responses are of little use. Without
 // quotes they are used nevertheless.
+//
+// During a rollout of the service the first attempt of a call is for the version that a random
+// draw chooses, a later one for the version of repeats.
 func (n *Node) selectInstance(ctx context.Context, c *call, attemptNumber int, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
-	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, tried)
+	v := n.selectionView(c)
+	selection := n.selectVersions(v, c.service, attemptNumber == 1)
+	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, v, tried, selection)
+	if !ok && !c.versionRefused {
+		if fallback, isAllowed := selection.fallback(); isAllowed {
+			instance, candidate, sample, ok = n.selectByQuotes(ctx, c, v, tried, fallback)
+		}
+	}
+	if !ok && selection.needsQuote {
+		selection.needsQuote = false
+		instance, candidate, sample, ok = n.selectByQuotes(ctx, c, v, tried, selection)
+	}
 	if ok {
 		n.logSelection(c, attemptNumber, instance, sample)
 	}
 	return instance, candidate, ok
 }
 
-func (n *Node) selectByQuotes(ctx context.Context, c *call, tried map[string]bool) (*wire.Instance, balance.Candidate, []quoteCandidate, bool) {
-	v, service := c.view, c.service
+// selectHedgeInstance chooses the instance for a hedged request like selectInstance.
+func (n *Node) selectHedgeInstance(ctx context.Context, c *call, primary string) (*wire.Instance, balance.Candidate, bool) {
+	v := n.selectionView(c)
+	selection, ok := n.selectHedgeVersions(v, c.service)
+	if !ok {
+		return nil, balance.Candidate{}, false
+	}
+	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, v, map[string]bool{primary: true}, selection)
+	if ok {
+		n.logSelection(c, 1, instance, sample)
+	}
+	return instance, candidate, ok
+}
+
+func (n *Node) selectByQuotes(ctx context.Context, c *call, v *directory.View, tried map[string]bool, selection versionSelection) (*wire.Instance, balance.Candidate, []quoteCandidate, bool) {
+	service := c.service
 	if n.quotes == nil {
-		instance, candidate, ok := n.balancer.pickInstance(v, service, tried)
+		instance, candidate, ok := n.balancer.pickInstance(v, service, tried, selection)
 		return instance, candidate, nil, ok
 	}
-	sample := n.balancer.sampleCandidates(v, service, tried, c.sameZoneCount())
+	sample := n.balancer.sampleCandidates(v, service, tried, selection, c.sameZoneCount())
 	if len(sample) == 1 {
 		n.balancer.startAttempt(&sample[0])
 		return sample[0].instance, sample[0].candidate, sample, true
@@ -68,8 +97,11 @@
 		quotes[i] = sample[i].quote
 	}
 	best := balance.Best(quotes, meanServiceTime(quotes))
+	if best < 0 && selection.needsQuote {
+		return nil, balance.Candidate{}, nil, false
+	}
 	if best < 0 {
-		instance, candidate, ok := n.balancer.pickInstance(v, service, tried)
+		instance, candidate, ok := n.balancer.pickInstance(v, service, tried, selection)
 		return instance, candidate, sample, ok
 	}
 	n.balancer.startAttempt(&sample[best])
@@ -225,6 +257,6 @@
 		Work:     n.expectedWork(request.GetRoute()),
 	})
 	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.loadReportForRoute(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.View().Revision}
-	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance())
+	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance()) && !n.excludesUpstream()
 	return quote
 }
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -36,6 +36,7 @@
 var (
 	errDeadlinePassed   = errors.New("deadline passed before dispatch")
 	errAttemptCancelled = errors.New("attempt cancelled before dispatch")
+	errVersionExcluded  = errors.New("software version excluded before dispatch")
 	errNoOriginMarker   = errors.New("response has no origin marker of the upstream")
 )
 
@@ -67,6 +68,11 @@
 	// endedCleanly is set when the last message was sent to an entry node that had sent
 	// nothing after its request. Only then may watch.nextMessage be read.
 	endedCleanly bool
+	// evidence is what the attempt may tell about the software version of the upstream; it is
+	// set at dispatch.
+	evidence evidenceSubject
+	// versionExcluded is set when the dispatch was refused because of a rollout.
+	versionExcluded atomic.Bool
 	// declined is set when the upstream has responded that it did not run the attempt.
 	declined bool
 }
@@ -163,6 +169,9 @@
 		return nil, reason
 	}
 	r.pool = pool
+	if r.isVersionExcluded() {
+		return nil, wire.RefusalReason_REFUSAL_VERSION
+	}
 	r.node.syncZone()
 	r.node.upstream.watchSlowdown(r.node.healthPath())
 	permit, err := r.node.upstream.gate.Acquire(ctx, r.admissionRequest())
@@ -195,7 +204,12 @@
 	if ctx.Err() != nil {
 		return errAttemptCancelled
 	}
+	if r.isVersionExcluded() {
+		r.versionExcluded.Store(true)
+		return errVersionExcluded
+	}
 	r.dispatchedAt = now
+	r.evidence = r.node.evidenceSubject()
 	r.slowdownPercent = r.node.upstream.currentSlowdownPercent()
 	r.node.metrics.upstreamRequests.Inc()
 	r.state.Store(int32(stateDispatched))
@@ -214,6 +228,11 @@
 		return admission.Outcome{Result: admission.ResultCancelled}
 	}
 	if r.streamed {
+		// The check at dispatch comes too late for a body that can't be sent again.
+		if r.isVersionExcluded() {
+			r.versionExcluded.Store(true)
+			return r.fail(ctx, errVersionExcluded)
+		}
 		// The entry node sends the body only after the attempt has been admitted.
 		if err := sendAndFlush(r.stream, responseHead(&wire.ResponseHead{Status: http.StatusContinue})); err != nil {
 			r.settleClaim(nil)
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -43,10 +43,13 @@
 		outcome.ServiceTime = time.Since(r.dispatchedAt)
 	}
 	reason := wire.RefusalReason_REFUSAL_CONNECT
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
+	if r.versionExcluded.Load() {
+		reason = wire.RefusalReason_REFUSAL_VERSION
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
 		reason = wire.RefusalReason_REFUSAL_DEADLINE
 	}
 	r.recordUpstreamOutcome(outcome.Result)
+	r.recordBrokenResponse(outcome.Result)
 	r.permit.Release(outcome)
 	r.refuse(reason, "")
 	return outcome
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -61,6 +61,7 @@
 		Revision:  s.directory.View().Revision,
 		Instance:  s.upstream.registryEntry(s.settings.ID, s.settings.Zone, s.settings.MeshAddress, s.startedAtNs),
 		Counts:    s.metrics.burnCounts(),
+		Evidence:  (*Node)(s).reportEvidence(),
 		Sequence:  s.directory.NextSequence(),
 	}
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -142,7 +142,7 @@
 	if a.Leaving {
 		u.markDeparting()
 	}
-	if a.Version == "" && previous != nil && previous.StartID == a.StartID {
+	if a.Version == "" && previous != nil && previous.Version != "" && previous.StartID == a.StartID {
 		kept := *a
 		kept.Version = previous.Version
 		a = &kept
