--- /dev/null
+++ b/internal/coordination/rollout/judge.go
@@ -0,0 +1,177 @@
+package rollout
+
+import (
+	"fmt"
+
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+const (
+	// minBadResponses is the number of failed, or of slow, responses of the target version
+	// below which it is not judged.
+	minBadResponses = 8
+	// failureTail is the probability with which a version as good as the others has so many
+	// failures in one comparison. It is below the 0.001 that docs/requirements.md names,
+	// because a rollout makes hundreds of comparisons.
+	failureTail = 1e-5
+	// slowScore is the square of the number of standard deviations by which the part of slow
+	// responses must be higher, with the same tail for some hundred comparisons.
+	slowScore = 16
+	// slowRatio is the ratio of the response times above which a version is too slow. Buckets
+	// double from one to the next, so that the interpolated ratio of two versions in adjacent
+	// buckets is 2.
+	slowRatio = 1.8
+	// slowDifferenceMs is the smallest difference of response times in milliseconds that
+	// counts, above the jitter of a scheduler.
+	slowDifferenceMs = 5
+	// noiseMs is how long another workload on the VM of an upstream slows it down at a time,
+	// in milliseconds (docs/requirements.md, section 1.2, "Judge"). The responses of one
+	// instance in this time are not independent.
+	noiseMs = 300
+	// minSamples is the number of independent samples below which response times are not
+	// compared.
+	minSamples = 5
+)
+
+// Window holds the responses of both versions to the requests of a route in the same period.
+type Window struct {
+	Target, Other document.RolloutCounts
+	// SpanMs is the length of the period in milliseconds.
+	SpanMs int64
+}
+
+// Series is what the judge compares for one route, or for all routes together.
+type Series struct {
+	Name string
+	// Whole is the period since the target version got its first request, Recent are later
+	// periods up to now.
+	Whole  Window
+	Recent []Window
+	// TargetNodes and OtherNodes count the nodes that served requests of each version.
+	TargetNodes, OtherNodes int
+	// SpreadFailures is the number of failures of the target version without those of the
+	// node that has most of them.
+	SpreadFailures uint64
+	// FailuresOnly leaves response times out, because they depend on the mix of routes.
+	FailuresOnly bool
+}
+
+// Judge returns why the target version is worse than the others, or "". A version is worse if a
+// period shows it in comparison with the other versions in the same period and in the whole one,
+// as far as these have enough responses: trouble of both versions is no evidence.
+func Judge(series []Series) string {
+	for i := range series {
+		if reason := series[i].judge(); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+func (s *Series) judge() string {
+	if reason := s.judgeWindow(&s.Whole); reason != "" {
+		return reason
+	}
+	for i := range s.Recent {
+		if reason := s.judgeWindow(&s.Recent[i]); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+// judgeWindow compares the target version in the window with the others.
+func (s *Series) judgeWindow(w *Window) string {
+	references := s.references(w)
+	if len(references) == 0 {
+		return ""
+	}
+	if s.worse(w, references, s.fails) {
+		return s.failureReason(w, references[0])
+	}
+	if s.FailuresOnly {
+		return ""
+	}
+	for _, quantile := range []float64{0.5, 0.9} {
+		slower := func(target, other *Window) bool { return s.slower(target, other, quantile) }
+		if s.worse(w, references, slower) {
+			return s.latencyReason(w, references[0], quantile)
+		}
+	}
+	return ""
+}
+
+// references returns the periods of the other versions to compare with.
+func (s *Series) references(w *Window) []*Window {
+	var references []*Window
+	if w != &s.Whole && w.Other.Responses() >= MinResponses {
+		references = append(references, w)
+	}
+	if s.Whole.Other.Responses() >= MinResponses {
+		references = append(references, &s.Whole)
+	}
+	return references
+}
+
+// worse reports whether the target version is worse in comparison with each reference.
+func (s *Series) worse(w *Window, references []*Window, isWorse func(target, other *Window) bool) bool {
+	for _, reference := range references {
+		if !isWorse(w, reference) {
+			return false
+		}
+	}
+	return true
+}
+
+// fails reports whether the target version has more failures than chance explains. If both
+// versions fail equally often, each failure is one of the target version with the probability
+// of its part of the responses. Failures of one node out of several are those of its VM.
+func (s *Series) fails(target, other *Window) bool {
+	failed := target.Target.Failed
+	if failed < minBadResponses || s.TargetNodes > 1 && s.SpreadFailures < 2 {
+		return false
+	}
+	responses := target.Target.Responses()
+	part := float64(responses) / float64(responses+other.Other.Responses())
+	return rarelyReached(failed, failed+other.Other.Failed, part, failureTail)
+}
+
+// slower reports whether the quantile of the response times of the target version is higher by
+// more than slowRatio, and more of its responses are above that of the others than noise
+// explains.
+func (s *Series) slower(target, other *Window, quantile float64) bool {
+	mine, theirs := &target.Target, &other.Other
+	if mine.Succeeded < MinResponses || theirs.Succeeded < MinResponses {
+		return false
+	}
+	mineMs, _ := latencyQuantile(mine.Latency, quantile)
+	theirsMs, bucket := latencyQuantile(theirs.Latency, quantile)
+	if mineMs <= float64(slowRatio*theirsMs) || mineMs-theirsMs < slowDifferenceMs {
+		return false
+	}
+	mineSlow, mineAll := countAbove(mine.Latency, bucket)
+	theirsSlow, theirsAll := countAbove(theirs.Latency, bucket)
+	if mineSlow < minBadResponses || theirsAll == 0 {
+		return false
+	}
+	mineSamples := independentSamples(mineAll, s.TargetNodes, target.SpanMs)
+	theirsSamples := independentSamples(theirsAll, s.OtherNodes, other.SpanMs)
+	if mineSamples < minSamples || theirsSamples < minSamples {
+		return false
+	}
+	mineShare := float64(mineSlow) / float64(mineAll)
+	theirsShare := float64(theirsSlow) / float64(theirsAll)
+	return exceeds(mineShare, mineSamples, theirsShare, theirsSamples, slowScore)
+}
+
+func (s *Series) failureReason(w, reference *Window) string {
+	return fmt.Sprintf("%s: %d of %d responses of the target version failed, %d of %d of the other versions",
+		s.Name, w.Target.Failed, w.Target.Responses(), reference.Other.Failed, reference.Other.Responses())
+}
+
+func (s *Series) latencyReason(w, reference *Window, quantile float64) string {
+	mine, _ := latencyQuantile(w.Target.Latency, quantile)
+	theirs, _ := latencyQuantile(reference.Other.Latency, quantile)
+	return fmt.Sprintf("%s: quantile %.1f of the response times is about %.0f ms in %d responses of the target version, %.0f ms in %d of the other versions",
+		s.Name, quantile, mine, w.Target.Succeeded, theirs, reference.Other.Succeeded)
+}
--- /dev/null
+++ b/internal/coordination/rollout/statistics.go
@@ -0,0 +1,85 @@
+package rollout
+
+// The calculations below use additions, multiplications and divisions of IEEE 754 only, and
+// convert each product explicitly, which forbids fused operations: members on machines of
+// different kinds must come to the same verdict.
+
+// exactTrials is the number of trials up to which the binomial distribution is summed exactly.
+const exactTrials = 400
+
+// rarelyReached reports whether at least successes of the trials have a probability below tail
+// if each succeeds with the given probability.
+func rarelyReached(successes, trials uint64, probability, tail float64) bool {
+	if trials > exactTrials {
+		return farAbove(successes, trials, probability)
+	}
+	term := 1.0 // the probability of exactly i successes
+	for range trials {
+		term = float64(term * (1 - probability))
+	}
+	below := 0.0
+	for i := uint64(0); i < successes; i++ {
+		below += term
+		ratio := float64(float64(trials-i)*probability) / float64(float64(i+1)*(1-probability))
+		term = float64(term * ratio)
+	}
+	return 1-below < tail
+}
+
+// farAbove reports whether the successes are more than 4.3 standard deviations above their mean,
+// which a normal distribution exceeds with a probability below failureTail.
+func farAbove(successes, trials uint64, probability float64) bool {
+	const score = 18.5
+	mean := float64(float64(trials) * probability)
+	excess := float64(successes) - mean
+	return excess > 0 && float64(excess*excess) > float64(score*float64(mean*(1-probability)))
+}
+
+// exceeds reports whether the share a, from samplesA samples, is above the share b by more than
+// the square root of score standard deviations.
+func exceeds(a, samplesA, b, samplesB, score float64) bool {
+	if a <= b {
+		return false
+	}
+	pooled := (float64(a*samplesA) + float64(b*samplesB)) / (samplesA + samplesB)
+	variance := float64(float64(pooled*(1-pooled)) * (1/samplesA + 1/samplesB))
+	difference := a - b
+	return float64(difference*difference) > float64(score*variance)
+}
+
+// independentSamples returns the number of independent samples among responses: an instance
+// gives one in noiseMs.
+func independentSamples(responses uint64, nodes int, spanMs int64) float64 {
+	slots := float64(nodes) * (1 + float64(spanMs)/noiseMs)
+	return min(float64(responses), slots)
+}
+
+// latencyQuantile returns the quantile of a histogram of response times in milliseconds,
+// interpolated within its bucket, and the index of the bucket.
+func latencyQuantile(buckets []uint64, quantile float64) (ms float64, bucket int) {
+	var total uint64
+	for _, count := range buckets {
+		total += count
+	}
+	rank := float64(float64(total) * quantile)
+	below, lower, upper := 0.0, 0.0, 1.0
+	for i, count := range buckets {
+		if count > 0 && below+float64(count) >= rank {
+			return lower + float64((upper-lower)*(rank-below))/float64(count), i
+		}
+		below += float64(count)
+		lower, upper = upper, 2*upper
+	}
+	return lower, max(0, len(buckets)-1)
+}
+
+// countAbove returns the number of responses in the buckets above the given one, and in all.
+func countAbove(buckets []uint64, bucket int) (above, all uint64) {
+	for i, count := range buckets {
+		all += count
+		if i > bucket {
+			above += count
+		}
+	}
+	return above, all
+}
--- a/internal/state/document/command.go
+++ b/internal/state/document/command.go
@@ -69,6 +69,9 @@
 	Bootstrap *bootstrap        `json:"bootstrap,omitempty"`
 	Batch     *Batch            `json:"batch,omitempty"`
 	Zone      *zoneStateCommand `json:"zone,omitempty"`
+	// RolloutStart and RolloutAdvance are unknown to versions without rollouts.
+	RolloutStart   *RolloutStart   `json:"rollout_start,omitempty"`
+	RolloutAdvance *RolloutAdvance `json:"rollout_advance,omitempty"`
 }
 
 // bootstrap sets the first document.
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -164,6 +164,9 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return nil, errors.WithMessage(ErrInvalid, "data after the document")
 	}
+	if len(doc.Rollouts) > 0 {
+		return nil, &FieldError{kindRollouts, "a document of operators holds no rollouts"}
+	}
 	doc.setDefaults()
 	return doc, doc.Validate()
 }
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -15,20 +15,24 @@
 	// nowMs is the latest time of the applied commands as Unix time in milliseconds. It
 	// never decreases, although the clock of the next proposing member may be behind.
 	nowMs int64
+	// progress holds the progress of each rollout by service. The map is never modified.
+	progress      atomic.Pointer[map[string]RolloutProgress]
+	rolloutPolicy RolloutPolicy
 }
 
 // NewMachine returns a Machine without a document.
 func NewMachine() *Machine {
 	m := &Machine{edits: newEditResults()}
 	m.view.Store(newView())
+	m.progress.Store(&map[string]RolloutProgress{})
 	return m
 }
 
 // View returns the current view.
 func (m *Machine) View() *View { return m.view.Load() }
 
-// Apply applies a command encoded by EncodeEdit, EncodeBootstrap, EncodeBatch or
-// EncodeZoneState and returns the encoded Result. Data that is not a command results in
+// Apply applies a command encoded by EncodeEdit, EncodeBootstrap, EncodeBatch,
+// EncodeZoneState, EncodeRolloutStart or EncodeRolloutAdvance and returns the encoded Result. Data that is not a command results in
 // Malformed and changes nothing.
 func (m *Machine) Apply(_ uint64, data []byte) []byte {
 	result := m.apply(data)
@@ -57,6 +61,11 @@
 	case cmd.Zone != nil:
 		m.advanceClock(cmd.Zone.AtMs)
 		return m.applyZoneState(*cmd.Zone)
+	case cmd.RolloutStart != nil:
+		m.advanceClock(cmd.RolloutStart.AtMs)
+		return m.applyRolloutStart(*cmd.RolloutStart)
+	case cmd.RolloutAdvance != nil:
+		return m.applyRolloutAdvance(*cmd.RolloutAdvance)
 	}
 	return m.malformedResult("no known command")
 }
@@ -139,6 +148,8 @@
 // publish makes the view current and then closes the Replaced channel of the previous one,
 // so that a goroutine woken by it sees the new view.
 func (m *Machine) publish(next *View) {
+	next.withoutOrphanedRollouts()
+	m.dropProgress(next.Document)
 	previous := m.view.Swap(next)
 	close(previous.replaced)
 }
--- a/internal/state/document/snapshot.go
+++ b/internal/state/document/snapshot.go
@@ -20,6 +20,8 @@
 	Items   map[string]itemVersion `json:"items,omitempty"`
 	History []Change               `json:"history"`
 	Edits   []editResult           `json:"edits"`
+	// Rollouts is absent from snapshots written by versions without rollouts.
+	Rollouts map[string]RolloutProgress `json:"rollouts,omitempty"`
 }
 
 // Snapshot returns the encoded state: document, versions, history and the edit results
@@ -35,6 +37,7 @@
 		Items:    view.items,
 		History:  view.history,
 		Edits:    m.edits.queue,
+		Rollouts: *m.progress.Load(),
 	})
 	return data, errors.Wrap(err, "encode document snapshot")
 }
@@ -64,6 +67,10 @@
 	}
 	m.edits = edits
 	m.nowMs = s.NowMs
+	if s.Rollouts == nil {
+		s.Rollouts = map[string]RolloutProgress{}
+	}
+	m.progress.Store(&s.Rollouts)
 	m.publish(view)
 	return nil
 }
