Forward the failure of the only instance instead of closing the connection

When a retry was allowed but no other instance was left, the response of the last attempt was discarded as the fallback and then forwarded, which panicked in the handler and closed the caller's connection. TestOnlyInstanceFails failed with EOF before and passes now.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -102,13 +102,13 @@
 	var fallback attemptResult
 	failure := attemptResult{reason: wire.RefusalReason_REFUSAL_NO_UPSTREAM}
 	for attemptNumber := 1; ; attemptNumber++ {
-		instance, _, ok := n.selectInstance(ctx, c, attemptNumber, tried)
+		instance, ok := n.selectInstance(ctx, c, attemptNumber, tried)
 		if !ok && failure.isConnectionLost() {
 			// All instances were tried. The last one, whose connection failed or stopped
 			// responding, may respond on a new connection. Only repeatable requests get
 			// here.
 			tried = nil
-			instance, _, ok = n.selectInstance(ctx, c, attemptNumber, tried)
+			instance, ok = n.selectInstance(ctx, c, attemptNumber, tried)
 		}
 		if !ok {
 			break
@@ -154,7 +154,7 @@
 // finishFailedCall responds to a call after its last attempt: with the fallback response
 // if there is one, otherwise with an error.
 func (n *Node) finishFailedCall(ctx context.Context, w http.ResponseWriter, c *call, fallback, failure attemptResult) callResult {
-	if failure.outcome == outcomeAnswered {
+	if failure.outcome == outcomeAnswered && failure.attempt != fallback.attempt {
 		fallback.discard()
 		fallback = failure
 	}
--- a/internal/node/forward_test.go
+++ b/internal/node/forward_test.go
@@ -120,3 +120,10 @@
 	assert.NilError(t, response.Body.Close())
 	assert.Equal(t, string(body), "data: 1\n\n")
 }
+
+// TestOnlyInstanceFails guards against closing the caller's connection instead of forwarding the
+// response when a retry is allowed but there is no other instance to send it to.
+func TestOnlyInstanceFails(t *testing.T) {
+	_, entry, _ := startPair(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) })
+	assert.Equal(t, send(t, http.MethodGet, entry.url("/"), nil).StatusCode, http.StatusBadGateway)
+}
