--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -96,8 +96,8 @@
 	learned    atomic.Pointer[[]string]
 	// isolatedUntil maps the address of a member to the time until which it is avoided.
 	isolatedUntil map[string]time.Time
-	// lastContact is the time in Unix nanoseconds of the last message of a member that has
-	// contact with a quorum, 0 before the first.
+	// lastContact is the time in Unix nanoseconds of the last acknowledgement of a member that
+	// has contact with a quorum, 0 before the first.
 	lastContact atomic.Int64
 	dial        Dialer
 	sink        Sink
@@ -160,10 +160,9 @@
 	return members
 }
 
-// ContactAge returns the time since the last message of a control member that has contact with
-// a quorum. A member without it may not have learned of the latest configuration. Before the
-// first message it is longer than any time that a caller compares it with. Any goroutine may
-// call it.
+// ContactAge returns the time since a control member that has contact with a quorum last
+// acknowledged a heartbeat. A member without it may lack the latest configuration. Before the
+// first acknowledgement the result is longer than any limit. Any goroutine may call it.
 func (c *Client) ContactAge(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, c.lastContact.Load()))
 }
--- a/internal/coordination/distribute/session.go
+++ b/internal/coordination/distribute/session.go
@@ -25,9 +25,6 @@
 	// valid once hasState is set, which the first state with a registry does.
 	registryVersion uint64
 	hasState        bool
-	// hasQuorum is set while the last heartbeat acknowledgement of the member said that it has
-	// contact with a quorum.
-	hasQuorum bool
 	// startedAt is when the client began to connect, connectedAt when a member accepted.
 	startedAt, connectedAt time.Time
 	// lastReceived is the time of the last received message, unansweredSince that of the
@@ -120,7 +117,6 @@
 		case message := <-s.incoming:
 			s.lastReceived, s.unansweredSince = time.Now(), time.Time{}
 			err = s.handle(message)
-			s.recordContact(message)
 		}
 		if err != nil {
 			return err
@@ -128,17 +124,6 @@
 	}
 }
 
-// recordContact records a message of a member that has contact with a quorum. It is called
-// after the message has been handled.
-func (s *session) recordContact(message *wire.Envelope) {
-	if ack := message.GetHeartbeatAck(); ack != nil {
-		s.hasQuorum = !ack.GetIsolated()
-	}
-	if s.hasQuorum {
-		s.client.lastContact.Store(s.lastReceived.UnixNano())
-	}
-}
-
 // checkKeepalive sends a heartbeat as a probe when no message has arrived for
 // keepaliveIdle. It returns errKeepaliveTimeout when a heartbeat has had no reply for
 // keepaliveTimeout.
@@ -206,6 +191,7 @@
 		if message.GetHeartbeatAck().GetIsolated() {
 			return s.handleIsolation()
 		}
+		s.client.lastContact.Store(s.lastReceived.UnixNano())
 	default:
 		return errors.WithMessage(frame.ErrUnexpected, "control member sent neither state nor heartbeat acknowledgement")
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -113,8 +113,7 @@
 		}
 		n.syncZone()
 		n.applyUpstreamConfig()
-		n.observeRollouts(time.Now())
-		if n.evidence.isUnreported() {
+		if n.observeRollouts(time.Now()) || n.evidence.isUnreported() {
 			n.directory.RequestHeartbeat()
 		}
 		if current := n.directory.View(); current != lastPruned {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -36,9 +36,11 @@
 	version           uint64
 	instances         map[string]*wire.Instance
 	changed           chan struct{}
-	ignoresHeartbeats bool   // instances in heartbeats are not added
-	withheldNode      string // ID of a node that is sent no state
-	stale             bool   // the list of instances is incomplete
+	ignoresHeartbeats bool                               // instances in heartbeats are not added
+	withheldNode      string                             // ID of a node that is sent no state
+	stale             bool                               // the list of instances is incomplete
+	acknowledges      bool                               // heartbeats are acknowledged, by a member with a quorum
+	evidence          map[string][]*wire.VersionEvidence // of the last heartbeat of each node
 	logger            log.Logger
 	// onClaim returns the result of a claim; nil closes the stream without a result.
 	onClaim  func(*wire.Claim) *wire.ClaimResult
@@ -52,7 +54,7 @@
 	assert.NilError(t, err)
 	c := &fakeControl{
 		address: listener.Addr().String(), document: testDocument, revision: 1,
-		instances: map[string]*wire.Instance{}, changed: make(chan struct{}), logger: log.NewNopLogger(),
+		instances: map[string]*wire.Instance{}, evidence: map[string][]*wire.VersionEvidence{}, changed: make(chan struct{}), logger: log.NewNopLogger(),
 	}
 	server := mesh.NewServer(mesh.DefaultConfig(), c.serve)
 	go func() { _ = server.Serve(context.Background(), listener) }()
@@ -76,6 +78,12 @@
 		return
 	}
 	disconnected := make(chan struct{})
+	var sending sync.Mutex
+	send := func(message *wire.Envelope) error {
+		sending.Lock()
+		defer sending.Unlock()
+		return conn.SendAndFlush(message)
+	}
 	go func() {
 		defer close(disconnected)
 		for {
@@ -83,6 +91,9 @@
 			if err != nil {
 				return
 			}
+			if heartbeat := message.GetHeartbeat(); heartbeat != nil && c.observe(heartbeat) {
+				_ = send(&wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: &wire.HeartbeatAck{Sequence: heartbeat.GetSequence()}}})
+			}
 			if instance := message.GetHeartbeat().GetInstance(); instance != nil {
 				c.update(func() {
 					if !c.ignoresHeartbeats {
@@ -97,7 +108,7 @@
 		if c.withholdsState(first.GetSubscribe().GetNodeId()) {
 			state = nil
 		}
-		if state != nil && conn.SendAndFlush(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: state}}) != nil {
+		if state != nil && send(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: state}}) != nil {
 			return
 		}
 		select {
@@ -108,6 +119,14 @@
 	}
 }
 
+// observe records the evidence of a heartbeat and reports whether it is acknowledged.
+func (c *fakeControl) observe(heartbeat *wire.Heartbeat) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidence[heartbeat.GetNodeId()] = heartbeat.GetEvidence()
+	return c.acknowledges
+}
+
 func (c *fakeControl) reply(request *wire.Envelope) *wire.Envelope {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -165,6 +184,7 @@
 	upstream *httptest.Server
 	requests atomic.Int32
 	slots    int
+	version  string // software version of the upstream
 }
 
 func (c *fakeControl) startNode(t testing.TB, id, zone, meshAddress string) *testNode {
@@ -205,7 +225,7 @@
 }
 
 func (n *testNode) announce(t testing.TB, address, startID string) {
-	body := `{"service": "s", "address": "` + address + `", "instance": "i-` + n.settings.ID + `", "start_id": "` + startID + `", "slots": ` + strconv.Itoa(n.slots) + `, "connections": 64}`
+	body := `{"service": "s", "address": "` + address + `", "instance": "i-` + n.settings.ID + `", "start_id": "` + startID + `", "slots": ` + strconv.Itoa(n.slots) + `, "connections": 64, "version": "` + n.version + `"}`
 	response, err := http.Post("http://"+n.LocalAddress()+"/v1/announce", "application/json", strings.NewReader(body))
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -47,23 +47,23 @@
 //
 // During a rollout of the service the first attempt of a call is for the version that a random
 // draw chooses, a later one for the version of repeats.
-func (n *Node) selectInstance(ctx context.Context, c *call, attemptNumber int, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
+func (n *Node) selectInstance(ctx context.Context, c *call, attemptNumber int, tried map[string]bool) (*wire.Instance, bool) {
 	v := n.selectionView(c)
 	selection := n.selectVersions(v, c.service, attemptNumber == 1)
-	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, v, tried, selection)
+	instance, _, sample, ok := n.selectByQuotes(ctx, c, v, tried, selection)
 	if !ok && !c.versionRefused {
 		if fallback, isAllowed := selection.fallback(); isAllowed {
-			instance, candidate, sample, ok = n.selectByQuotes(ctx, c, v, tried, fallback)
+			instance, _, sample, ok = n.selectByQuotes(ctx, c, v, tried, fallback)
 		}
 	}
 	if !ok && selection.needsQuote {
 		selection.needsQuote = false
-		instance, candidate, sample, ok = n.selectByQuotes(ctx, c, v, tried, selection)
+		instance, _, sample, ok = n.selectByQuotes(ctx, c, v, tried, selection)
 	}
 	if ok {
 		n.logSelection(c, attemptNumber, instance, sample)
 	}
-	return instance, candidate, ok
+	return instance, ok
 }
 
 // selectHedgeInstance chooses the instance for a hedged request like selectInstance.
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -147,13 +147,20 @@
 	share   int // in thousandths, 0 without contact to control
 }
 
+// contactCheckAge is the age of the contact to control from which a node asks for a heartbeat
+// acknowledgement while a rollout is running. The heartbeats of membership.HeartbeatInterval
+// are too far apart to tell within rollout.MaxContactAge that the contact is lost.
+const contactCheckAge = 700 * time.Millisecond
+
 // observeRollouts logs the rollouts whose state, phase or share in force has changed and
-// updates the metrics.
-func (n *Node) observeRollouts(now time.Time) {
+// updates the metrics. It reports whether a heartbeat is needed to confirm the contact to
+// control.
+func (n *Node) observeRollouts(now time.Time) (needsContact bool) {
 	view := n.directory.View()
 	contactAge := n.subscription.ContactAge(now)
 	for service, r := range view.Doc.Rollouts {
 		inForce := rolloutInForce{rollout: r.StartedRevision, state: r.State, phase: r.Phase, share: rollout.Share(&r, contactAge)}
+		needsContact = needsContact || r.State == document.RolloutRunning && contactAge > contactCheckAge
 		n.metrics.service(service).rollout.setShare(inForce.share)
 		if n.versionChooser.logged[service] == inForce {
 			continue
@@ -170,4 +177,5 @@
 		}
 		return !kept
 	})
+	return needsContact
 }
