--- a/internal/coordination/distribute/client_test.go
+++ b/internal/coordination/distribute/client_test.go
@@ -283,3 +283,34 @@
 		<-done
 	})
 }
+
+// TestContactAge guards against a contact to control that seems recent although the member has
+// no contact with a quorum or does not respond, and against one that seems lost in between two
+// heartbeats.
+func TestContactAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &fakeMembers{
+			unreachable: map[string]bool{}, isolated: map[string]bool{"a": true}, connections: map[net.Conn]string{}, dialTimes: map[int][]time.Time{},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		dial := func(_ context.Context, address string) (net.Conn, error) { return m.dial(0, address) }
+		client := NewClient("node", []string{"a"}, dial, &fakeSink{}, log.NewNopLogger())
+		done := make(chan struct{})
+		go func() { defer close(done); client.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, client.ContactAge(time.Now()) > time.Hour)
+		m.mu.Lock()
+		m.isolated["a"] = false
+		m.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, client.ContactAge(time.Now()) < 1500*time.Millisecond)
+		}
+		m.setUnreachable("a", true)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, client.ContactAge(time.Now()) >= 2*time.Second)
+		cancel()
+		<-done
+	})
+}
