Follow refusals by version to the other versions and count cancelled requests as slow

An entry with an old revision got up to four refusals from the excluded version before the request was refused; after the first it now uses the other versions. A slow response that lost against a hedged request was missing in the histogram; it is counted with the time until it was cancelled.

--- a/internal/coordination/rollout/selector.go
+++ b/internal/coordination/rollout/selector.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// VersionSet is a set of the target version and the other versions of a rollout.
+type VersionSet struct{ Target, Other bool }
+
+// Add adds the group that the software version belongs to.
+func (s *VersionSet) Add(r *document.Rollout, softwareVersion string) {
+	if softwareVersion == r.TargetVersion {
+		s.Target = true
+	} else {
+		s.Other = true
+	}
+}
+
 // Random is a source of random numbers; *rand.Rand implements it.
 type Random interface {
 	// IntN returns a uniformly distributed number in [0, n).
@@ -75,8 +87,16 @@
 
 // ChooseRepeat returns the versions for a retry or a hedged request. They go to the other
 // versions, so that a bad target version cannot attract repeats, until the target version
-// has the full share: the other instances may stop soon after that.
-func ChooseRepeat(r *document.Rollout, contactAge time.Duration) Versions {
+// has the full share: the other instances may stop soon after that. If nodes of just one group
+// have refused the call by a later revision of the rollout, it has ended and the other group
+// gets the requests.
+func ChooseRepeat(r *document.Rollout, contactAge time.Duration, refusing VersionSet) Versions {
+	if refusing.Target != refusing.Other && r.State == document.RolloutRunning {
+		if refusing.Other {
+			return TargetVersion
+		}
+		return OtherVersions
+	}
 	if HasFullShare(r, contactAge) {
 		return TargetVersion
 	}
@@ -86,7 +106,7 @@
 // ChooseHedge returns the versions for a hedged request, and false when the request must not be
 // hedged: the target version of a running rollout gets none.
 func ChooseHedge(r *document.Rollout, contactAge time.Duration) (Versions, bool) {
-	versions := ChooseRepeat(r, contactAge)
+	versions := ChooseRepeat(r, contactAge, VersionSet{})
 	return versions, versions != TargetVersion || r.State == document.RolloutCompleted
 }
 
--- a/internal/coordination/rollout/selector_test.go
+++ b/internal/coordination/rollout/selector_test.go
@@ -41,7 +41,7 @@
 				count(hedged)
 			}
 			if first == TargetVersion || random.Float64() < retriedShare {
-				count(ChooseRepeat(r, time.Second))
+				count(ChooseRepeat(r, time.Second, VersionSet{}))
 			}
 		}
 		// The bound of docs/requirements.md, section 1.1. The smallest margin, at 1,250 requests,
@@ -63,7 +63,7 @@
 		age := time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond
 		version := rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "version")
 		first := Choose(r, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), age)
-		repeat := ChooseRepeat(r, age)
+		repeat := ChooseRepeat(r, age, VersionSet{})
 		hedge, isHedged := ChooseHedge(r, age)
 		for _, chosen := range []Versions{first, repeat, hedge} {
 			assert.Assert(t, !Excludes(r, version) || !Admits(r, chosen, version))
@@ -76,6 +76,9 @@
 			assert.Assert(t, age <= MaxContactAge || first == OtherVersions && repeat == OtherVersions)
 			assert.Assert(t, age > MaxContactAge || r.SharePermille < 1000 || first == TargetVersion && repeat == TargetVersion)
 			assert.Assert(t, r.SharePermille > 0 || first == OtherVersions)
+			// An entry node with an old revision learns of the end from refusals.
+			assert.Equal(t, ChooseRepeat(r, age, VersionSet{Other: true}), TargetVersion)
+			assert.Equal(t, ChooseRepeat(r, age, VersionSet{Target: true}), OtherVersions)
 		}
 	})
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
+	"github.com/chicorylever/chicorylever/internal/coordination/rollout"
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -93,6 +94,9 @@
 	// rollout has not answered the call well. The call then stays with this version: the load or
 	// the fault of one version must not move requests to the other.
 	versionRefused bool
+	// excludedVersions are the versions of instances whose nodes refused the call because of a
+	// later revision of the rollout.
+	excludedVersions rollout.VersionSet
 	// hedged is set once the first attempt has been hedged.
 	hedged atomic.Bool
 	// suppressCallerRetries is set when the hops above must not retry either.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -119,7 +119,7 @@
 		}
 		result := n.makeAttempt(ctx, c, instance, attemptNumber, hedgeDelay)
 		c.countAttempt(&result)
-		c.versionRefused = c.versionRefused || !result.isInstanceUnavailable()
+		n.observeVersion(c, instance, &result)
 		if result.outcome == outcomeAnswered && !isRetryableStatus(c, result) {
 			fallback.discard()
 			if n.forwardToCaller(w, c, &result) {
--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -58,11 +58,19 @@
 }
 
 // recordBrokenResponse records as evidence that the upstream sent no response or an incomplete
-// one. A request that the caller cancelled is no evidence.
+// one. A request that was cancelled is no failure, but its response would have taken at least
+// until now: the hedged request of another instance may have won, and slow responses of this
+// one would otherwise never be counted.
 func (r *receivedAttempt) recordBrokenResponse(result admission.Result) {
-	isTimeout := result == admission.ResultTimeout || result == admission.ResultCancelled && time.Until(r.deadline) < deadlineTolerance
-	if r.isDispatched() && (isTimeout || result == admission.ResultError) {
+	if !r.isDispatched() {
+		return
+	}
+	isAtDeadline := time.Until(r.deadline) < deadlineTolerance
+	switch {
+	case result == admission.ResultTimeout, result == admission.ResultError, result == admission.ResultCancelled && isAtDeadline:
 		r.recordEvidence(true, 0)
+	case result == admission.ResultCancelled:
+		r.recordEvidence(false, time.Since(r.dispatchedAt))
 	}
 }
 
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -49,7 +49,7 @@
 // draw chooses, a later one for the version of repeats.
 func (n *Node) selectInstance(ctx context.Context, c *call, attemptNumber int, tried map[string]bool) (*wire.Instance, bool) {
 	v := n.selectionView(c)
-	selection := n.selectVersions(v, c.service, attemptNumber == 1)
+	selection := n.selectVersions(v, c, attemptNumber == 1)
 	instance, _, sample, ok := n.selectByQuotes(ctx, c, v, tried, selection)
 	if !ok && !c.versionRefused {
 		if fallback, isAllowed := selection.fallback(); isAllowed {
@@ -257,6 +257,7 @@
 		Work:     n.expectedWork(request.GetRoute()),
 	})
 	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.loadReportForRoute(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.View().Revision}
-	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance()) && !n.excludesUpstream()
+	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance()) &&
+		n.upstreamVersionRefusal() == wire.RefusalReason_REFUSAL_UNSPECIFIED
 	return quote
 }
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -71,8 +71,9 @@
 	// evidence is what the attempt may tell about the software version of the upstream; it is
 	// set at dispatch.
 	evidence evidenceSubject
-	// versionExcluded is set when the dispatch was refused because of a rollout.
-	versionExcluded atomic.Bool
+	// versionRefusal is the wire.RefusalReason of the last check of the version, unspecified if
+	// the attempt may run.
+	versionRefusal atomic.Int32
 	// declined is set when the upstream has responded that it did not run the attempt.
 	declined bool
 }
@@ -169,8 +170,8 @@
 		return nil, reason
 	}
 	r.pool = pool
-	if r.isVersionExcluded() {
-		return nil, wire.RefusalReason_REFUSAL_VERSION
+	if !r.checkVersion() {
+		return nil, wire.RefusalReason(r.versionRefusal.Load())
 	}
 	r.node.syncZone()
 	r.node.upstream.watchSlowdown(r.node.healthPath())
@@ -204,8 +205,7 @@
 	if ctx.Err() != nil {
 		return errAttemptCancelled
 	}
-	if r.isVersionExcluded() {
-		r.versionExcluded.Store(true)
+	if !r.checkVersion() {
 		return errVersionExcluded
 	}
 	r.dispatchedAt = now
@@ -229,8 +229,7 @@
 	}
 	if r.streamed {
 		// The check at dispatch comes too late for a body that can't be sent again.
-		if r.isVersionExcluded() {
-			r.versionExcluded.Store(true)
+		if !r.checkVersion() {
 			return r.fail(ctx, errVersionExcluded)
 		}
 		// The entry node sends the body only after the attempt has been admitted.
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -43,8 +43,8 @@
 		outcome.ServiceTime = time.Since(r.dispatchedAt)
 	}
 	reason := wire.RefusalReason_REFUSAL_CONNECT
-	if r.versionExcluded.Load() {
-		reason = wire.RefusalReason_REFUSAL_VERSION
+	if refusal := wire.RefusalReason(r.versionRefusal.Load()); refusal != wire.RefusalReason_REFUSAL_UNSPECIFIED {
+		reason = refusal
 	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
 		reason = wire.RefusalReason_REFUSAL_DEADLINE
 	}
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -81,14 +81,14 @@
 }
 
 // selectVersions returns the versions for an attempt that is not a hedged request.
-func (n *Node) selectVersions(v *directory.View, service string, isFirst bool) versionSelection {
-	r := rolloutOf(v, service)
+func (n *Node) selectVersions(v *directory.View, c *call, isFirst bool) versionSelection {
+	r := rolloutOf(v, c.service)
 	if r == nil {
 		return versionSelection{}
 	}
 	contactAge := n.subscription.ContactAge(time.Now())
 	if !isFirst {
-		return versionSelection{rollout: r, versions: rollout.ChooseRepeat(r, contactAge)}
+		return versionSelection{rollout: r, versions: rollout.ChooseRepeat(r, contactAge, c.excludedVersions)}
 	}
 	selection := versionSelection{rollout: r, versions: rollout.Choose(r, n.versionChooser, contactAge)}
 	selection.needsQuote = selection.versions == rollout.TargetVersion && !rollout.HasFullShare(r, contactAge)
@@ -106,6 +106,18 @@
 	return versionSelection{rollout: r, versions: versions}, ok
 }
 
+// observeVersion keeps what the result of an attempt says about the versions in a rollout.
+func (n *Node) observeVersion(c *call, instance *wire.Instance, result *attemptResult) {
+	r := rolloutOf(n.selectionView(c), c.service)
+	if r == nil {
+		return
+	}
+	c.versionRefused = c.versionRefused || !result.isInstanceUnavailable()
+	if result.reason == wire.RefusalReason_REFUSAL_VERSION {
+		c.excludedVersions.Add(r, instance.GetSoftwareVersion())
+	}
+}
+
 // countVersion counts an attempt of the call at an instance by its version.
 func (n *Node) countVersion(c *call, instance *wire.Instance) {
 	if r := rolloutOf(n.selectionView(c), c.service); r != nil {
@@ -113,28 +125,43 @@
 	}
 }
 
-// excludesUpstream reports whether the upstream beside this node gets no requests because of a
-// rollout. An upstream whose announcement this node has not received yet may have any version.
-func (n *Node) excludesUpstream() bool {
+// upstreamVersionRefusal returns why the upstream beside this node gets no requests because of a
+// rollout, or REFUSAL_UNSPECIFIED. An upstream whose announcement this node has not received yet
+// may have any version.
+func (n *Node) upstreamVersionRefusal() wire.RefusalReason {
 	a := n.upstream.currentAnnouncement()
 	if a == nil {
-		return false
+		return wire.RefusalReason_REFUSAL_UNSPECIFIED
 	}
 	r := rolloutOf(n.directory.View(), a.Service)
-	return r != nil && (a.Provisional || rollout.Excludes(r, a.Version))
+	switch {
+	case r == nil:
+		return wire.RefusalReason_REFUSAL_UNSPECIFIED
+	case a.Provisional:
+		return wire.RefusalReason_REFUSAL_NO_UPSTREAM
+	case rollout.Excludes(r, a.Version):
+		return wire.RefusalReason_REFUSAL_VERSION
+	}
+	return wire.RefusalReason_REFUSAL_UNSPECIFIED
+}
+
+// checkVersion reports whether the attempt may run as far as rollouts are concerned, and keeps
+// the reason otherwise: that of upstreamVersionRefusal, or that the sender has chosen the target
+// version without knowing of the rollout.
+func (r *receivedAttempt) checkVersion() bool {
+	reason := r.node.upstreamVersionRefusal()
+	if reason == wire.RefusalReason_REFUSAL_UNSPECIFIED && r.isFromBeforeRollout() {
+		reason = wire.RefusalReason_REFUSAL_VERSION
+	}
+	r.versionRefusal.Store(int32(reason))
+	return reason == wire.RefusalReason_REFUSAL_UNSPECIFIED
 }
 
-// isVersionExcluded reports whether the attempt is refused because of a rollout: the version of
-// the upstream is excluded, or the sender has chosen the target version without knowing of the
-// rollout.
-func (r *receivedAttempt) isVersionExcluded() bool {
+func (r *receivedAttempt) isFromBeforeRollout() bool {
 	a := r.node.upstream.currentAnnouncement()
 	if a == nil {
 		return false
 	}
-	if r.node.excludesUpstream() {
-		return true
-	}
 	active := rolloutOf(r.node.directory.View(), a.Service)
 	return active != nil && a.Version == active.TargetVersion && r.head.GetRevision() < active.StartedRevision
 }
