--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
 // announcementOf returns an announcement of the instance i of a service by its start time
@@ -73,3 +75,25 @@
 	assert.Assert(t, n.Leave("i", 2))
 	assert.Assert(t, n.isDeparting())
 }
+
+// TestVersionOfUpstream guards against a registry entry whose software version changes without a
+// new version of the entry, and against a target instance that counts as old because one of its
+// announcements omits the version.
+func TestVersionOfUpstream(t *testing.T) {
+	n := startLoneNode(t)
+	entry := func() *wire.Instance { return n.Node.upstream.registryEntry("n", "a", "", 1) }
+	versions := []uint64{}
+	for i, step := range []struct{ start, announced, expected string }{
+		{"i@1", "", ""}, {"i@1", "1", "1"}, {"i@1", "", "1"}, {"i@2", "", ""}, {"i@2", "2", "2"},
+	} {
+		a := announcementOf("s", int64(len(step.start))+int64(i), step.start, uint64(i+1))
+		a.Version = step.announced
+		assert.NilError(t, n.Announce(a))
+		assert.Equal(t, entry().GetSoftwareVersion(), step.expected)
+		versions = append(versions, entry().GetVersion())
+	}
+	assert.Assert(t, versions[0] < versions[1] && versions[1] == versions[2] && versions[2] < versions[3] && versions[3] < versions[4], "%v", versions)
+	long := announcementOf("s", 9, "i@9", 9)
+	long.Version = strings.Repeat("v", maxVersionBytes+1)
+	assert.ErrorContains(t, n.Announce(long), "version")
+}
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"testing"
@@ -199,12 +200,19 @@
 		send(t, http.MethodPost, entry.url(path), nil, httpapi.HeaderTimeout, timeoutMs)
 	}
 	eventually(t, func() bool { succeeded, failed := totals(); return succeeded == before+1 && failed == 3 })
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	abandoned, err := http.NewRequestWithContext(ctx, http.MethodPost, entry.url("/once/hang"), nil)
+	assert.NilError(t, err)
+	_, err = http.DefaultClient.Do(abandoned) //nolint:bodyclose // there is no response
+	assert.ErrorContains(t, err, "deadline")
+	eventually(t, func() bool { succeeded, failed := totals(); return succeeded == before+2 && failed == 3 })
 
 	target.announce(t, target.Node.upstream.currentAnnouncement().Address, "restarted")
 	entry.waitForInstances(t, 2)
 	warmUp()
 	sendCalls(t, 5, http.StatusOK, entry, target, target)
-	eventually(t, func() bool { succeeded, failed := totals(); return succeeded >= before+6 && failed == 3 })
+	eventually(t, func() bool { succeeded, failed := totals(); return succeeded >= before+7 && failed == 3 })
 
 	control.setRollout(t, document.RolloutCompleted, 1000)
 	awaitRevision(t, 4, target)
