Drive rollouts from the control members and let operators start and read them

The replicated state machine needs evidence, elapsed time and the revisions in force. Operators start and read rollouts through /v1/rollouts, chicoryctl rollout and the calls of the platform. The settings rollout_share, rollout_slack and rollback_ms set the limits.

--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -35,6 +35,9 @@
 // Documents provides the document as applied on this member.
 type Documents interface {
 	View() *document.View
+	// RolloutProgress returns the progress of the latest rollout of a service, false
+	// without one.
+	RolloutProgress(service string) (document.RolloutProgress, bool)
 }
 
 // Fleet provides the nodes and announced upstreams that are known to the control members.
@@ -68,6 +71,8 @@
 	Burn http.Handler
 	// Metrics serves GET /metrics without a token. If nil, it gets 404.
 	Metrics http.Handler
+	// RolloutTerms are the limits of the rollouts that are started through this member.
+	RolloutTerms document.RolloutTerms
 	// Logger receives one message for each edit and each membership change; nil
 	// discards them.
 	Logger log.Logger
@@ -77,6 +82,7 @@
 
 type api struct {
 	Config
+	operations *Operations
 	// requestSlots and longPollSlots are counting semaphores.
 	requestSlots  chan struct{}
 	longPollSlots chan struct{}
@@ -96,6 +102,7 @@
 	}
 	a := &api{
 		Config:        config,
+		operations:    NewOperations(config.Proposer, config.Documents, config.Now, config.RolloutTerms),
 		requestSlots:  make(chan struct{}, maxConcurrentRequests),
 		longPollSlots: make(chan struct{}, maxLongPolls),
 	}
@@ -117,6 +124,9 @@
 	handle(http.MethodGet, "/v1/history", a.getHistory)
 	handle(http.MethodGet, "/v1/status", a.getStatus)
 	handle(http.MethodGet, "/v1/revisions/{revision:[0-9]+}/in-force", a.getInForce)
+	handle(http.MethodPost, "/v1/rollouts", a.startRollout)
+	handle(http.MethodGet, "/v1/rollouts", a.listRollouts)
+	handle(http.MethodGet, "/v1/rollouts/{service}", a.getRollout)
 	handle(http.MethodPost, "/v1/members", a.addMember)
 	handle(http.MethodDelete, "/v1/members/{id:[0-9]+}", a.removeMember)
 	handle(http.MethodGet, "/v1/burn", a.getBurn)
--- a/internal/control/api/operations.go
+++ b/internal/control/api/operations.go
@@ -16,12 +16,13 @@
 	proposer  replica.Proposer
 	documents Documents
 	now       func() time.Time
+	terms     document.RolloutTerms
 }
 
 // NewOperations returns the operations on a replicated document; now returns the time
-// that commands carry.
-func NewOperations(proposer replica.Proposer, documents Documents, now func() time.Time) *Operations {
-	return &Operations{proposer: proposer, documents: documents, now: now}
+// that commands carry, terms are those of the rollouts that it starts.
+func NewOperations(proposer replica.Proposer, documents Documents, now func() time.Time, terms document.RolloutTerms) *Operations {
+	return &Operations{proposer: proposer, documents: documents, now: now, terms: terms}
 }
 
 // ApplyBatch applies the items on behalf of the team. When it returns a result, the
@@ -45,6 +46,41 @@
 	return o.propose(ctx, command)
 }
 
+// StartRollout starts a rollout of a service on behalf of the team. A repeat of the latest
+// start request of the service is accepted and changes nothing; while another rollout of the
+// service is running the outcome is document.Conflict. Its result and error have the same
+// meaning as those of ApplyBatch.
+func (o *Operations) StartRollout(ctx context.Context, team, service, targetVersion string, durationMs int64) (document.Result, error) {
+	command, err := document.EncodeRolloutStart(document.RolloutStart{
+		Team: team, Service: service, TargetVersion: targetVersion, DurationMs: durationMs,
+		Terms: o.terms, AtMs: o.now().UnixMilli(),
+	})
+	if err != nil {
+		return document.Result{}, err
+	}
+	return o.propose(ctx, command)
+}
+
+// Rollout makes a linearizable read of the latest rollout of a service. It returns false
+// without one.
+func (o *Operations) Rollout(ctx context.Context, service string) (Rollout, bool, error) {
+	view, err := o.Read(ctx)
+	if err != nil {
+		return Rollout{}, false, err
+	}
+	r, ok := readRollout(o.documents, view, service)
+	return r, ok, nil
+}
+
+// Rollouts makes a linearizable read of the latest rollout of each service, by service.
+func (o *Operations) Rollouts(ctx context.Context) ([]Rollout, error) {
+	view, err := o.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return readRollouts(o.documents, view), nil
+}
+
 // Read makes a linearizable read of the document.
 func (o *Operations) Read(ctx context.Context) (*document.View, error) {
 	if _, err := o.proposer.ReadIndex(ctx); err != nil {
--- a/internal/control/burn.go
+++ b/internal/control/burn.go
@@ -7,9 +7,11 @@
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
 
-// collectCounts adds the request counts of a node's heartbeat to the burn report.
+// collectCounts adds the request counts of a node's heartbeat to the burn report, and its
+// evidence to the running rollouts.
 func (c *Control) collectCounts(heartbeat *wire.Heartbeat) {
 	c.burnCollector.Observe(time.Now(), heartbeat.GetNodeId(), heartbeat.GetNodeStart(), heartbeat.GetCounts())
+	c.rolloutDriver.observe(heartbeat)
 }
 
 // objectives returns the objective of each service in the current document.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+	"github.com/chicorylever/chicorylever/internal/coordination/rollout"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/claims"
 	"github.com/chicorylever/chicorylever/internal/state/document"
@@ -56,6 +57,7 @@
 	claimMachine    *claims.Machine
 	burnMachine     *slo.Machine
 	burnCollector   *slo.Collector
+	rolloutDriver   *rolloutDriver
 
 	registry      *membership.Registry
 	leaseExchange *membership.Exchange
@@ -101,6 +103,7 @@
 		burnCollector:   slo.NewCollector(),
 		registry:        membership.NewRegistry(),
 	}
+	c.documentMachine.SetRolloutPolicy(rollout.Advance)
 	c.currentSettings.Store(s)
 	if err := checkBootstrapDocument(s.BootstrapDocument); err != nil {
 		return nil, err
@@ -112,6 +115,8 @@
 		c.closeListeners()
 		return nil, err
 	}
+	rollback := time.Duration(s.RollbackMs) * time.Millisecond
+	c.rolloutDriver = newRolloutDriver(c.documentMachine, c.registry, c.proposerFor(componentDocument), rollback, logger)
 	source := &documentSource{machine: c.documentMachine, proposer: c.replicatedLog}
 	c.distributor = distribute.NewServer(source, c.registry, c.collectCounts, c.logger)
 	c.distributor.SetMembers(c.memberAddresses)
@@ -235,6 +240,7 @@
 		c.watchQuorum,
 		c.distributor.Run,
 		c.leaseExchange.Run,
+		c.rolloutDriver.run,
 		func(ctx context.Context) { c.burnCollector.Run(ctx, c.proposerFor(componentBurn), c.logger) },
 		newLostNodeDetector(c.registry, c.proposerFor(componentClaims), c.logger).run,
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/settings"
+	"github.com/chicorylever/chicorylever/internal/state/document"
 	"github.com/chicorylever/chicorylever/internal/state/slo"
 )
 
@@ -96,6 +97,12 @@
 	return progress
 }
 
+// rolloutTerms returns the limits of the rollouts that are started through this member.
+func (c *Control) rolloutTerms() document.RolloutTerms {
+	permille := max(1, int(c.settings.RolloutShare*1000))
+	return document.RolloutTerms{SharePermille: permille, Slack: c.settings.RolloutSlack}
+}
+
 // loadAPITLS returns the TLS configuration of the operators' API, or nil if the settings
 // name no certificate.
 func loadAPITLS(s *settings.Control) (*tls.Config, error) {
@@ -132,10 +139,12 @@
 		Burn:       slo.NewHandler(c.burnMachine, c.objectives, time.Now),
 		Metrics:    c.metricsHandler(),
 		Logger:     c.logger,
+
+		RolloutTerms: c.rolloutTerms(),
 	})
 	if err != nil || c.options.API == nil {
 		return handler, err
 	}
-	operations := api.NewOperations(c.proposerFor(componentDocument), c.documentMachine, time.Now)
+	operations := api.NewOperations(c.proposerFor(componentDocument), c.documentMachine, time.Now, c.rolloutTerms())
 	return c.options.API(operations, handler, c.logger), nil
 }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -35,6 +35,7 @@
 	set.NewGauge("chicorylever_log_lines_dropped_total", func() float64 { return float64(c.options.DroppedLogLines()) })
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
+		c.writeRolloutMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
 }
--- a/internal/coordination/distribute/server.go
+++ b/internal/coordination/distribute/server.go
@@ -37,7 +37,8 @@
 	Changed() <-chan struct{}
 }
 
-// CountSink receives the heartbeats that carry request counts. It must not block.
+// CountSink receives the heartbeats that carry request counts or evidence of rollouts. It
+// must not block.
 type CountSink func(heartbeat *wire.Heartbeat)
 
 // Server serves the subscriptions of nodes.
@@ -223,7 +224,7 @@
 
 func (s *Server) handleHeartbeat(sub *subscription, heartbeat *wire.Heartbeat) {
 	s.registry.Renew(time.Now(), heartbeat)
-	if s.counts != nil && len(heartbeat.GetCounts()) > 0 {
+	if s.counts != nil && len(heartbeat.GetCounts())+len(heartbeat.GetEvidence()) > 0 {
 		s.counts(heartbeat)
 	}
 	sub.acknowledge(heartbeat)
--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -151,5 +151,5 @@
 	if expected <= missing {
 		return maxCanaryShare
 	}
-	return int(missing * promotedShare / expected)
+	return int(missing*promotedShare/expected) + in.Terms.SharePermille*3/10
 }
--- /dev/null
+++ b/internal/coordination/rollout/table_test.go
@@ -0,0 +1,88 @@
+package rollout
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+// cell sums the outcomes of one row of the table in docs/policy.md.
+type cell struct {
+	runs, rolledBack, completed, over, late int
+	worstExposed, worstLimit                int
+	worstShare                              float64
+	worstLastMs, worstEndMs                 int64
+}
+
+func (c *cell) add(s scenario, o outcome) {
+	c.runs++
+	limit := o.requests/10 + 50
+	switch o.rollout.State {
+	case document.RolloutRolledBack:
+		c.rolledBack++
+	case document.RolloutCompleted:
+		c.completed++
+	}
+	if o.endMs > s.durationMs {
+		c.late++
+	}
+	if o.exposed > limit {
+		c.over++
+	}
+	if share := float64(o.exposed) / float64(o.requests); share > c.worstShare {
+		c.worstShare, c.worstExposed, c.worstLimit = share, o.exposed, limit
+	}
+	c.worstLastMs = max(c.worstLastMs, o.lastAfterBadMs)
+	c.worstEndMs = max(c.worstEndMs, o.endMs)
+}
+
+func runMany(s scenario, runs int) *cell {
+	c := &cell{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 3)
+	for i := range runs {
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			seeded := s
+			seeded.seed = uint64(i)
+			o := run(seeded)
+			mu.Lock()
+			defer mu.Unlock()
+			c.add(seeded, o)
+		})
+	}
+	group.Wait()
+	return c
+}
+
+func (c *cell) row(s scenario) string {
+	return fmt.Sprintf("| %s | %d | %s | %d s | %d | %d | %d | %d | %.1f %% (%d of %d) | %d | %d |", s.pattern, s.instances, s.load, s.durationMs/1000,
+		c.runs, c.completed, c.rolledBack, c.late, 100*c.worstShare, c.worstExposed, c.worstLimit, c.over, c.worstLastMs)
+}
+
+// TestTable guards against a bad version that gets more than its exposure or requests later than
+// rollback_ms after its 50th bad response, and against a good one that is rolled back or late, for
+// each pattern, size and load. It prints the rows of the table in docs/policy.md.
+func TestTable(t *testing.T) {
+	for _, duration := range []int64{5000, 30_000, 120_000} {
+		for _, load := range []string{"calm", "burst", "evacuation"} {
+			for _, instances := range []int{3, 17, 47} {
+				s := scenario{instances: instances, durationMs: duration, load: load, pattern: "good"}
+				c := runMany(s, 40)
+				t.Log(c.row(s))
+				for _, pattern := range []string{"at once", "later", "under load", "one route", "slow at once", "slow later"} {
+					s.pattern = pattern
+					c := runMany(s, 8)
+					t.Log(c.row(s))
+				}
+			}
+		}
+	}
+	assert.Assert(t, true)
+}
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -55,7 +55,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Flags:          globalFlags(),
 		Commands: []*cli.Command{
-			p.getCommand(), p.editCommand(), p.applyCommand(), p.removeCommand(), p.zoneCommand(),
+			p.getCommand(), p.editCommand(), p.applyCommand(), p.removeCommand(), p.zoneCommand(), p.rolloutCommand(),
 			p.statusCommand(), p.historyCommand(), p.memberCommand(), p.reportCommand(),
 			p.checkCommand(), p.tokenCommand(),
 		},
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -6,6 +6,10 @@
 	// defaultToleratedLosses gives a cluster of up to five voters.
 	defaultToleratedLosses = 2
 	maxToleratedLosses     = 4
+	// Defaults of the limits of rollouts, from docs/requirements.md, section 1.1.
+	defaultRolloutShare = 0.1
+	defaultRolloutSlack = 50
+	defaultRollbackMs   = 5000
 )
 
 // Control holds the settings of chicorylever-control.
@@ -52,6 +56,16 @@
 	APITLSKey  string `json:"api_tls_key,omitempty"`
 	// StopTimeoutMs is the timeout of a graceful stop in milliseconds; default 10000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
+	// RolloutShare is the largest share of a service's requests that a bad target version
+	// may get between the start of a rollout and its deadline; default 0.1. It applies to
+	// rollouts that are started through this member.
+	RolloutShare float64 `json:"rollout_share,omitempty"`
+	// RolloutSlack is the number of requests that the target version may get in addition;
+	// default 50.
+	RolloutSlack int `json:"rollout_slack,omitempty"`
+	// RollbackMs is the time in milliseconds after the 50th bad response of the target
+	// version within which it must get no more requests; default 5000.
+	RollbackMs int `json:"rollback_ms,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -72,6 +86,7 @@
 	if s.StopTimeoutMs == 0 {
 		s.StopTimeoutMs = 10000
 	}
+	s.setRolloutDefaults()
 	s.Bootstrap = withPorts(s.Bootstrap, s.MemberPort)
 	s.Join = withPorts(s.Join, s.MemberPort)
 	if s.LogLevel == "" {
@@ -79,6 +94,18 @@
 	}
 }
 
+func (s *Control) setRolloutDefaults() {
+	if s.RolloutShare == 0 {
+		s.RolloutShare = defaultRolloutShare
+	}
+	if s.RolloutSlack == 0 {
+		s.RolloutSlack = defaultRolloutSlack
+	}
+	if s.RollbackMs == 0 {
+		s.RollbackMs = defaultRollbackMs
+	}
+}
+
 func (s *Control) check() *Error {
 	return firstProblem(
 		checkNotEmpty("id", s.ID),
@@ -90,6 +117,9 @@
 		checkNotNegative("member_port", s.MemberPort),
 		checkToleratedLosses(s.ToleratedLosses),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
+		checkRolloutShare(s.RolloutShare),
+		checkPositive("rollout_slack", s.RolloutSlack),
+		checkPositive("rollback_ms", s.RollbackMs),
 		s.checkMemberAddresses(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		s.checkAPITLS(),
@@ -106,6 +136,13 @@
 	return nil
 }
 
+func checkRolloutShare(share float64) *Error {
+	if share <= 0 || share > 1 {
+		return &Error{Field: "rollout_share", Problem: "must be above 0 and at most 1"}
+	}
+	return nil
+}
+
 func (s *Control) checkAPITLS() *Error {
 	if (s.APITLSCert == "") != (s.APITLSKey == "") {
 		return &Error{Field: "api_tls_cert", Problem: "api_tls_cert and api_tls_key must be set together"}
--- a/internal/state/document/rolloutprogress.go
+++ b/internal/state/document/rolloutprogress.go
@@ -82,8 +82,8 @@
 	RolloutCounts
 }
 
-// compareEvidence orders evidence by the source of its counts.
-func compareEvidence(a, b RolloutEvidence) int {
+// CompareEvidence orders evidence by the source of its counts.
+func CompareEvidence(a, b RolloutEvidence) int {
 	if order := strings.Compare(a.NodeID, b.NodeID); order != 0 {
 		return order
 	}
@@ -160,7 +160,7 @@
 	}
 	p.Totals = slices.Clone(p.Totals)
 	for _, next := range evidence {
-		i, found := slices.BinarySearchFunc(p.Totals, next, compareEvidence)
+		i, found := slices.BinarySearchFunc(p.Totals, next, CompareEvidence)
 		switch {
 		case found:
 			p.Totals[i].RolloutCounts = p.Totals[i].merged(&next.RolloutCounts)
