--- a/internal/coordination/rollout/advance.go
+++ b/internal/coordination/rollout/advance.go
@@ -105,8 +105,8 @@
 	if r.Phase != document.RolloutPromoting || r.SharePermille != promotedShare || p.Facts.TargetInstances == 0 {
 		return false
 	}
-	if p.InForceMs > 0 {
-		return p.ElapsedMs-p.InForceMs >= inForceMs
+	if p.InForceMs > 0 && p.ElapsedMs-p.InForceMs >= inForceMs {
+		return true
 	}
 	known := p.Facts.StepRevision == p.StepRevision && p.Facts.Nodes > 0
 	return known && 2*p.Facts.Lagging < p.Facts.Nodes &&
--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -11,16 +11,17 @@
 	promotedShare = 1000
 	// firstShare and secondShare are the shares of the steps before the last one.
 	firstShare, secondShare = 300, 600
-	// promotedLeadMs is how long before the deadline the last step is due. It covers the
-	// distribution of the step, inForceMs and the commit of the completion.
-	promotedLeadMs = 1800
+	// minPromotedLeadMs is how long before the deadline the last step is due. It covers the
+	// distribution of the step, inForceMs and the commit of the completion. Longer rollouts have
+	// exposure left for up to maxPromotedLeadMs, in which evidence of the full share arrives.
+	minPromotedLeadMs, maxPromotedLeadMs = 1500, 3000
 	// latestStepLeadMs is how long before the deadline the last step may be taken and still
 	// be completed by it.
 	latestStepLeadMs = 1400
 	// minStepMs and maxStepMs bound the time between two steps, which is stepPart of the
 	// duration. A node reports evidence every 500 ms, so that a longer step shows its effect
 	// before the next one.
-	minStepMs, maxStepMs, stepPart = 250, 750, 40
+	minStepMs, maxStepMs, stepPart = 250, 2000, 60
 	// ampleResponses is the number of responses of the target version from which on the
 	// smaller canary share is enough.
 	ampleResponses = 100
@@ -75,11 +76,16 @@
 // stepMs returns the time between two steps.
 func (in *PlanInput) stepMs() int64 { return min(max(in.DurationMs/stepPart, minStepMs), maxStepMs) }
 
-// firstStepMs returns the elapsed time at which the promotion begins.
-func (in *PlanInput) firstStepMs() int64 {
-	return max(0, in.DurationMs-promotedLeadMs-2*in.stepMs())
+// lastStepMs returns the elapsed time at which the last step is due.
+func (in *PlanInput) lastStepMs() int64 {
+	const usualDurationMs, part = 30_000, 60
+	lead := minPromotedLeadMs + max(0, in.DurationMs-usualDurationMs)/part
+	return in.DurationMs - min(lead, maxPromotedLeadMs)
 }
 
+// firstStepMs returns the elapsed time at which the promotion begins.
+func (in *PlanInput) firstStepMs() int64 { return max(0, in.lastStepMs()-2*in.stepMs()) }
+
 // promotionShare returns the share that is due. The steps follow the time left to the deadline;
 // once it cannot be kept, one step follows the other at the usual distance.
 func (in *PlanInput) promotionShare() int {
@@ -91,9 +97,9 @@
 		return in.pacedShare(current)
 	}
 	due := firstShare
-	if in.ElapsedMs >= in.DurationMs-promotedLeadMs {
+	if in.ElapsedMs >= in.lastStepMs() {
 		due = promotedShare
-	} else if in.ElapsedMs >= in.DurationMs-promotedLeadMs-in.stepMs() {
+	} else if in.ElapsedMs >= in.lastStepMs()-in.stepMs() {
 		due = secondShare
 	}
 	return max(current, due)
--- a/internal/coordination/rollout/statistics.go
+++ b/internal/coordination/rollout/statistics.go
@@ -50,7 +50,7 @@
 // independentSamples returns the number of independent samples among responses: an instance
 // gives one in noiseMs.
 func independentSamples(responses uint64, nodes int, spanMs int64) float64 {
-	slots := float64(nodes) * (1 + float64(spanMs)/noiseMs)
+	slots := float64(nodes) * max(1, float64(spanMs)/noiseMs)
 	return min(float64(responses), slots)
 }
 
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -15,7 +15,8 @@
 	ExitError = 1
 	// ExitUsage reports a wrong command line or an invalid settings file.
 	ExitUsage = 2
-	// ExitConflict reports that the section has a newer version.
+	// ExitConflict reports that the section has a newer version, or that another rollout of
+	// the service is running.
 	ExitConflict = 3
 	// ExitRefused reports that the API refused the request; nothing was changed.
 	ExitRefused = 4
