Let the fault soak roll out a bad and a good version

The soak starts two upstreams of a new version beside further nodes after the start request, first a bad one, then a good one, while faults are injected. It checks the exposure of the bad version and that no excluded version gets a request later than 5 s after the end. The first run found that a service without a configured warm-up never got a share, since its instances become warm only by requests; control now counts them as ready, and their responses are evidence.

--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -181,13 +181,17 @@
 // facts returns what the registry knows about the nodes and the instances of the service.
 func (d *rolloutDriver) facts(service string, r document.Rollout, stepRevision uint64) document.RolloutFacts {
 	facts := document.RolloutFacts{StepRevision: stepRevision}
+	// Without a configured warm-up an instance becomes warm only by requests.
+	isColdReady := d.machine.View().Document.Services[service].WarmupPerSecond == 0
 	for _, lease := range d.registry.Nodes() {
 		facts.Nodes++
 		if lease.GetRevision() < stepRevision {
 			facts.Lagging++
 		}
 		instance := lease.GetInstance()
-		if instance.GetService() != service || instance.GetState() != wire.InstanceState_INSTANCE_WARM || instance.GetDeparting() {
+		state := instance.GetState()
+		isReady := state == wire.InstanceState_INSTANCE_WARM || isColdReady && state == wire.InstanceState_INSTANCE_COLD
+		if instance.GetService() != service || !isReady || instance.GetDeparting() {
 			continue
 		}
 		if instance.GetSoftwareVersion() == r.TargetVersion {
--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -34,14 +34,16 @@
 }
 
 // evidenceSubject returns the subject of a request that is sent to the upstream now. Requests
-// are evidence only while a rollout is running and the upstream is warm.
+// are evidence only while a rollout is running and the upstream is warm. Without a configured
+// warm-up cold means only that the concurrency limit is growing, or was reduced for slow
+// responses, which are evidence.
 func (n *Node) evidenceSubject() evidenceSubject {
 	a := n.upstream.currentAnnouncement()
 	if a == nil {
 		return evidenceSubject{}
 	}
 	r := rolloutOf(n.directory.View(), a.Service)
-	if r == nil || r.State != document.RolloutRunning || n.upstream.gate.Report().GetState() != wire.InstanceState_INSTANCE_WARM {
+	if r == nil || r.State != document.RolloutRunning || n.upstream.isWarmingUp() {
 		return evidenceSubject{}
 	}
 	return evidenceSubject{rollout: r, service: a.Service, version: a.Version}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -168,6 +168,14 @@
 	u.gate.SetWarmup(perSecond, time.Now().Add(time.Duration(a.ColdMs)*time.Millisecond))
 }
 
+// isWarmingUp reports whether the upstream is cold and its service has a configured warm-up.
+func (u *upstream) isWarmingUp() bool {
+	state := u.gate.Report().GetState()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.warmupPerSecond > 0 && state == wire.InstanceState_INSTANCE_COLD
+}
+
 func (u *upstream) newPool(a *httpapi.Announcement) *egress.Pool {
 	return egress.NewPool(egress.Config{
 		Address:        a.Address,
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -54,6 +54,8 @@
 	recorder  *requestRecorder
 	relays    map[string]*relay
 	upstreams map[string]*soakUpstream
+	versions  soakVersions
+	targetIDs []string // nodes beside which rollouts start upstreams
 	requests  atomic.Int64
 	succeeded atomic.Int64
 
@@ -72,8 +74,8 @@
 
 // TestSoak guards against responses that are truncated or belong to another request,
 // requests that run twice or that ran although they were reported as not run, requests sent
-// to upstreams that have left or beyond the rate that they state, accepted edits that are lost, revisions that decrease, and a
-// cluster that does not recover, while processes, connections and upstreams fail one after
+// to upstreams that have left or beyond the rate that they state, accepted edits that are lost, revisions that decrease, versions that
+// get requests after the end of a rollout or too many during one, and a cluster that does not recover, while processes, connections and upstreams fail one after
 // another.
 func TestSoak(t *testing.T) {
 	seeds := append([]uint64(nil), soakRegressions...)
@@ -97,6 +99,8 @@
 	}
 	s.healthPath = soakHealthPath
 	editor := s.startEditor()
+	var rollouts sync.WaitGroup
+	rollouts.Go(s.runRollouts)
 	for range *soakFaultCount {
 		s.injectFault()
 		time.Sleep(time.Duration(s.random.IntN(600)) * time.Millisecond)
@@ -105,6 +109,7 @@
 	for _, upstream := range s.upstreams {
 		upstream.stateRate(0)
 	}
+	rollouts.Wait()
 	s.waitServing()
 	editor.stopAndWait()
 	cancel()
@@ -119,7 +124,7 @@
 		relays: map[string]*relay{}, upstreams: map[string]*soakUpstream{},
 	}
 	s.controlCluster = newControlClusterWithAddresses(t, soakMemberCount, func(id, listen string) string { return s.addRelay(t, id, listen) })
-	for i := range *soakNodeCount {
+	for i := range *soakNodeCount + soakTargetNodeCount {
 		id := fmt.Sprintf("node-%d", i+1)
 		meshListen := freeAddress(t)
 		node := &settings.Node{
@@ -132,7 +137,12 @@
 		}
 		s.nodeSettings = append(s.nodeSettings, node)
 		s.startWithSettings("chicorylever-node", id, node)
-		s.upstreams[id] = newSoakUpstream(t, s.recorder, fmt.Sprintf("drafts-%d", i+1), node.LocalListen)
+		version := soakFirstVersion
+		if i >= *soakNodeCount {
+			version = "" // started by rollouts
+			s.targetIDs = append(s.targetIDs, id)
+		}
+		s.upstreams[id] = newSoakUpstream(t, s, fmt.Sprintf("drafts-%d", i+1), version, node.LocalListen)
 	}
 	for _, node := range s.nodeSettings {
 		waitOK(t, entryURL(node, "/ready"))
--- a/test/e2e/soak_upstream_test.go
+++ b/test/e2e/soak_upstream_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -63,8 +64,13 @@
 	instance string
 	// localAddress is the address at which the upstream's node accepts announcements.
 	localAddress string
+	versions     *soakVersions
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// version is the software version of the upstream, empty while it is not to run.
+	version string
+	// isBad is set when half of the responses are failures.
+	isBad       bool
 	server      *httptest.Server
 	startNumber int
 	sequence    uint64
@@ -74,22 +80,36 @@
 	stopAnnouncing   chan struct{}
 }
 
-func newSoakUpstream(t testing.TB, recorder *requestRecorder, instance, localAddress string) *soakUpstream {
-	u := &soakUpstream{t: t, recorder: recorder, instance: instance, localAddress: localAddress}
+// newSoakUpstream returns an upstream, which runs unless the version is empty.
+func newSoakUpstream(t testing.TB, s *soak, instance, version, localAddress string) *soakUpstream {
+	u := &soakUpstream{t: t, recorder: s.recorder, versions: &s.versions, instance: instance, version: version, localAddress: localAddress}
 	u.start()
 	t.Cleanup(u.crash)
 	return u
 }
 
-// start starts the upstream with a new start ID at a new address.
+// start starts the upstream with a new start ID at a new address, unless it is not to run.
 func (u *soakUpstream) start() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.version == "" || u.server != nil {
+		return
+	}
 	u.startNumber++
 	u.sequence, u.departureAckedAt, u.stopAnnouncing = 0, time.Time{}, make(chan struct{})
-	startNumber := u.startNumber
+	startNumber, version, isBad := u.startNumber, u.version, u.isBad
 	u.signals = upstreamSignals{start: u.instance + "/" + strconv.Itoa(startNumber)}
-	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.serve(startNumber, w, r) }))
+	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != soakHealthPath {
+			u.versions.checkArrival(u, version, r)
+		}
+		if isBad && rand.IntN(2) == 0 {
+			u.recorder.addRun(r.URL.Path)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		u.serve(startNumber, w, r)
+	}))
 	go u.announce(u.stopAnnouncing)
 }
 
@@ -141,7 +161,7 @@
 		announcement := httpapi.Announcement{
 			Service: "drafts", Instance: u.instance, Address: u.server.Listener.Addr().String(),
 			StartID: strconv.Itoa(u.startNumber), StartedMs: int64(u.startNumber), Sequence: u.sequence,
-			Slots: soakSlots, Connections: soakConnections, Leaving: !u.departureAckedAt.IsZero(),
+			Version: u.version, Slots: soakSlots, Connections: soakConnections, Leaving: !u.departureAckedAt.IsZero(),
 		}
 		u.mu.Unlock()
 		_ = u.post("/v1/announce", announcement)
