--- a/test/e2e/soak_rollout_test.go
+++ b/test/e2e/soak_rollout_test.go
@@ -37,12 +37,17 @@
 	// endedAt is when a control member reported the end of the rollout, zero before.
 	endedAt     time.Time
 	isCompleted bool
+	// late counts the requests to the excluded version after the end, whatever the grace; latest
+	// is the time from the end to the last one.
+	late   int
+	latest time.Duration
 }
 
 func (v *soakVersions) begin(target string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.target, v.total, v.toTarget, v.endedAt = target, 0, 0, time.Time{}
+	v.late, v.latest = 0, 0
 }
 
 // end records the end of the rollout and returns the counts.
@@ -64,7 +69,11 @@
 	}
 	sentAtNs, _ := strconv.ParseInt(r.URL.Query().Get("sent_ns"), 10, 64)
 	late := time.Unix(0, sentAtNs).Sub(v.endedAt)
-	if !v.endedAt.IsZero() && isTarget != v.isCompleted && late > versionGrace {
+	if v.endedAt.IsZero() || isTarget == v.isCompleted {
+		return
+	}
+	v.late, v.latest = v.late+1, time.Since(v.endedAt)
+	if late > versionGrace {
 		u.recorder.addProblem("request %s was sent %v after the end of the rollout to %s and reached %s of version %s", r.URL.Path, late, v.target, u.instance, version)
 	}
 }
@@ -100,13 +109,16 @@
 	if isBad && float64(toTarget) > exposureShare*float64(total)+exposureSlack {
 		s.recorder.addProblem("%d of %d requests reached the bad version", toTarget, total)
 	}
+	if isCompleted {
+		s.stopUpstreams(soakFirstVersion)
+	}
+	time.Sleep(versionGrace + 2*time.Second) // requests after the grace are problems
 	if !isCompleted {
-		time.Sleep(versionGrace + 2*time.Second) // requests after the grace are problems
 		s.stopUpstreams(version)
-		return rollout.State
 	}
-	s.stopUpstreams(soakFirstVersion)
-	time.Sleep(versionGrace + 2*time.Second)
+	s.versions.mu.Lock()
+	defer s.versions.mu.Unlock()
+	s.t.Logf("%d requests reached the excluded version after the end, the last one %v after it", s.versions.late, s.versions.latest)
 	return rollout.State
 }
 
