Sum the evidence of a rollout in one pass

An advance with 47 instances of each version and 140 routes took 10.2 ms, ten times a second at the leader.

--- a/internal/coordination/rollout/advance.go
+++ b/internal/coordination/rollout/advance.go
@@ -126,12 +126,12 @@
 		return fmt.Sprintf("not completed in time: %d of %d nodes lack the full share", p.Facts.Lagging, p.Facts.Nodes)
 	}
 	return fmt.Sprintf("too little evidence: %d responses of the target version with %d warm instances, %d of the other versions",
-		sums.targetTotal.Responses(), p.Facts.TargetInstances, sums.otherTotal.Responses())
+		sums.all.target.counts.Responses(), p.Facts.TargetInstances, sums.all.other.counts.Responses())
 }
 
 func completionReason(p *document.RolloutProgress, sums *sums) string {
 	return fmt.Sprintf("nothing against the target version in %d responses, %d of them failed; %d of %d nodes lag",
-		sums.targetTotal.Responses(), sums.targetTotal.Failed, p.Facts.Lagging, p.Facts.Nodes)
+		sums.all.target.counts.Responses(), sums.all.target.counts.Failed, p.Facts.Lagging, p.Facts.Nodes)
 }
 
 func planInput(r *document.Rollout, p *document.RolloutProgress, sums *sums) PlanInput {
@@ -143,7 +143,7 @@
 		StepMs:          p.StepMs,
 		TargetReady:     p.Facts.TargetInstances > 0,
 		OtherGone:       p.Facts.OtherInstances == 0,
-		TargetResponses: sums.targetTotal.Responses(),
-		OtherResponses:  sums.otherTotal.Responses(),
+		TargetResponses: sums.all.target.counts.Responses(),
+		OtherResponses:  sums.all.other.counts.Responses(),
 	}
 }
--- a/internal/coordination/rollout/machine_test.go
+++ b/internal/coordination/rollout/machine_test.go
@@ -22,7 +22,9 @@
 	// delayed holds advances of members that may arrive at any later time.
 	delayed   [][]byte
 	elapsedMs int64
-	totals    map[string]document.RolloutCounts
+	// failing lets some responses of both versions fail.
+	failing bool
+	totals  map[string]document.RolloutCounts
 }
 
 func newMachine(t assert.TestingT) *document.Machine {
@@ -75,7 +77,9 @@
 	for _, version := range []string{"v1", "v2", ""} {
 		counts := h.totals[version]
 		counts.Succeeded += rapid.Uint64Range(0, 60).Draw(h.T, "succeeded")
-		counts.Failed += rapid.SampledFrom([]uint64{0, 0, 0, 0, 0, 1, 12}).Draw(h.T, "failed")
+		if h.failing {
+			counts.Failed += rapid.SampledFrom([]uint64{0, 0, 0, 0, 0, 1, 12}).Draw(h.T, "failed")
+		}
 		h.totals[version] = counts
 		advance.Evidence = append(advance.Evidence, document.RolloutEvidence{NodeID: "n" + version, Version: version, Route: "r", RolloutCounts: counts})
 	}
@@ -136,6 +140,7 @@
 	states := map[document.RolloutState]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{T: t, machine: newMachine(t), ended: map[uint64]document.RolloutState{}, totals: map[string]document.RolloutCounts{}}
+		h.failing = rapid.Bool().Draw(t, "failing")
 		h.start()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch action := rapid.IntRange(0, 11).Draw(t, "action"); {
--- a/internal/coordination/rollout/marks.go
+++ b/internal/coordination/rollout/marks.go
@@ -19,59 +19,73 @@
 
 // sums holds the responses of both versions over all nodes.
 type sums struct {
-	target, other           map[string]*document.RolloutCounts
-	targetTotal, otherTotal document.RolloutCounts
-	// targetNodes and otherNodes count the nodes with responses of each version by route.
-	targetNodes, otherNodes map[string]int
-	// spreadFailures is Series.SpreadFailures by route.
-	spreadFailures map[string]uint64
+	byRoute map[string]*routeSum
+	all     routeSum
 }
 
-func newSums(r *document.Rollout, p *document.RolloutProgress) *sums {
-	s := &sums{targetNodes: map[string]int{}, otherNodes: map[string]int{}, spreadFailures: map[string]uint64{}}
-	s.target, s.other = p.Sum(r.TargetVersion)
-	for _, route := range slices.Sorted(maps.Keys(s.target)) {
-		s.targetTotal.Add(s.target[route])
-	}
-	for _, route := range slices.Sorted(maps.Keys(s.other)) {
-		s.otherTotal.Add(s.other[route])
-	}
-	s.countNodes(r, p)
-	return s
+// routeSum holds the responses to the requests of one route, or of all.
+type routeSum struct {
+	target, other versionSum
 }
 
-// countNodes counts the nodes with responses, and the failures of the target version by node.
-func (s *sums) countNodes(r *document.Rollout, p *document.RolloutProgress) {
-	type source struct{ route, node string }
-	seen := map[source]bool{}
-	failures := map[source]uint64{}
+// versionSum holds the responses of one version.
+type versionSum struct {
+	counts document.RolloutCounts
+	// nodes counts the nodes with responses.
+	nodes int
+	// mostFailed is the number of failures of the node that has most of them.
+	mostFailed uint64
+	// lastNode and lastFailed are the node added last and its failures.
+	lastNode   string
+	lastFailed uint64
+}
+
+func newSums(r *document.Rollout, p *document.RolloutProgress) *sums {
+	s := &sums{byRoute: map[string]*routeSum{}}
 	for i := range p.Totals {
 		entry := &p.Totals[i]
-		isTarget := entry.Version == r.TargetVersion
-		for _, route := range []string{entry.Route, allRoutes} {
-			key := source{route, entry.NodeID}
-			if isTarget {
-				failures[key] += entry.Failed
-			}
-			if entry.Responses() == 0 || seen[key] {
-				continue
-			}
-			seen[key] = true
-			if isTarget {
-				s.targetNodes[route]++
-			} else {
-				s.otherNodes[route]++
-			}
+		sum := s.byRoute[entry.Route]
+		if sum == nil {
+			sum = &routeSum{}
+			s.byRoute[entry.Route] = sum
 		}
+		isTarget := entry.Version == r.TargetVersion
+		sum.version(isTarget).add(entry)
+		s.all.version(isTarget).add(entry)
+	}
+	return s
+}
+
+func (s *routeSum) version(isTarget bool) *versionSum {
+	if isTarget {
+		return &s.target
 	}
-	most, total := map[string]uint64{}, map[string]uint64{}
-	for key, failed := range failures {
-		most[key.route] = max(most[key.route], failed)
-		total[key.route] += failed
+	return &s.other
+}
+
+// add adds an entry. Entries of one node follow one another.
+func (s *versionSum) add(entry *document.RolloutEvidence) {
+	if entry.Responses() == 0 {
+		return
 	}
-	for route := range total {
-		s.spreadFailures[route] = total[route] - most[route]
+	if s.nodes == 0 || s.lastNode != entry.NodeID {
+		s.nodes++
+		s.lastNode, s.lastFailed = entry.NodeID, 0
 	}
+	s.lastFailed += entry.Failed
+	s.mostFailed = max(s.mostFailed, s.lastFailed)
+	s.counts.Add(&entry.RolloutCounts)
+}
+
+// of returns the sum for a route or allRoutes, without responses for an unknown route.
+func (s *sums) of(route string) *routeSum {
+	if route == allRoutes {
+		return &s.all
+	}
+	if sum := s.byRoute[route]; sum != nil {
+		return sum
+	}
+	return &routeSum{}
 }
 
 // exposed reports whether the target version has got requests.
@@ -79,24 +93,14 @@
 
 // mark returns the counts of a route at the given time.
 func (s *sums) mark(route string, atMs int64) document.RolloutMark {
-	m := document.RolloutMark{AtMs: atMs}
-	if route == allRoutes {
-		m.Target, m.Other = s.targetTotal, s.otherTotal
-		return m
-	}
-	if counts := s.target[route]; counts != nil {
-		m.Target = *counts
-	}
-	if counts := s.other[route]; counts != nil {
-		m.Other = *counts
-	}
-	return m
+	sum := s.of(route)
+	return document.RolloutMark{AtMs: atMs, Target: sum.target.counts, Other: sum.other.counts}
 }
 
 // firstMarks returns the marks of the time at which the target version gets its first request.
 func (s *sums) firstMarks(atMs int64) map[string][]document.RolloutMark {
 	marks := map[string][]document.RolloutMark{allRoutes: {s.mark(allRoutes, atMs)}}
-	for route := range s.other {
+	for route := range s.byRoute {
 		marks[route] = []document.RolloutMark{s.mark(route, atMs)}
 	}
 	return marks
@@ -130,7 +134,13 @@
 
 // judgedRoutes returns the routes with responses of the target version, and allRoutes.
 func (s *sums) judgedRoutes() []string {
-	routes := slices.Sorted(maps.Keys(s.target))
+	var routes []string
+	for route, sum := range s.byRoute {
+		if sum.target.nodes > 0 {
+			routes = append(routes, route)
+		}
+	}
+	slices.Sort(routes)
 	return append(routes, allRoutes)
 }
 
@@ -139,11 +149,12 @@
 	var all []Series
 	for _, route := range s.judgedRoutes() {
 		current := s.mark(route, p.ElapsedMs)
+		sum := s.of(route)
 		series := Series{
 			Name:           "route " + route,
-			TargetNodes:    s.targetNodes[route],
-			OtherNodes:     s.otherNodes[route],
-			SpreadFailures: s.spreadFailures[route],
+			TargetNodes:    sum.target.nodes,
+			OtherNodes:     sum.other.nodes,
+			SpreadFailures: sum.target.counts.Failed - sum.target.mostFailed,
 		}
 		if route == allRoutes {
 			series.Name, series.FailuresOnly = "all routes", true
--- a/internal/state/document/rolloutprogress.go
+++ b/internal/state/document/rolloutprogress.go
@@ -28,11 +28,16 @@
 // Responses returns the number of responses.
 func (c *RolloutCounts) Responses() uint64 { return c.Succeeded + c.Failed }
 
-// Add adds the counts of other.
+// Add adds the counts of other in place, so that c must not share its histogram.
 func (c *RolloutCounts) Add(other *RolloutCounts) {
 	c.Succeeded += other.Succeeded
 	c.Failed += other.Failed
-	c.Latency = combineBuckets(c.Latency, other.Latency, func(a, b uint64) uint64 { return a + b })
+	if missing := len(other.Latency) - len(c.Latency); missing > 0 {
+		c.Latency = append(c.Latency, make([]uint64, missing)...)
+	}
+	for i, count := range other.Latency {
+		c.Latency[i] += count
+	}
 }
 
 // Since returns the counts less those of an earlier time.
