Confirm a suspicion against a rollout less strictly than it was raised

A suspicion just above its limit was dropped a second later and the canary went on: in the model with 17 instances and a burst, requests reached a slow version 13.3 s after its 50th bad response.

--- a/internal/coordination/rollout/advance.go
+++ b/internal/coordination/rollout/advance.go
@@ -42,7 +42,11 @@
 	p.Marks = sums.updatedMarks(&p)
 	reason := ""
 	if exposed(&p) {
-		reason = Judge(sums.series(&p))
+		strictness := Suspicion
+		if p.SuspectMs > 0 {
+			strictness = Confirmation
+		}
+		reason = Judge(sums.series(&p), strictness)
 	}
 	next := decide(r, &p, sums, reason)
 	if next.SharePermille != r.SharePermille {
--- a/internal/coordination/rollout/statistics.go
+++ b/internal/coordination/rollout/statistics.go
@@ -7,11 +7,11 @@
 // exactTrials is the number of trials up to which the binomial distribution is summed exactly.
 const exactTrials = 400
 
-// rarelyReached reports whether at least successes of the trials have a probability below tail
-// if each succeeds with the given probability.
-func rarelyReached(successes, trials uint64, probability, tail float64) bool {
+// rarelyReached reports whether at least successes of the trials have a probability below
+// FailureTail if each succeeds with the given probability.
+func rarelyReached(successes, trials uint64, probability float64, strictness Strictness) bool {
 	if trials > exactTrials {
-		return farAbove(successes, trials, probability)
+		return farAbove(successes, trials, probability, strictness.FailureScore)
 	}
 	term := 1.0 // the probability of exactly i successes
 	for range trials {
@@ -23,13 +23,12 @@
 		ratio := float64(float64(trials-i)*probability) / float64(float64(i+1)*(1-probability))
 		term = float64(term * ratio)
 	}
-	return 1-below < tail
+	return 1-below < strictness.FailureTail
 }
 
-// farAbove reports whether the successes are more than 4.3 standard deviations above their mean,
-// which a normal distribution exceeds with a probability below failureTail.
-func farAbove(successes, trials uint64, probability float64) bool {
-	const score = 18.5
+// farAbove reports whether the successes are above their mean by more than the square root of
+// score standard deviations.
+func farAbove(successes, trials uint64, probability, score float64) bool {
 	mean := float64(float64(trials) * probability)
 	excess := float64(successes) - mean
 	return excess > 0 && float64(excess*excess) > float64(score*float64(mean*(1-probability)))
