--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -148,18 +148,20 @@
 }
 
 // TestLeaderLost guards against a rollout that starts over, loses evidence or goes on for ever when
-// the leader is lost between the start and an advance: the next leader continues.
+// the leader is lost between the start and an advance: the next leader, whose clock starts then,
+// continues.
 func TestLeaderLost(t *testing.T) {
 	for _, lostAfter := range []time.Duration{0, 2 * time.Second} {
 		good := newRolloutFleet(t, 20_000)
-		good.run(lostAfter, 0, 1)
+		good.run(lostAfter, 0)
 		good.log.leader = 2
-		good.run(20*time.Second-lostAfter, 1)
+		// The clock of the second member starts with the last recorded time.
+		good.run(20*time.Second-lostAfter+maxRolloutReportInterval, 1)
 		assert.Equal(t, good.rollout().State, document.RolloutCompleted, "%+v", good.rollout())
 
 		bad := newRolloutFleet(t, 20_000)
 		bad.badEvery = 4
-		bad.run(lostAfter, 0, 1)
+		bad.run(lostAfter, 0)
 		bad.log.leader = 2
 		bad.run(8*time.Second, 1)
 		assert.Equal(t, bad.rollout().State, document.RolloutRolledBack, "%+v", bad.rollout())
@@ -171,12 +173,14 @@
 func TestLogUnavailable(t *testing.T) {
 	f := newRolloutFleet(t, 30_000)
 	f.badEvery = 4
-	f.run(3*time.Second, 0, 1)
+	f.run(time.Second, 0, 1)
 	before := f.log.machines[0].View()
 	f.log.err = errors.Wrap(replica.ErrOutcomeUnknown, "store full")
 	f.run(3*time.Second, 0, 1)
 	assert.Assert(t, f.log.machines[0].View() == before)
 	f.log.err = nil
+	// The nodes are silent from now on, so that the evidence of the outage is not sent again.
+	f.silent["node"], f.silent["nodev2"] = true, true
 	f.run(1500*time.Millisecond, 0, 1)
 	assert.Equal(t, f.rollout().State, document.RolloutRolledBack, "%+v", f.rollout())
 }
--- a/internal/coordination/rollout/machine_test.go
+++ b/internal/coordination/rollout/machine_test.go
@@ -13,6 +13,11 @@
 
 const machineDocument = `{"teams":{"ops":{"token_sha256":[],"admin":true}},"services":{"s":{"owner":"ops","timeout_ms":100}},"limits":{}}`
 
+type delayedAdvance struct {
+	started uint64
+	command []byte
+}
+
 // history plays start requests and advances against a machine and records what was acknowledged.
 type history struct {
 	*rapid.T
@@ -20,7 +25,7 @@
 	// ended holds the state that each rollout was first seen to end in, by started revision.
 	ended map[uint64]document.RolloutState
 	// delayed holds advances of members that may arrive at any later time.
-	delayed   [][]byte
+	delayed   []delayedAdvance
 	elapsedMs int64
 	// failing lets some responses of both versions fail.
 	failing bool
@@ -91,7 +96,7 @@
 	command, err := document.EncodeRolloutAdvance(advance)
 	assert.NilError(h, err)
 	if rapid.IntRange(0, 3).Draw(h.T, "delay") == 0 {
-		h.delayed = append(h.delayed, command)
+		h.delayed = append(h.delayed, delayedAdvance{r.StartedRevision, command})
 		return
 	}
 	h.apply(command)
@@ -150,7 +155,9 @@
 				h.restart()
 			case action == 2 && len(h.delayed) > 0:
 				i := rapid.IntRange(0, len(h.delayed)-1).Draw(t, "late")
-				h.apply(h.delayed[i])
+				late, before := h.delayed[i], h.rollout()
+				applies := before.State == document.RolloutRunning && before.StartedRevision == late.started
+				assert.Equal(t, h.apply(late.command).Outcome == document.Accepted, applies)
 			default:
 				h.advance()
 			}
