Judge slow responses of all routes together, and count noise of an instance once

Two of 560 good versions were rolled back for a burst of slow responses, and requests reached a slow version up to 14.7 s after its 50th bad response. Compare the slow responses of all routes route by route, use the exact distribution for few samples, and let responses of one instance within 300 ms count as one.

--- a/internal/coordination/rollout/marks.go
+++ b/internal/coordination/rollout/marks.go
@@ -147,6 +147,7 @@
 // series returns what the judge compares.
 func (s *sums) series(p *document.RolloutProgress) []Series {
 	var all []Series
+	var wholes []Window
 	for _, route := range s.judgedRoutes() {
 		current := s.mark(route, p.ElapsedMs)
 		sum := s.of(route)
@@ -157,12 +158,13 @@
 			SpreadFailures: sum.target.counts.Failed - sum.target.mostFailed,
 		}
 		if route == allRoutes {
-			series.Name, series.FailuresOnly = "all routes", true
+			series.Name, series.Routes = "all routes", wholes
 		}
 		for i, mark := range p.Marks[route] {
 			window := windowSince(&current, &mark)
 			if i == 0 {
 				series.Whole = window
+				wholes = append(wholes, window)
 			} else {
 				series.Recent = append(series.Recent, window)
 			}
--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -24,7 +24,7 @@
 	minStepMs, maxStepMs, stepPart = 250, 2000, 60
 	// ampleResponses is the number of responses of the target version from which on the
 	// smaller canary share is enough.
-	ampleResponses = 100
+	ampleResponses = 180
 	// wantedResponses is the number of responses of the target version that the canary share
 	// aims at; it exceeds MinResponses by the variance of the draws.
 	wantedResponses = 30
@@ -157,5 +157,5 @@
 	if expected <= missing {
 		return maxCanaryShare
 	}
-	return int(missing*promotedShare/expected) + in.Terms.SharePermille*3/10
+	return int(missing*promotedShare/expected) + in.Terms.SharePermille*2/10
 }
--- a/internal/coordination/rollout/statistics.go
+++ b/internal/coordination/rollout/statistics.go
@@ -1,17 +1,27 @@
 package rollout
 
-// The calculations below use additions, multiplications and divisions of IEEE 754 only, and
+import "math"
+
+// The calculations below use additions, multiplications, divisions and square roots of IEEE 754 only, and
 // convert each product explicitly, which forbids fused operations: members on machines of
 // different kinds must come to the same verdict.
 
 // exactTrials is the number of trials up to which the binomial distribution is summed exactly.
 const exactTrials = 400
 
-// rarelyReached reports whether at least successes of the trials have a probability below
-// FailureTail if each succeeds with the given probability.
-func rarelyReached(successes, trials uint64, probability float64, strictness Strictness) bool {
+// Tail is a small probability.
+type Tail struct {
+	Probability float64
+	// Score is the square of the number of standard deviations that a normal distribution
+	// exceeds with the probability.
+	Score float64
+}
+
+// rarelyReached reports whether at least successes of the trials have a probability below the tail
+// if each succeeds with the given probability.
+func rarelyReached(successes, trials uint64, probability float64, tail Tail) bool {
 	if trials > exactTrials {
-		return farAbove(successes, trials, probability, strictness.FailureScore)
+		return farAbove(successes, trials, probability, tail.Score)
 	}
 	term := 1.0 // the probability of exactly i successes
 	for range trials {
@@ -23,7 +33,7 @@
 		ratio := float64(float64(trials-i)*probability) / float64(float64(i+1)*(1-probability))
 		term = float64(term * ratio)
 	}
-	return 1-below < strictness.FailureTail
+	return 1-below < tail.Probability
 }
 
 // farAbove reports whether the successes are above their mean by more than the square root of
@@ -34,23 +44,17 @@
 	return excess > 0 && float64(excess*excess) > float64(score*float64(mean*(1-probability)))
 }
 
-// exceeds reports whether the share a, from samplesA samples, is above the share b by more than
-// the square root of score standard deviations.
-func exceeds(a, samplesA, b, samplesB, score float64) bool {
-	if a <= b {
-		return false
-	}
-	pooled := (float64(a*samplesA) + float64(b*samplesB)) / (samplesA + samplesB)
-	variance := float64(float64(pooled*(1-pooled)) * (1/samplesA + 1/samplesB))
-	difference := a - b
-	return float64(difference*difference) > float64(score*variance)
+// upperShare returns a share that was measured in the samples plus its standard deviation.
+func upperShare(share, samples float64) float64 {
+	return min(1, share+math.Sqrt(float64(share*(1-share))/samples))
 }
 
-// independentSamples returns the number of independent samples among responses: an instance
-// gives one in noiseMs.
+// independentSamples returns how many independent samples the responses are worth. An instance is in
+// one state for noiseMs; responses of one instance in this time count as one.
 func independentSamples(responses uint64, nodes int, spanMs int64) float64 {
 	slots := float64(nodes) * max(1, float64(spanMs)/noiseMs)
-	return min(float64(responses), slots)
+	count := float64(responses)
+	return float64(count*slots) / (count + slots)
 }
 
 // latencyQuantile returns the quantile of a histogram of response times in milliseconds,
