--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -127,6 +127,9 @@
 	clock := d.clocks[service]
 	if clock == nil || clock.startedRevision != r.StartedRevision {
 		clock = &rolloutClock{startedRevision: r.StartedRevision, baseMs: progress.ElapsedMs, base: now}
+		if r.State != document.RolloutRunning {
+			clock.logged = r // it ended before this member started
+		}
 		d.clocks[service] = clock
 	}
 	if progress.ElapsedMs > clock.elapsedMs(now) {
--- a/test/e2e/metrics_test.go
+++ b/test/e2e/metrics_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/control/api"
 )
 
 var (
@@ -22,6 +24,8 @@
 	node := m.startNode("seq-a")
 	m.startUpstream("drafts", "drafts-1", node)
 	waitOK(t, "http://"+node.EntryListen+"/svc/drafts/")
+	status, err := m.apiRequest(0, "POST", "/v1/rollouts", `{"service":"drafts","target_version":"2","duration_ms":60000}`, nil, &api.EditBody{})
+	assert.NilError(t, statusError(status, err))
 	var servedText string
 	for _, address := range []string{node.AdminListen, m.memberSettings[0].APIListen} {
 		status, text, err := sendRequest("GET", "http://"+address+"/metrics", "")
