--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -13,6 +13,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
 	"github.com/chicorylever/chicorylever/internal/coordination/rollout"
+	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 )
@@ -27,6 +28,9 @@
 	rolloutReportPart = 10
 	// rolloutProposeTimeout bounds one proposal. Its evidence is proposed again later.
 	rolloutProposeTimeout = 2 * time.Second
+	// rolloutFailureLogInterval is the shortest time between two log lines about failed
+	// proposals, which are repeated up to ten times a second.
+	rolloutFailureLogInterval = 10 * time.Second
 	// maxEvidenceEntries bounds the evidence of one command, about 400 KB.
 	maxEvidenceEntries = 2048
 	// maxEvidenceSources bounds the evidence that a member keeps for one rollout.
@@ -41,6 +45,8 @@
 	registry *membership.Registry
 	proposer replica.Proposer
 	logger   log.Logger
+	// failures receives failed proposals and limits their rate.
+	failures log.Logger
 	// reportInterval is the time between two proposals without a step.
 	reportInterval time.Duration
 
@@ -78,6 +84,7 @@
 func newRolloutDriver(machine *document.Machine, registry *membership.Registry, proposer replica.Proposer, rollback time.Duration, logger log.Logger) *rolloutDriver {
 	return &rolloutDriver{
 		machine: machine, registry: registry, proposer: proposer, logger: logger,
+		failures:       obs.RateLimit(level.Warn(logger), rolloutFailureLogInterval),
 		reportInterval: min(max(rollback/rolloutReportPart, rolloutTickInterval), maxRolloutReportInterval),
 		evidence:       map[string]*rolloutEvidence{},
 		clocks:         map[string]*rolloutClock{},
@@ -143,8 +150,8 @@
 	return c.baseMs + now.Sub(c.base).Milliseconds()
 }
 
-// advance proposes what is new about a running rollout: at once if that changes the rollout,
-// else after the report interval.
+// advance proposes what is new about a running rollout: at once if that changes the rollout or
+// fills a command, else after the report interval.
 func (d *rolloutDriver) advance(ctx context.Context, service string, r document.Rollout, progress document.RolloutProgress, clock *rolloutClock, now time.Time) {
 	command := document.RolloutAdvance{Service: service, StartedRevision: r.StartedRevision, Evidence: d.pendingEvidence(service, r.StartedRevision)}
 	status := d.proposer.Status()
@@ -159,7 +166,8 @@
 	}
 	next, advanced := rollout.Advance(r, progress.Advanced(command))
 	isStep := next != r || advanced.InForceMs != progress.InForceMs
-	if !isStep && now.Sub(clock.lastReport) < d.reportInterval {
+	hasMore := len(command.Evidence) == maxEvidenceEntries
+	if !isStep && !hasMore && now.Sub(clock.lastReport) < d.reportInterval {
 		return
 	}
 	clock.lastReport = now
@@ -175,7 +183,7 @@
 		_, _, err = d.proposer.Propose(ctx, command)
 	}
 	if err != nil {
-		_ = level.Warn(d.logger).Log("msg", "advance of a rollout has no result from the replicated log; retrying", "service", advance.Service, "err", err)
+		_ = d.failures.Log("msg", "advance of a rollout has no result from the replicated log; retrying", "service", advance.Service, "err", err)
 		return
 	}
 	d.markSent(advance)
--- a/internal/coordination/rollout/advance.go
+++ b/internal/coordination/rollout/advance.go
@@ -52,7 +52,10 @@
 	if next.SharePermille != r.SharePermille {
 		p.InForceMs = 0
 	}
-	if !exposed(&p) && next.SharePermille > 0 {
+	switch {
+	case next.State != document.RolloutRunning:
+		p.Marks, p.Totals = nil, sums.totals(r.TargetVersion)
+	case !exposed(&p) && next.SharePermille > 0:
 		p.Marks = sums.firstMarks(p.ElapsedMs)
 	}
 	return next, p
--- a/internal/coordination/rollout/machine_test.go
+++ b/internal/coordination/rollout/machine_test.go
@@ -196,4 +196,8 @@
 	}
 	assert.Equal(t, h.rollout().State, document.RolloutRolledBack)
 	assert.Equal(t, h.rollout().Reason[:19], "too little evidence")
+	progress, _ := h.machine.RolloutProgress("s")
+	target, other := progress.Sum("v2")
+	assert.DeepEqual(t, []uint64{target[""].Succeeded, other[""].Succeeded}, []uint64{80, 1000})
+	assert.Equal(t, len(progress.Totals), 2, "evidence of an ended rollout by node")
 }
--- a/internal/coordination/rollout/marks.go
+++ b/internal/coordination/rollout/marks.go
@@ -88,6 +88,19 @@
 	return &routeSum{}
 }
 
+// totals returns the responses by version and route, which is all that is kept of the evidence of
+// a rollout that has ended. Those of the other versions get none.
+func (s *sums) totals(targetVersion string) []document.RolloutEvidence {
+	var totals []document.RolloutEvidence
+	for route, sum := range s.byRoute {
+		totals = append(totals,
+			document.RolloutEvidence{Route: route, RolloutCounts: sum.other.counts},
+			document.RolloutEvidence{Route: route, Version: targetVersion, RolloutCounts: sum.target.counts})
+	}
+	slices.SortFunc(totals, document.CompareEvidence)
+	return totals
+}
+
 // exposed reports whether the target version has got requests.
 func exposed(p *document.RolloutProgress) bool { return len(p.Marks[allRoutes]) > 0 }
 
