--- a/internal/node/discover_test.go
+++ b/internal/node/discover_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,7 +31,7 @@
 
 // startBesideRunningUpstream starts a node whose upstream runs already and does not announce
 // itself, as after a restart of the node alone.
-func startBesideRunningUpstream(t *testing.T, healthStatus int) (beside *testNode, control *fakeControl, requests *atomic.Int32) {
+func startBesideRunningUpstream(t *testing.T, healthStatus int, document string) (beside *testNode, control *fakeControl, requests *atomic.Int32) {
 	requests = &atomic.Int32{}
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Instance", "i-beside")
@@ -43,7 +44,7 @@
 	}))
 	t.Cleanup(upstream.Close)
 	control = newFakeControl(t)
-	control.document = discoveryDocument
+	control.document = document
 	s := &settings.Node{ID: "beside", Zone: "a", Service: "s", UpstreamAddress: upstream.Listener.Addr().String()}
 	beside = control.startNodeWith(t, s, "", Options{Dialect: discoveryDialect()})
 	beside.upstream = upstream
@@ -53,7 +54,7 @@
 // TestDiscoverUpstream guards against a restarted node that leaves its running upstream without
 // requests until the next announcement, and against a cold start when that arrives.
 func TestDiscoverUpstream(t *testing.T) {
-	beside, _, requests := startBesideRunningUpstream(t, http.StatusOK)
+	beside, _, requests := startBesideRunningUpstream(t, http.StatusOK, discoveryDocument)
 	eventually(t, func() bool { return beside.Node.upstream.currentAnnouncement() != nil })
 	beside.waitForInstances(t, 1)
 	eventually(t, func() bool { return send(t, http.MethodPost, beside.url("/p"), nil).StatusCode == http.StatusOK })
@@ -68,10 +69,22 @@
 // TestLeavingUpstreamIsNotDiscovered guards against requests to an upstream that leaves, which a
 // restarted node has forgotten.
 func TestLeavingUpstreamIsNotDiscovered(t *testing.T) {
-	beside, _, _ := startBesideRunningUpstream(t, http.StatusServiceUnavailable)
-	eventually(t, func() bool { return beside.isReady() })
+	beside, _, _ := startBesideRunningUpstream(t, http.StatusServiceUnavailable, discoveryDocument)
+	requireNotDiscovered(t, beside)
+}
+
+// TestUpstreamOfUnknownVersionIsNotDiscovered guards against an instance of the target version
+// that counts as old after a restart of its node, since a health response states no version.
+func TestUpstreamOfUnknownVersionIsNotDiscovered(t *testing.T) {
+	rollouts := `, "rollouts": {"s": {"target_version": "2", "state": "rolled_back"}}}`
+	beside, _, _ := startBesideRunningUpstream(t, http.StatusOK, strings.TrimSuffix(discoveryDocument, "}")+rollouts)
+	requireNotDiscovered(t, beside)
+}
+
+func requireNotDiscovered(t *testing.T, n *testNode) {
+	eventually(t, func() bool { return n.isReady() })
 	time.Sleep(5 * discoveryInterval)
-	assert.Assert(t, beside.Node.upstream.currentAnnouncement() == nil)
+	assert.Assert(t, n.Node.upstream.currentAnnouncement() == nil)
 }
 
 // TestProvisionalAnnouncement guards against a provisional announcement that replaces one of the
