Keep more responses to compare and more of the canary share

In the model with 47 instances and a burst a version whose responses turn slow was completed, 8.2 s after its 50th bad response: the periods of 80 responses were too short. Marks now reach back over 160 responses, and the canary share falls by a quarter instead of half.

--- a/internal/coordination/rollout/judge.go
+++ b/internal/coordination/rollout/judge.go
@@ -164,6 +164,9 @@
 	}
 	responses := target.Target.Responses()
 	part := float64(responses) / float64(responses+other.Other.Responses())
+	if float64(failed) <= float64(part*float64(failed+other.Other.Failed)) {
+		return false // no more than expected
+	}
 	return rarelyReached(failed, failed+other.Other.Failed, part, s.strictness.Failure)
 }
 
--- a/internal/coordination/rollout/marks.go
+++ b/internal/coordination/rollout/marks.go
@@ -13,8 +13,8 @@
 	// markResponses is the number of responses of the target version between two marks.
 	markResponses = 10
 	// maxRecentMarks bounds the marks of a route besides the first. With markResponses they
-	// reach back over 80 responses, more than the 50 bad ones that a verdict may take.
-	maxRecentMarks = 8
+	// reach back over 160 responses, of which 50 are bad if a third is.
+	maxRecentMarks = 16
 )
 
 // sums holds the responses of both versions over all nodes.
--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -119,14 +119,14 @@
 	}
 }
 
-// canaryShare returns the share before the promotion: 0.6 of the exposure, 0.3 of it once the
+// canaryShare returns the share before the promotion: 0.6 of the exposure, 0.45 of it once the
 // version has served ampleResponses, which leaves more of the exposure for the promotion. For a
 // service with few requests it is higher, so that the evidence is enough at the deadline; the
 // additional requests are covered by the slack.
 func (in *PlanInput) canaryShare() int {
 	usual := in.Terms.SharePermille * 6 / 10
 	if in.TargetResponses >= ampleResponses {
-		return usual / 2
+		return usual * 3 / 4
 	}
 	current := in.Current.SharePermille
 	wanted := max(usual, min(in.shareForEvidence(), maxCanaryShare))
