--- a/internal/coordination/rollout/plan.go
+++ b/internal/coordination/rollout/plan.go
@@ -21,10 +21,10 @@
 	// minStepMs and maxStepMs bound the time between two steps, which is stepPart of the
 	// duration. A node reports evidence every 500 ms, so that a longer step shows its effect
 	// before the next one.
-	minStepMs, maxStepMs, stepPart = 250, 2000, 60
+	minStepMs, maxStepMs, stepPart = 250, 2000, 75
 	// ampleResponses is the number of responses of the target version from which on the
 	// smaller canary share is enough.
-	ampleResponses = 180
+	ampleResponses = 150
 	// wantedResponses is the number of responses of the target version that the canary share
 	// aims at; it exceeds MinResponses by the variance of the draws.
 	wantedResponses = 30
@@ -119,14 +119,14 @@
 	}
 }
 
-// canaryShare returns the share before the promotion: 0.6 of the exposure, 0.3 of it once the
+// canaryShare returns the share before the promotion: 0.6 of the exposure, 0.45 of it once the
 // version has served ampleResponses, which leaves more of the exposure for the promotion. For a
 // service with few requests it is higher, so that the evidence is enough at the deadline; the
 // additional requests are covered by the slack.
 func (in *PlanInput) canaryShare() int {
 	usual := in.Terms.SharePermille * 6 / 10
 	if in.TargetResponses >= ampleResponses {
-		return usual / 2
+		return usual * 3 / 4
 	}
 	current := in.Current.SharePermille
 	wanted := max(usual, min(in.shareForEvidence(), maxCanaryShare))
