--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -96,9 +96,12 @@
 	learned    atomic.Pointer[[]string]
 	// isolatedUntil maps the address of a member to the time until which it is avoided.
 	isolatedUntil map[string]time.Time
-	dial          Dialer
-	sink          Sink
-	logger        log.Logger
+	// lastContact is the time in Unix nanoseconds of the last acknowledgement of a member that
+	// has contact with a quorum, 0 before the first.
+	lastContact atomic.Int64
+	dial        Dialer
+	sink        Sink
+	logger      log.Logger
 }
 
 // NewClient returns a client that is not yet running.
@@ -157,6 +160,13 @@
 	return members
 }
 
+// ContactAge returns the time since a control member that has contact with a quorum last
+// acknowledged a heartbeat. A member without it may lack the latest configuration. Before the
+// first acknowledgement the result is longer than any limit. Any goroutine may call it.
+func (c *Client) ContactAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.lastContact.Load()))
+}
+
 func (c *Client) logSessionEnd(address string, err error) {
 	_ = level.Warn(c.logger).Log("msg", "subscription to control member failed; reconnecting", "member", address, "err", err)
 }
--- a/internal/coordination/distribute/session.go
+++ b/internal/coordination/distribute/session.go
@@ -191,6 +191,7 @@
 		if message.GetHeartbeatAck().GetIsolated() {
 			return s.handleIsolation()
 		}
+		s.client.lastContact.Store(s.lastReceived.UnixNano())
 	default:
 		return errors.WithMessage(frame.ErrUnexpected, "control member sent neither state nor heartbeat acknowledgement")
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -113,6 +113,9 @@
 		}
 		n.syncZone()
 		n.applyUpstreamConfig()
+		if n.observeRollouts(time.Now()) || n.evidence.isUnreported() {
+			n.directory.RequestHeartbeat()
+		}
 		if current := n.directory.View(); current != lastPruned {
 			n.balancer.removeUnlisted(current)
 			lastPruned = current
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,16 +82,18 @@
 	// rejectionLogger is rate-limited, for announcements that describe no instance.
 	rejectionLogger log.Logger
 	// keyLogger is rate-limited, for requests that are refused for their key.
-	keyLogger   log.Logger
-	startedAtNs uint64
-	directory   *directory.Directory
-	upstream    *upstream
-	balancer    *balancer
-	metrics     *nodeMetrics
-	settler     *claimSettler
-	suspension  suspension.Detector
-	splitter    trafficSplitter
-	stopping    atomic.Bool
+	keyLogger      log.Logger
+	startedAtNs    uint64
+	directory      *directory.Directory
+	upstream       *upstream
+	balancer       *balancer
+	metrics        *nodeMetrics
+	settler        *claimSettler
+	suspension     suspension.Detector
+	splitter       trafficSplitter
+	versionChooser versionChooser
+	evidence       versionEvidence
+	stopping       atomic.Bool
 	// announcedSequence is the sequence number of the first heartbeat that reports the
 	// announced start of the upstream.
 	announcedSequence atomic.Uint64
@@ -135,6 +137,7 @@
 		systemRequestHeaders: options.Dialect.SystemRequestHeaders(),
 		upstreamOnlyHeaders:  options.Dialect.UpstreamOnlyHeaders(),
 		splitter:             newTrafficSplitter(),
+		versionChooser:       newVersionChooser(),
 		logger:               log.With(logger, "node", s.ID),
 		rejectionLogger:      obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval),
 		keyLogger:            obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), keyRefusalLogInterval),
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -36,6 +36,7 @@
 var (
 	errDeadlinePassed   = errors.New("deadline passed before dispatch")
 	errAttemptCancelled = errors.New("attempt cancelled before dispatch")
+	errVersionExcluded  = errors.New("software version excluded before dispatch")
 	errNoOriginMarker   = errors.New("response has no origin marker of the upstream")
 )
 
@@ -67,6 +68,12 @@
 	// endedCleanly is set when the last message was sent to an entry node that had sent
 	// nothing after its request. Only then may watch.nextMessage be read.
 	endedCleanly bool
+	// evidence is what the attempt may tell about the software version of the upstream; it is
+	// set at dispatch.
+	evidence evidenceSubject
+	// versionRefusal is the wire.RefusalReason of the last check of the version, unspecified if
+	// the attempt may run.
+	versionRefusal atomic.Int32
 	// declined is set when the upstream has responded that it did not run the attempt.
 	declined bool
 }
@@ -163,6 +170,9 @@
 		return nil, reason
 	}
 	r.pool = pool
+	if !r.checkVersion() {
+		return nil, wire.RefusalReason(r.versionRefusal.Load())
+	}
 	r.node.syncZone()
 	r.node.upstream.watchSlowdown(r.node.healthPath())
 	permit, err := r.node.upstream.gate.Acquire(ctx, r.admissionRequest())
@@ -205,7 +215,11 @@
 	if ctx.Err() != nil {
 		return errAttemptCancelled
 	}
+	if !r.checkVersion() {
+		return errVersionExcluded
+	}
 	r.dispatchedAt = now
+	r.evidence = r.node.evidenceSubject()
 	r.slowdownPercent = r.node.upstream.currentSlowdownPercent()
 	r.node.metrics.upstreamRequests.Inc()
 	r.state.Store(int32(stateDispatched))
@@ -224,6 +238,10 @@
 		return admission.Outcome{Result: admission.ResultCancelled}
 	}
 	if r.streamed {
+		// The check at dispatch comes too late for a body that can't be sent again.
+		if !r.checkVersion() {
+			return r.fail(ctx, errVersionExcluded)
+		}
 		// The entry node sends the body only after the attempt has been admitted.
 		if err := sendAndFlush(r.stream, responseHead(&wire.ResponseHead{Status: http.StatusContinue})); err != nil {
 			r.settleClaim(nil)
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -52,10 +52,13 @@
 		outcome.ServiceTime = time.Since(r.dispatchedAt)
 	}
 	reason := wire.RefusalReason_REFUSAL_CONNECT
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
+	if refusal := wire.RefusalReason(r.versionRefusal.Load()); refusal != wire.RefusalReason_REFUSAL_UNSPECIFIED {
+		reason = refusal
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
 		reason = wire.RefusalReason_REFUSAL_DEADLINE
 	}
 	r.recordUpstreamOutcome(outcome.Result)
+	r.recordBrokenResponse(outcome.Result)
 	r.permit.Release(outcome)
 	r.refuse(reason, "")
 	return outcome
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -39,7 +39,9 @@
 	// Organisations are the sets of callers that hold keys. If there are any, requests of
 	// routes that are not public need a key.
 	Organisations map[string]Organisation `json:"organisations,omitempty"`
-	Limits        Limits                  `json:"limits"`
+	// Rollouts holds the latest rollout of each service by the name of the service.
+	Rollouts map[string]Rollout `json:"rollouts,omitempty"`
+	Limits   Limits             `json:"limits"`
 }
 
 // Team is a team of operators. It may edit the sections that it owns.
@@ -165,6 +167,9 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return nil, errors.WithMessage(ErrInvalid, "data after the document")
 	}
+	if len(doc.Rollouts) > 0 {
+		return nil, &FieldError{kindRollouts, "a document of operators holds no rollouts"}
+	}
 	doc.setDefaults()
 	return doc, doc.Validate()
 }
