--- /dev/null
+++ b/internal/coordination/quota/ownshare.go
@@ -0,0 +1,70 @@
+package quota
+
+import "time"
+
+const (
+	// ownMargin is the part of an equal share that a node may use beyond its own usage
+	// without contact with the owner. With the usual demand of 0.625 times the rate the
+	// sum over all nodes is 0.825 times the rate.
+	ownMargin = 0.2
+	// limitedUsage is the part of its usage that a node keeps for an organisation that was
+	// limited, whose usage over all nodes is the whole rate.
+	limitedUsage = 0.8
+	// usualUsage is the usual demand in multiples of the rate.
+	usualUsage     = 1 / 1.6
+	expectedEvents = 3
+)
+
+// ownShare is the token bucket of a node that has no valid grant. Its burst is a fraction
+// of one request where the quota is small and the nodes are many.
+type ownShare struct {
+	tokens     float64
+	refilledAt time.Time
+}
+
+func (s *ownShare) refill(now time.Time, perSecond, burst float64) {
+	elapsed := now.Sub(s.refilledAt)
+	if elapsed > 0 {
+		s.tokens += perSecond * elapsed.Seconds()
+		s.refilledAt = now
+	}
+	s.tokens = min(burst, s.tokens)
+}
+
+// take admits a request with the probability of the tokens that are left and spends them,
+// so that the sum over many nodes is that of their tokens.
+func (s *ownShare) take(random func() float64) bool {
+	if s.tokens >= 1 {
+		s.tokens--
+		return true
+	}
+	probability := max(0, s.tokens)
+	s.tokens = min(0, s.tokens)
+	return random() < probability
+}
+
+// spend takes the token of a request that a grant admitted.
+func (s *ownShare) spend() { s.tokens = max(0, s.tokens-1) }
+
+// ownRate returns the requests per second that the node may admit without a valid grant,
+// by its usage until the last one expired. The estimate contains expectedEvents requests of
+// an even share of the usual demand: a node that sees one request in 30 s can't tell its
+// usage from what it has seen.
+func (m *Meter) ownRate(now time.Time, entry *meterEntry, limit Limit, limited bool) float64 {
+	equal := limit.Rate / float64(m.nodes)
+	if !m.hasGrant {
+		return equal
+	}
+	weight := expectedEvents / (usualUsage * equal)
+	seen := entry.usage.at(now, usageTime) * usageTime.Seconds()
+	usage := (seen + expectedEvents) / (usageTime.Seconds() + weight)
+	if limited {
+		usage *= limitedUsage
+	}
+	return min(limit.Rate, usage+ownMargin*equal)
+}
+
+// ownBurst returns the burst of the own share in requests.
+func (m *Meter) ownBurst(limit Limit) float64 {
+	return detachedBurst * m.bound.remainder(limit) / float64(m.nodes)
+}
