--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -61,6 +61,7 @@
 	leaseExchange *membership.Exchange
 	distributor   *distribute.Server
 	claimService  *claimService
+	quotas        *quotaService
 
 	meshListener net.Listener
 	apiListener  net.Listener
@@ -115,6 +116,8 @@
 	source := &documentSource{machine: c.documentMachine, proposer: c.replicatedLog}
 	c.distributor = distribute.NewServer(source, c.registry, c.collectCounts, c.logger)
 	c.distributor.SetMembers(c.memberAddresses)
+	c.quotas = c.newQuotaService()
+	c.distributor.SetQuotas(c.quotas.collector)
 	c.leaseExchange = c.newLeaseExchange()
 	c.claimService = &claimService{proposer: c.proposerFor(componentClaims), documentMachine: c.documentMachine}
 	return c, nil
@@ -235,6 +238,7 @@
 		c.watchQuorum,
 		c.distributor.Run,
 		c.leaseExchange.Run,
+		c.quotas.run,
 		func(ctx context.Context) { c.burnCollector.Run(ctx, c.proposerFor(componentBurn), c.logger) },
 		newLostNodeDetector(c.registry, c.proposerFor(componentClaims), c.logger).run,
 	}
--- a/internal/control/guard.go
+++ b/internal/control/guard.go
@@ -47,6 +47,17 @@
 	_ = a.logger.Log("msg", "peer refused", "peer", err.Peer.Name, "err", err)
 }
 
+// requireMember returns a *mesh.PermissionError unless the peer is a control member. Without
+// TLS every peer is trusted.
+func (a *authorizer) requireMember(peer mesh.Identity, what string) error {
+	if !a.tlsEnabled || peer.Verified && peer.Control {
+		return nil
+	}
+	refusal := &mesh.PermissionError{Peer: peer, Problem: what + " requires the organizational unit " + mesh.ControlUnit}
+	a.logRefusal(refusal)
+	return refusal
+}
+
 // refusalReason returns why the peer may not send the message, or "" if it may. Only
 // control members may send messages of the replicated log and the leases of their nodes.
 // All other messages come from nodes, which may send them only under their own ID.
@@ -69,6 +80,10 @@
 			return nodeIDMismatch(peer, instance)
 		}
 		return nodeIDMismatch(peer, body.Heartbeat)
+	case *wire.Envelope_QuotaReport:
+		if body.QuotaReport.GetSender() != peer.Name {
+			return fmt.Sprintf("quota report of %q", body.QuotaReport.GetSender())
+		}
 	case *wire.Envelope_Claim:
 		return nodeIDMismatch(peer, body.Claim)
 	case *wire.Envelope_RecordOutcome:
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -34,6 +34,11 @@
 		return c.replicatedLog.ServeStream(ctx, first, conn)
 	case *wire.Envelope_RegistryUpdate:
 		return c.leaseExchange.ServeStream(first, conn)
+	case *wire.Envelope_QuotaReport:
+		if err := c.authorizer.requireMember(mesh.IdentityFrom(ctx), "a stream of quota reports"); err != nil {
+			return err
+		}
+		return c.quotas.serveStream(first, conn)
 	case *wire.Envelope_Claim, *wire.Envelope_RecordOutcome, *wire.Envelope_ReleaseClaim:
 		return c.claimService.serveStream(ctx, first, conn)
 	default:
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -98,6 +98,7 @@
 	isolatedUntil map[string]time.Time
 	dial          Dialer
 	sink          Sink
+	quotas        QuotaReporter
 	logger        log.Logger
 }
 
--- a/internal/coordination/distribute/server.go
+++ b/internal/coordination/distribute/server.go
@@ -49,6 +49,7 @@
 	// members returns the mesh addresses of the control members; when nil,
 	// acknowledgements list no members.
 	members func() []string
+	quotas  QuotaCollector
 	// isolated is set while the member has no contact with a quorum.
 	isolated atomic.Bool
 
@@ -214,8 +215,12 @@
 			s.handleHeartbeat(sub, message.GetHeartbeat())
 		case message.GetSubscribe() != nil:
 			sub.subscribe(message.GetSubscribe())
+		case message.GetQuotaReport() != nil:
+			if err := s.handleQuotaReport(sub, message.GetQuotaReport()); err != nil {
+				return err
+			}
 		default:
-			return errors.WithMessage(frame.ErrUnexpected, "node sent neither a heartbeat nor a subscription")
+			return errors.WithMessage(frame.ErrUnexpected, "node sent neither a heartbeat, a subscription nor a quota report")
 		}
 	}
 	return ctx.Err()
@@ -226,6 +231,9 @@
 	if s.counts != nil && len(heartbeat.GetCounts()) > 0 {
 		s.counts(heartbeat)
 	}
+	if s.quotas != nil && heartbeat.GetStopping() {
+		s.quotas.Stopped(heartbeat.GetNodeId())
+	}
 	sub.acknowledge(heartbeat)
 }
 
--- a/internal/coordination/distribute/session.go
+++ b/internal/coordination/distribute/session.go
@@ -81,12 +81,15 @@
 // run subscribes, sends heartbeats and handles the messages of the member until ctx or
 // the session ends.
 func (s *session) run(ctx context.Context) error {
+	s.connectQuotas()
 	if err := s.sendSubscribe(); err != nil {
 		return err
 	}
 	if err := s.sendHeartbeat(); err != nil {
 		return err
 	}
+	quotaReports := time.NewTicker(quotaReportInterval)
+	defer quotaReports.Stop()
 	heartbeats := time.NewTicker(membership.HeartbeatInterval)
 	defer heartbeats.Stop()
 	keepaliveChecks := time.NewTicker(keepaliveCheckInterval)
@@ -110,6 +113,8 @@
 			}
 		case <-heartbeats.C:
 			err = s.sendHeartbeat()
+		case now := <-quotaReports.C:
+			err = s.sendQuotaReport(now)
 		case now := <-keepaliveChecks.C:
 			err = s.checkKeepalive(now)
 		case <-s.client.sink.HeartbeatRequested():
@@ -191,8 +196,10 @@
 		if message.GetHeartbeatAck().GetIsolated() {
 			return s.handleIsolation()
 		}
+	case message.GetQuotaGrant() != nil:
+		s.applyQuotaGrant(message.GetQuotaGrant())
 	default:
-		return errors.WithMessage(frame.ErrUnexpected, "control member sent neither state nor heartbeat acknowledgement")
+		return errors.WithMessage(frame.ErrUnexpected, "control member sent neither state, heartbeat acknowledgement nor quota grant")
 	}
 	return nil
 }
--- a/internal/coordination/distribute/subscription.go
+++ b/internal/coordination/distribute/subscription.go
@@ -5,6 +5,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-kit/log/level"
 
@@ -21,6 +22,8 @@
 	conn   *frame.Conn
 	// wake wakes the writer; signals are coalesced into one while the writer is busy.
 	wake chan struct{}
+	// updateDue is set when a document, registry or acknowledgement may have to be sent.
+	updateDue atomic.Bool
 
 	mu       sync.Mutex
 	nodeID   string
@@ -37,6 +40,10 @@
 	// acknowledgement has not been sent.
 	ackSequence uint64
 	ackDue      bool
+	// grantSequence is the sequence of the last quota report; grantDue is set while it has no
+	// answer.
+	grantSequence uint64
+	grantDue      bool
 
 	// Only the writer uses the fields below.
 	// sentVersion is the registry version sent last to the node; its services did not
@@ -52,7 +59,13 @@
 	return sub
 }
 
+// wakeWriter makes the writer send the pending updates.
 func (s *subscription) wakeWriter() {
+	s.updateDue.Store(true)
+	s.signalWriter()
+}
+
+func (s *subscription) signalWriter() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -126,12 +139,25 @@
 			return
 		case <-s.wake:
 		}
-		if err := s.sendPending(); err != nil {
+		if err := s.sendDue(); err != nil {
 			return
 		}
 	}
 }
 
+// sendDue sends the pending updates, if any, and the answer to a quota report.
+func (s *subscription) sendDue() error {
+	if s.updateDue.Swap(false) {
+		if err := s.sendPending(); err != nil {
+			return err
+		}
+	}
+	if err := s.sendGrant(); err != nil {
+		return err
+	}
+	return s.conn.Flush()
+}
+
 // pendingSend is a snapshot of the fields from which the writer computes its messages.
 type pendingSend struct {
 	services        map[string]bool
@@ -177,7 +203,7 @@
 			return err
 		}
 	}
-	return s.conn.Flush()
+	return nil
 }
 
 // sendDocument sends the sections that changed since the node's revision, or the complete
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -254,6 +254,14 @@
 	return nodes
 }
 
+// IsElsewhere reports whether another member holds the lease of a node.
+func (r *Registry) IsElsewhere(nodeID string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.leases[nodeID]
+	return l != nil && l.owner != ""
+}
+
 // Size returns the number of nodes with a lease.
 func (r *Registry) Size() int {
 	r.mu.Lock()
--- a/internal/coordination/quota/allocator.go
+++ b/internal/coordination/quota/allocator.go
@@ -160,7 +160,8 @@
 
 func (a *Allocator) evaluateAll(now time.Time) {
 	a.evaluatedAt = now
-	a.members.charge(now, func(organisation string, admitted float64) {
+	notElsewhere := func(string) bool { return false }
+	a.members.charge(now, notElsewhere, func(organisation string, admitted float64) {
 		if b := a.bucket(now, organisation); b != nil {
 			b.refill(now, a.bound)
 			b.spend(admitted)
--- a/internal/coordination/quota/collector.go
+++ b/internal/coordination/quota/collector.go
@@ -21,6 +21,9 @@
 type Collector struct {
 	member string
 	start  uint64
+	// isElsewhere reports whether a node has connected to another member, which then counts
+	// its requests.
+	isElsewhere func(node string) bool
 
 	mu       sync.Mutex
 	nodes    *ledger
@@ -45,9 +48,13 @@
 }
 
 // NewCollector returns the collector of a member. start must increase with each start of
-// the member.
-func NewCollector(member string, start uint64) *Collector {
-	return &Collector{member: member, start: start, nodes: newLedger(), sums: map[string]*sum{}}
+// the member. isElsewhere reports whether a node has connected to another member; nil stands
+// for none.
+func NewCollector(member string, start uint64, isElsewhere func(node string) bool) *Collector {
+	if isElsewhere == nil {
+		isElsewhere = func(string) bool { return false }
+	}
+	return &Collector{member: member, start: start, isElsewhere: isElsewhere, nodes: newLedger(), sums: map[string]*sum{}}
 }
 
 // Observe counts the report of a node.
@@ -85,7 +92,7 @@
 	if c.pending {
 		return nil
 	}
-	c.nodes.charge(now, func(organisation string, admitted float64) { c.chargeSilent(now, organisation, admitted) })
+	c.nodes.charge(now, c.isElsewhere, func(organisation string, admitted float64) { c.chargeSilent(now, organisation, admitted) })
 	c.sweep(now)
 	c.sequence++
 	c.pending = true
--- a/internal/coordination/quota/ledger.go
+++ b/internal/coordination/quota/ledger.go
@@ -78,14 +78,14 @@
 }
 
 // charge calls count with the estimated usage of silent senders since the last call. It
-// forgets senders that have been silent for silenceCharge, and idle organisations.
-func (l *ledger) charge(now time.Time, count func(organisation string, admitted float64)) {
+// forgets senders that have been silent for silenceCharge or are counted elsewhere.
+func (l *ledger) charge(now time.Time, isElsewhere func(sender string) bool, count func(organisation string, admitted float64)) {
 	for name, s := range l.senders {
 		silence := now.Sub(s.heardAt)
 		if silence < silenceTimeout {
 			continue
 		}
-		if silence >= silenceCharge {
+		if silence >= silenceCharge || isElsewhere(name) {
 			delete(l.senders, name)
 			continue
 		}
--- a/internal/coordination/quota/model_test.go
+++ b/internal/coordination/quota/model_test.go
@@ -63,7 +63,7 @@
 		m.limits[m.names[i]] = limit
 	}
 	for i := range memberCount {
-		m.members = append(m.members, NewCollector(fmt.Sprint("member-", i), 1))
+		m.members = append(m.members, NewCollector(fmt.Sprint("member-", i), 1, nil))
 	}
 	m.newOwner(time.Unix(1000, 0))
 	m.meters = make([]*Meter, entries)
--- a/internal/coordination/quota/property_test.go
+++ b/internal/coordination/quota/property_test.go
@@ -82,7 +82,7 @@
 func TestEachRequestIsCountedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	meter := NewMeter("node", Bound{}, func() float64 { return 0 })
-	first, second := NewCollector("first", 1), NewCollector("second", 1)
+	first, second := NewCollector("first", 1, nil), NewCollector("second", 1, nil)
 	meter.Connect(now, 1)
 	admit := func(count int) {
 		for range count {
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -65,3 +65,17 @@
 	}
 	return nil
 }
+
+// checkQuotaBound checks the bound on the requests of an organisation.
+func checkQuotaBound(window, overage, slack float64) *Error {
+	fields := []struct {
+		name  string
+		value float64
+	}{{"quota_window_s", window}, {"quota_overage", overage}, {"quota_slack", slack}}
+	for _, field := range fields {
+		if field.value < 0 {
+			return &Error{Field: field.name, Problem: "must not be negative"}
+		}
+	}
+	return nil
+}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -52,6 +52,12 @@
 	APITLSKey  string `json:"api_tls_key,omitempty"`
 	// StopTimeoutMs is the timeout of a graceful stop in milliseconds; default 10000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
+	// QuotaWindowS, QuotaOverage and QuotaSlack bound the requests of an organisation that
+	// reach an upstream: in any window of QuotaWindowS seconds at most (rate x window + burst)
+	// x (1 + QuotaOverage) + QuotaSlack. The defaults 5, 0.1 and 20 stand for values of 0.
+	QuotaWindowS float64 `json:"quota_window_s,omitempty"`
+	QuotaOverage float64 `json:"quota_overage,omitempty"`
+	QuotaSlack   float64 `json:"quota_slack,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -89,6 +95,7 @@
 		checkAddress("api_listen", s.APIListen),
 		checkNotNegative("member_port", s.MemberPort),
 		checkToleratedLosses(s.ToleratedLosses),
+		checkQuotaBound(s.QuotaWindowS, s.QuotaOverage, s.QuotaSlack),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
 		s.checkMemberAddresses(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -49,6 +49,12 @@
 	// ColdSlack requests. If both are 0, the defaults 1.5 and 5 apply.
 	ColdFactor float64 `json:"cold_factor,omitempty"`
 	ColdSlack  float64 `json:"cold_slack,omitempty"`
+	// QuotaWindowS, QuotaOverage and QuotaSlack bound the requests of an organisation that
+	// reach an upstream: in any window of QuotaWindowS seconds at most (rate x window + burst)
+	// x (1 + QuotaOverage) + QuotaSlack. The defaults 5, 0.1 and 20 stand for values of 0.
+	QuotaWindowS float64 `json:"quota_window_s,omitempty"`
+	QuotaOverage float64 `json:"quota_overage,omitempty"`
+	QuotaSlack   float64 `json:"quota_slack,omitempty"`
 	// StopDelayMs is the time in milliseconds for which a stopping node still accepts
 	// callers' requests while it reports that it is not ready, so that callers switch to
 	// other nodes before it closes its listener; default 0.
@@ -91,6 +97,7 @@
 		checkNotNegative("stop_delay_ms", s.StopDelayMs),
 		s.checkRetryLimit(),
 		s.checkColdLimit(),
+		checkQuotaBound(s.QuotaWindowS, s.QuotaOverage, s.QuotaSlack),
 		checkAddress("mesh_listen", s.MeshListen),
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("admin_listen", s.AdminListen),
