Refuse calls over the quota of their organisation at the entry

A call with the key of an organisation that has a rate asks the meter before its body is read. Over the quota it gets 429 with reason quota and Retry-After; a call that ends without having run returns its credit.

--- a/internal/coordination/quota/meter.go
+++ b/internal/coordination/quota/meter.go
@@ -209,6 +209,16 @@
 	m.acknowledgedAt = now
 }
 
+// GrantAge returns the age of the owner's information, or 0 before the first grant.
+func (m *Meter) GrantAge(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.hasGrant {
+		return 0
+	}
+	return now.Sub(m.ownerHeardAt)
+}
+
 // Report returns the next report on the stream, or nil while the last one is unanswered.
 // It lists the totals that changed since the last acknowledged report.
 func (m *Meter) Report(now time.Time) *wire.QuotaReport {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -45,6 +45,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
+		n.entryQuotas.refusals.write(w, n.entryQuotas.meter.GrantAge(time.Now()))
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !n.isReady() {
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -84,6 +84,8 @@
 	// keyDigest.
 	hasKey    bool
 	keyDigest document.KeyDigest
+	// usesQuota is set when the call was counted against the quota of its organisation.
+	usesQuota bool
 	// parent is the running request that makes this call, if isNested is set.
 	parent   overload.Parent
 	isNested bool
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -39,6 +39,9 @@
 		rejectCall(w, err)
 		return
 	}
+	if !n.entryQuotas.admit(w, c) {
+		return
+	}
 	if c.urgency == overload.Nested {
 		n.upstream.requestTracker.CallBegan(c.parentRequestID, c.started)
 		defer func() { n.upstream.requestTracker.CallEnded(c.parentRequestID, time.Now()) }()
@@ -46,6 +49,7 @@
 	n.metrics.beginCall(c)
 	result := callFailed
 	defer func() {
+		n.entryQuotas.finish(c, result)
 		n.metrics.endCall(c, result)
 		n.logCallEnd(c, result)
 	}()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 	directory   *directory.Directory
 	upstream    *upstream
 	balancer    *balancer
+	entryQuotas *quotas
 	metrics     *nodeMetrics
 	settler     *claimSettler
 	suspension  suspension.Detector
@@ -147,6 +148,8 @@
 	n.upstream.onDeparture = n.directory.RequestHeartbeat
 	n.liveSettings.Store(s)
 	n.subscription = distribute.NewClient(s.ID, s.Control, n.dialControl, (*controlSink)(n), n.logger)
+	n.entryQuotas = newQuotas(n, s)
+	n.subscription.SetQuotas(n.entryQuotas)
 	clusterLimit := budget.Limit{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: time.Duration(s.RetryWindowS * float64(time.Second))}
 	n.balancer = newBalancer(s.Zone, clusterLimit, func(instance string) {
 		n.metrics.ejections.Inc()
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -65,8 +65,12 @@
 	}
 }
 
-// SetNodeCount sets the number of nodes among which the retry budget is divided.
-func (s *controlSink) SetNodeCount(nodes int) { s.balancer.setNodeCount(nodes) }
+// SetNodeCount sets the number of nodes among which the retry budget and the quotas are
+// divided.
+func (s *controlSink) SetNodeCount(nodes int) {
+	s.balancer.setNodeCount(nodes)
+	s.entryQuotas.meter.SetNodes(nodes)
+}
 
 // HeartbeatAcknowledged is called when control has acknowledged a heartbeat. The registry
 // state of that heartbeat's upstream has arrived before the acknowledgement.
