Bound the control traffic of quotas at 10,000 organisations

Reports of a node list at most 30 organisations and grants at most 80, of those that the node uses; more than 30 shares are sent every 250 ms.

--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -161,11 +161,12 @@
 			return
 		}
 		owned = allocator
-		if report := q.collector.Report(now); report != nil {
+		report := q.collector.Report(now)
+		if report != nil {
 			allocator.Observe(now, report)
 			q.collector.Apply(now, allocator.Grant(now, report.GetSequence()))
 		}
-		sleepFor(ctx, quota.MemberInterval)
+		sleepFor(ctx, quota.MemberDelay(report))
 	}
 }
 
@@ -187,17 +188,17 @@
 	defer stop()
 	defer func() { _ = stream.Close() }()
 	for ctx.Err() == nil && q.updateLimits(time.Now()) && q.status().Leader == status.Leader {
-		if err := q.exchange(stream); err != nil {
+		report := q.collector.Report(time.Now())
+		if err := q.exchange(stream, report); err != nil {
 			return err
 		}
-		sleepFor(ctx, quota.MemberInterval)
+		sleepFor(ctx, quota.MemberDelay(report))
 	}
 	return nil
 }
 
 // exchange sends one report and applies the answer.
-func (q *quotaService) exchange(stream frameStream) error {
-	report := q.collector.Report(time.Now())
+func (q *quotaService) exchange(stream frameStream, report *wire.QuotaReport) error {
 	if report == nil {
 		return nil
 	}
--- a/internal/coordination/quota/allocator.go
+++ b/internal/coordination/quota/allocator.go
@@ -33,8 +33,9 @@
 	// minShare keeps some requests flowing, from which the demand is seen.
 	minShare = 0.001
 	// evaluateInterval bounds how often the shares are computed, whatever the number of
-	// grants.
+	// grants. With many organisations it is evaluateTime for each of them, 100 ms at 10,000.
 	evaluateInterval = MemberInterval / 2
+	evaluateTime     = 10 * time.Microsecond
 )
 
 // Allocator computes at the owner which share of the requests of each organisation may be
@@ -148,7 +149,7 @@
 func (a *Allocator) Grant(now time.Time, sequence uint64) *wire.QuotaGrant {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if now.Sub(a.evaluatedAt) >= evaluateInterval {
+	if now.Sub(a.evaluatedAt) >= max(evaluateInterval, time.Duration(len(a.buckets))*evaluateTime) {
 		a.evaluateAll(now)
 	}
 	grant := &wire.QuotaGrant{Sequence: sequence}
@@ -186,7 +187,8 @@
 	a.shares = shares
 }
 
-// sweep removes the buckets of organisations that are idle: full, with no demand.
+// sweep removes the totals of idle organisations. The buckets stay: a new one would begin
+// with a part of the burst.
 func (a *Allocator) sweep(now time.Time) {
 	if now.Sub(a.sweptAt) < sweepInterval {
 		return
--- a/internal/coordination/quota/collector.go
+++ b/internal/coordination/quota/collector.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// maxSharesPerGrant bounds a grant to a node. With shares of about 24 bytes and ten
-	// grants a second it takes at most 12 KB/s.
-	maxSharesPerGrant = 50
+	// A node gets all shares, or if there are more than maxCommonShares, those of the
+	// organisations that it has reported lately, at most maxSharesPerGrant. Grants of more than
+	// maxFrequentShares list them only every slowGrantInterval, so that shares of about 24
+	// bytes take at most 9 KB/s; the grants in between only acknowledge reports.
+	maxCommonShares   = 80
+	maxSharesPerGrant = 80
+	maxFrequentShares = 30
+	slowGrantInterval = 250 * time.Millisecond
 	// sweepInterval is the time between two searches for idle totals.
 	sweepInterval = time.Second
 )
@@ -166,20 +171,25 @@
 	if !c.hasGrant || remaining < time.Millisecond {
 		return grant
 	}
+	shares := c.sharesFor(node)
+	if s := c.nodes.senders[node]; s != nil && len(shares) > maxFrequentShares {
+		if now.Sub(s.sharesSentAt) < slowGrantInterval {
+			return grant
+		}
+		s.sharesSentAt = now
+	}
 	grant.ValidMs = uint32(remaining.Milliseconds()) //nolint:gosec // at most grantValidity
-	grant.Shares = c.sharesFor(node)
+	grant.Shares = shares
 	return grant
 }
 
-// sharesFor returns the shares that a node needs: all, or if there are more than
-// maxSharesPerGrant, those of the organisations that the node has reported lately.
 func (c *Collector) sharesFor(node string) []*wire.QuotaShare {
-	if len(c.shares) <= maxSharesPerGrant {
+	if len(c.shares) <= maxCommonShares {
 		return c.shares
 	}
 	s := c.nodes.senders[node]
 	if s == nil {
-		return c.shares[:maxSharesPerGrant]
+		return c.shares[:maxCommonShares]
 	}
 	var used []*wire.QuotaShare
 	for _, share := range c.shares {
--- a/internal/coordination/quota/ledger.go
+++ b/internal/coordination/quota/ledger.go
@@ -18,6 +18,8 @@
 	start, sequence uint64
 	totals          map[string]*senderTotals
 	heardAt         time.Time
+	// sharesSentAt is the time of the last grant to the sender that listed shares.
+	sharesSentAt time.Time
 	// joinedLate is set when the ledger did not see the first report of the sender. The first
 	// total of each organisation is then only the base of those that follow.
 	joinedLate bool
--- a/internal/coordination/quota/limit.go
+++ b/internal/coordination/quota/limit.go
@@ -9,6 +9,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
 const (
@@ -16,6 +18,13 @@
 	// between two reports of a member to the owner.
 	ReportInterval = 100 * time.Millisecond
 	MemberInterval = 50 * time.Millisecond
+	// memberTimePerUse stretches the time between two reports of a member that list many
+	// organisations: 10,000 of them, 250 KB, are sent four times a second.
+	memberTimePerUse  = 25 * time.Microsecond
+	maxMemberInterval = 250 * time.Millisecond
+	// maxUsesPerReport bounds a report of a node. With about 25 bytes for each use and ten
+	// reports a second they take at most 7.5 KB/s; other organisations follow in the next.
+	maxUsesPerReport = 30
 	// grantValidity is how long a grant holds after the owner has sent it.
 	grantValidity = 2 * time.Second
 	// silenceTimeout is the time without a report after which a sender counts as silent. Its
@@ -40,6 +49,11 @@
 	defaultSlack   = 20
 )
 
+// MemberDelay returns the time from a report of a member to its next one.
+func MemberDelay(report *wire.QuotaReport) time.Duration {
+	return max(MemberInterval, min(maxMemberInterval, time.Duration(len(report.GetUses()))*memberTimePerUse))
+}
+
 // Limit is the quota of an organisation: Rate requests per second and a burst. A rate of 0
 // is no limit.
 type Limit struct{ Rate, Burst float64 }
--- a/internal/coordination/quota/meter.go
+++ b/internal/coordination/quota/meter.go
@@ -220,7 +220,7 @@
 }
 
 // Report returns the next report on the stream, or nil while the last one is unanswered.
-// It lists the totals that changed since the last acknowledged report.
+// It lists totals that changed since the last acknowledged report.
 func (m *Meter) Report(now time.Time) *wire.QuotaReport {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -233,6 +233,9 @@
 	m.pending = true
 	report := &wire.QuotaReport{Sender: m.sender, SenderStart: m.start, Sequence: m.sequence}
 	for organisation, entry := range m.organisations {
+		if len(report.Uses) == maxUsesPerReport {
+			break
+		}
 		if use := entry.report(organisation); use != nil {
 			report.Uses = append(report.Uses, use)
 		}
--- a/internal/coordination/quota/property_test.go
+++ b/internal/coordination/quota/property_test.go
@@ -77,8 +77,8 @@
 }
 
 // TestEachRequestIsCountedOnce guards against a node whose requests count twice, or not at
-// all, after it has connected to another member with a report unanswered, and against a
-// repeated report.
+// all, after it has connected to another member with a report unanswered, and against
+// repeated and late reports.
 func TestEachRequestIsCountedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	meter := NewMeter("node", Bound{}, func() float64 { return 0 })
@@ -103,8 +103,12 @@
 	second.Observe(now, report)
 	second.Observe(now, report)
 	assert.Equal(t, first.Report(now).GetUses()[0].GetAdmitted(), uint64(3))
+	admit(2)
+	meter.Apply(now, second.Grant(now, "node", report.GetSequence()))
+	second.Observe(now, meter.Report(now))
+	second.Observe(now, report)
 	uses := second.Report(now).GetUses()[0]
-	assert.Assert(t, uses.GetAdmitted() == 3 && uses.GetOffered() == 3 && uses.GetReturned() == 1)
+	assert.Assert(t, uses.GetAdmitted() == 5 && uses.GetOffered() == 5 && uses.GetReturned() == 1)
 }
 
 // TestReturnedCreditIsUsable guards against requests that were refused without having run and
