--- a/internal/coordination/distribute/quota.go
+++ b/internal/coordination/distribute/quota.go
@@ -9,9 +9,6 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
-// quotaReportInterval is the time between two quota reports of a node.
-const quotaReportInterval = 100 * time.Millisecond
-
 // QuotaReporter supplies the quota reports of a node. Its methods are called from one
 // goroutine.
 type QuotaReporter interface {
--- a/internal/coordination/distribute/session.go
+++ b/internal/coordination/distribute/session.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
+	"github.com/chicorylever/chicorylever/internal/coordination/quota"
 	"github.com/chicorylever/chicorylever/internal/protocol/frame"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -88,7 +89,7 @@
 	if err := s.sendHeartbeat(); err != nil {
 		return err
 	}
-	quotaReports := time.NewTicker(quotaReportInterval)
+	quotaReports := time.NewTicker(quota.ReportInterval)
 	defer quotaReports.Stop()
 	heartbeats := time.NewTicker(membership.HeartbeatInterval)
 	defer heartbeats.Stop()
--- a/internal/coordination/quota/allocator.go
+++ b/internal/coordination/quota/allocator.go
@@ -21,9 +21,6 @@
 	// controlDelay is the typical time from a decision of a node until its effect on the
 	// level is known.
 	controlDelay = 150 * time.Millisecond
-	// startBurst is the part of the burst, and of the buffered slack, that a new owner
-	// assumes to be there.
-	startBurst = 0.1
 	// learnTime is the time from the first report until a new owner knows the demand; its
 	// grants are not valid before.
 	learnTime = 300 * time.Millisecond
@@ -109,7 +106,8 @@
 		return nil
 	}
 	b = &bucket{limit: limit, refilledAt: now, share: 1}
-	b.level = startBurst*limit.Burst + bufferedSlack*a.bound.Slack
+	// The burst may have been spent under an earlier owner.
+	b.level = bufferedSlack * a.bound.Slack
 	a.buckets[organisation] = b
 	return b
 }
--- a/internal/coordination/quota/ledger.go
+++ b/internal/coordination/quota/ledger.go
@@ -37,11 +37,11 @@
 func newLedger() *ledger { return &ledger{senders: map[string]*sender{}} }
 
 // observe calls count with what a report adds to the totals of each organisation. It
-// returns false for a report that is repeated, or older than one that was counted.
-func (l *ledger) observe(now time.Time, report *wire.QuotaReport, count func(organisation string, added use)) bool {
+// ignores a report that is repeated, or older than one that was counted.
+func (l *ledger) observe(now time.Time, report *wire.QuotaReport, count func(organisation string, added use)) {
 	s := l.senders[report.GetSender()]
 	if s != nil && (report.GetSenderStart() < s.start || report.GetSenderStart() == s.start && report.GetSequence() <= s.sequence) {
-		return false
+		return
 	}
 	if s == nil {
 		s = &sender{totals: map[string]*senderTotals{}, joinedLate: report.GetSequence() > 1}
@@ -57,7 +57,6 @@
 	for _, reported := range report.GetUses() {
 		count(reported.GetOrganisation(), s.add(now, reported))
 	}
-	return true
 }
 
 func (s *sender) add(now time.Time, reported *wire.QuotaUse) use {
--- a/internal/coordination/quota/limit.go
+++ b/internal/coordination/quota/limit.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// ReportInterval is the time between two reports of a node, and MemberInterval that
-	// between two reports of a member to the owner.
+	// ReportInterval is the time between two reports of a node.
 	ReportInterval = 100 * time.Millisecond
+	// MemberInterval is the time between two reports of a member to the owner.
 	MemberInterval = 50 * time.Millisecond
 	// memberTimePerUse stretches the time between two reports of a member that list many
 	// organisations: 10,000 of them, 250 KB, are sent four times a second.
@@ -97,8 +97,8 @@
 	detachedRate = 0.9
 	// graceFraction of the remaining bound may be used up by nodes that do not know yet that
 	// the owner is lost, detachedBurst by the bursts of their own shares.
-	graceFraction = 0.6
-	detachedBurst = 0.5
+	graceFraction = 0.3
+	detachedBurst = 0.4
 	minGrace      = 300 * time.Millisecond
 )
 
@@ -108,11 +108,15 @@
 // capacity returns the largest level of the owner's bucket, in requests.
 func (b Bound) capacity(l Limit) float64 { return l.Burst + bufferedSlack*b.Slack }
 
-// remainder returns the part of the bound that the nodes' own shares leave, without a
-// margin of two standard deviations for arrivals at random.
-func (b Bound) remainder(l Limit) float64 {
+// expected returns the bound less two standard deviations of arrivals at random.
+func (b Bound) expected(l Limit) float64 {
 	requests := b.Requests(l)
-	return max(0, requests-2*math.Sqrt(requests)-detachedRate*l.Rate*b.Window.Seconds())
+	return max(0, requests-2*math.Sqrt(requests))
+}
+
+// remainder returns the part of the expected requests that the nodes' own shares leave.
+func (b Bound) remainder(l Limit) float64 {
+	return max(0, b.expected(l)-detachedRate*l.Rate*b.Window.Seconds())
 }
 
 // grace returns how long nodes may admit all requests of an organisation without news from
--- a/internal/coordination/quota/meter.go
+++ b/internal/coordination/quota/meter.go
@@ -134,7 +134,7 @@
 	switch {
 	case decision.GrantAge > validity:
 		decision.Detached = true
-		decision.Admitted = entry.own.take()
+		decision.Admitted = entry.own.take(m.ownCertainty(limit), m.random)
 		decision.Share = min(1, own/limit.Rate)
 	default:
 		decision.Admitted = entry.admitShare(decision.Share)
--- a/internal/coordination/quota/ownshare.go
+++ b/internal/coordination/quota/ownshare.go
@@ -13,6 +13,10 @@
 	// usualUsage is the usual demand in multiples of the rate.
 	usualUsage     = 1 / 1.6
 	expectedEvents = 3
+	// usedTokens is the factor from the requests that all nodes may admit in a window to the
+	// number of nodes that may hold a token: in a surge of an organisation with 5 requests a
+	// second at 91 entries about half of the entries hold a token and see a request.
+	usedTokens = 1.9
 )
 
 // ownShare is the token bucket of a node that has no valid grant.
@@ -30,13 +34,14 @@
 	s.tokens = min(burst, s.tokens)
 }
 
-// take takes the token of a request, or returns false if there is none.
-func (s *ownShare) take() bool {
+// take takes the token of a request, or returns false if there is none. The request is
+// admitted with the probability certainty.
+func (s *ownShare) take(certainty float64, random func() float64) bool {
 	if s.tokens < 1 {
 		return false
 	}
 	s.tokens--
-	return true
+	return certainty >= 1 || random() < certainty
 }
 
 // spend takes the token of a request that a grant admitted.
@@ -65,3 +70,9 @@
 func (m *Meter) ownBurst(limit Limit) float64 {
 	return 1 + detachedBurst*m.bound.remainder(limit)/float64(m.nodes)
 }
+
+// ownCertainty returns the probability with which a token admits a request. It is below 1
+// where the nodes' first tokens alone could exceed the bound.
+func (m *Meter) ownCertainty(limit Limit) float64 {
+	return min(1, usedTokens*m.bound.expected(limit)/float64(m.nodes))
+}
--- a/internal/coordination/quota/table_test.go
+++ b/internal/coordination/quota/table_test.go
@@ -8,6 +8,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// lateLoss is the time from the start of a surge to a late loss of control.
+const lateLoss = 350 * time.Millisecond
+
 func surge(organisation int, factor float64) func(int, time.Duration) float64 {
 	return func(o int, at time.Duration) float64 {
 		if o == organisation && at >= surgeStart && at < surgeEnd {
@@ -71,6 +74,11 @@
 	}
 }
 
+// loseOwnerLate does so when the first shares are in force.
+func loseOwnerLate(m *model, now time.Time, at time.Duration) { loseOwner(m, now, at-lateLoss) }
+
+func loseControlLate(m *model, now time.Time, at time.Duration) { loseControl(m, now, at-lateLoss) }
+
 // loseControl ends all contact with control until the end.
 func loseControl(m *model, _ time.Time, at time.Duration) { m.controlGone = at >= surgeStart }
 
@@ -92,6 +100,10 @@
 		{name: "owner lost, large 7.5 times", factor: surge(0, 7.5), event: loseOwner},
 		{name: "owner lost, middle 7.5 times", factor: surge(7, 7.5), event: loseOwner},
 		{name: "owner lost, small 7.5 times", factor: surge(87, 7.5), event: loseOwner},
+		{name: "owner lost late, large 7.5 times", factor: surge(0, 7.5), event: loseOwnerLate},
+		{name: "owner lost late, middle 7.5 times", factor: surge(7, 7.5), event: loseOwnerLate},
+		{name: "control lost late, large 7.5 times", factor: surge(0, 7.5), event: loseControlLate},
+		{name: "control lost late, middle 7.5 times", factor: surge(7, 7.5), event: loseControlLate},
 		{name: "control lost", factor: calm, event: loseControl},
 		{name: "control lost, large 7.5 times", factor: surge(0, 7.5), event: loseControl},
 		{name: "control lost, middle 7.5 times", factor: surge(7, 7.5), event: loseControl},
--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -38,7 +38,7 @@
 	control.setRate(t, 50)
 	eventually(t, func() bool { return node.Node.directory.View().Doc.Organisations["acme"].RatePerSecond == 50 })
 	grant := func(permille uint32) {
-		node.Node.entryQuotas.Apply(time.Now(), &wire.QuotaGrant{ValidMs: 2000, Shares: []*wire.QuotaShare{{Organisation: "acme", AdmitPermille: permille}}})
+		node.entryQuotas.Apply(time.Now(), &wire.QuotaGrant{ValidMs: 2000, Shares: []*wire.QuotaShare{{Organisation: "acme", AdmitPermille: permille}}})
 	}
 	grant(0)
 	before := node.requests.Load()
@@ -52,14 +52,14 @@
 	assert.Equal(t, sendKeys(t, node, "r.example", "/public/", acmeKey).StatusCode, http.StatusOK)
 	assert.Assert(t, strings.Contains(logged.String(), "requests refused over the quota"))
 	var metrics strings.Builder
-	node.Node.entryQuotas.refusals.write(&metrics, 0)
+	node.entryQuotas.refusals.write(&metrics, 0)
 	assert.Assert(t, strings.Contains(metrics.String(), `chicorylever_quota_refusals_total{organisation="acme"} 1`), metrics.String())
 
 	grant(1000)
 	assert.Equal(t, sendKeys(t, node, "r.example", "/private/", acmeKey).StatusCode, http.StatusOK)
 	node.Node.upstream.gate.Stop()
 	assert.Equal(t, sendKeys(t, node, "r.example", "/private/", acmeKey).outcome(), httpapi.OutcomeNotRun)
-	node.Node.entryQuotas.meter.Connect(time.Now(), 1<<63)
-	use := node.Node.entryQuotas.meter.Report(time.Now()).GetUses()[0]
+	node.entryQuotas.meter.Connect(time.Now(), 1<<63)
+	use := node.entryQuotas.meter.Report(time.Now()).GetUses()[0]
 	assert.Assert(t, use.GetOffered() == 3 && use.GetAdmitted() == 2 && use.GetReturned() == 1, "%v", use)
 }
