--- a/internal/coordination/quota/allocator.go
+++ b/internal/coordination/quota/allocator.go
@@ -23,7 +23,7 @@
 	controlDelay = 150 * time.Millisecond
 	// learnTime is the time from the first report until a new owner knows the demand; its
 	// grants are not valid before.
-	learnTime = 300 * time.Millisecond
+	learnTime = 100 * time.Millisecond
 	// maxDebt is the largest debt in multiples of rate and burst, to which debtSlack is added.
 	maxDebt   = 2
 	debtSlack = 20
--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -32,7 +32,7 @@
 // against a request that was refused without having run and keeps its credit.
 func TestQuotaAtEntry(t *testing.T) {
 	control := newFakeControl(t)
-	logged := &lockedBuffer{}
+	logged := &logRecorder{}
 	control.logger = log.NewJSONLogger(logged)
 	node := startKeyedNode(t, control, echoHeaders)
 	control.setRate(t, 50)
@@ -42,23 +42,26 @@
 	}
 	grant(0)
 	before := node.requests.Load()
-	refused := sendKeys(t, node, "r.example", "/private/", acmeKey)
+	refused := node.sendKeys(t, "r.example", "/private/", acmeKey)
 	assert.Equal(t, refused.StatusCode, http.StatusTooManyRequests)
 	assert.Equal(t, refused.Header.Get(httpapi.HeaderReason), "quota")
 	assert.Equal(t, refused.outcome(), httpapi.OutcomeNotRun)
 	assert.Assert(t, refused.Header.Get("Retry-After") != "")
 	assert.Equal(t, node.requests.Load(), before)
-	assert.Equal(t, sendKeys(t, node, "r.example", "/private/", otherKey).StatusCode, http.StatusOK)
-	assert.Equal(t, sendKeys(t, node, "r.example", "/public/", acmeKey).StatusCode, http.StatusOK)
-	assert.Assert(t, strings.Contains(logged.String(), "requests refused over the quota"))
+	assert.Equal(t, node.sendKeys(t, "r.example", "/private/", otherKey).StatusCode, http.StatusOK)
+	assert.Equal(t, node.sendKeys(t, "r.example", "/public/", acmeKey).StatusCode, http.StatusOK)
+	logged.mu.Lock()
+	text := logged.data.String()
+	logged.mu.Unlock()
+	assert.Assert(t, strings.Contains(text, "requests refused over the quota"), text)
 	var metrics strings.Builder
 	node.entryQuotas.refusals.write(&metrics, 0)
 	assert.Assert(t, strings.Contains(metrics.String(), `chicorylever_quota_refusals_total{organisation="acme"} 1`), metrics.String())
 
 	grant(1000)
-	assert.Equal(t, sendKeys(t, node, "r.example", "/private/", acmeKey).StatusCode, http.StatusOK)
+	assert.Equal(t, node.sendKeys(t, "r.example", "/private/", acmeKey).StatusCode, http.StatusOK)
 	node.Node.upstream.gate.Stop()
-	assert.Equal(t, sendKeys(t, node, "r.example", "/private/", acmeKey).outcome(), httpapi.OutcomeNotRun)
+	assert.Equal(t, node.sendKeys(t, "r.example", "/private/", acmeKey).outcome(), httpapi.OutcomeNotRun)
 	node.entryQuotas.meter.Connect(time.Now(), 1<<63)
 	use := node.entryQuotas.meter.Report(time.Now()).GetUses()[0]
 	assert.Assert(t, use.GetOffered() == 3 && use.GetAdmitted() == 2 && use.GetReturned() == 1, "%v", use)
