Take estimated usage of a silent member off its next report

A member that lost its stream to the owner for more than a second was charged twice: by estimate, and by the totals of its next report (230 of 250 requests after 5 s). A leader that loses its quorum for a moment keeps its buckets.

--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -115,15 +115,18 @@
 }
 
 // ownedAllocator returns the allocator if this member leads with a quorum, otherwise nil. A
-// new term begins with a new one.
+// new term begins with a new one; a leader that loses its quorum for a moment keeps its own.
 func (q *quotaService) ownedAllocator(now time.Time) *quota.Allocator {
 	status := q.status()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if status.Leader != status.ID || !status.QuorumContact {
+	if status.Leader != status.ID {
 		q.allocator = nil
 		return nil
 	}
+	if !status.QuorumContact {
+		return nil
+	}
 	if q.allocator == nil || q.term != status.Term {
 		q.allocator, q.term = quota.NewAllocator(q.bound), status.Term
 		q.allocator.SetLimits(now, q.limits)
--- a/internal/coordination/quota/allocator.go
+++ b/internal/coordination/quota/allocator.go
@@ -61,7 +61,9 @@
 
 // NewAllocator returns the allocator of a new owner.
 func NewAllocator(bound Bound) *Allocator {
-	return &Allocator{bound: bound.WithDefaults(), members: newLedger(), limits: map[string]Limit{}, buckets: map[string]*bucket{}}
+	members := newLedger()
+	members.settlesEstimates = true
+	return &Allocator{bound: bound.WithDefaults(), members: members, limits: map[string]Limit{}, buckets: map[string]*bucket{}}
 }
 
 // SetLimits replaces the limits of all organisations. The allocator keeps the map.
--- a/internal/coordination/quota/ledger.go
+++ b/internal/coordination/quota/ledger.go
@@ -12,7 +12,12 @@
 
 // ledger turns the totals that senders report into differences that count each request
 // once, whatever is lost, repeated or reordered.
-type ledger struct{ senders map[string]*sender }
+type ledger struct {
+	senders map[string]*sender
+	// settlesEstimates is set when senders report in the end what they used while they were
+	// silent. What was charged by estimate is then taken off that report.
+	settlesEstimates bool
+}
 
 type sender struct {
 	start, sequence uint64
@@ -32,6 +37,8 @@
 	last       use
 	usage      average
 	reportedAt time.Time
+	// charged is the estimate charged since the last report.
+	charged float64
 }
 
 func newLedger() *ledger { return &ledger{senders: map[string]*sender{}} }
@@ -55,11 +62,11 @@
 	}
 	s.start, s.sequence, s.heardAt, s.chargedUntil = report.GetSenderStart(), report.GetSequence(), now, time.Time{}
 	for _, reported := range report.GetUses() {
-		count(reported.GetOrganisation(), s.add(now, reported))
+		count(reported.GetOrganisation(), s.add(now, reported, l.settlesEstimates))
 	}
 }
 
-func (s *sender) add(now time.Time, reported *wire.QuotaUse) use {
+func (s *sender) add(now time.Time, reported *wire.QuotaUse, settlesEstimates bool) use {
 	current := useFromWire(reported)
 	totals := s.totals[reported.GetOrganisation()]
 	if totals == nil {
@@ -75,6 +82,10 @@
 	added := current.minus(totals.last)
 	totals.last, totals.reportedAt = current, now
 	totals.usage.add(now, float64(added.admitted)-float64(added.returned), lastUsageTime)
+	if settlesEstimates {
+		added.admitted -= min(added.admitted, uint64(totals.charged))
+	}
+	totals.charged = 0
 	return added
 }
 
@@ -98,7 +109,9 @@
 		for organisation, totals := range s.totals {
 			// The average stays at its value of the last report.
 			usage := totals.usage.at(s.heardAt, lastUsageTime)
-			count(organisation, usage*now.Sub(from).Seconds())
+			estimate := max(0, usage*now.Sub(from).Seconds())
+			totals.charged += estimate
+			count(organisation, estimate)
 		}
 	}
 }
--- a/internal/coordination/quota/property_test.go
+++ b/internal/coordination/quota/property_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
 // TestAdmittedSumKeepsBound guards against more requests than the bound, whatever order
@@ -111,6 +113,31 @@
 	assert.Assert(t, uses.GetAdmitted() == 5 && uses.GetOffered() == 5 && uses.GetReturned() == 1)
 }
 
+// TestSilentMemberIsChargedOnce guards against a member that was cut off from the owner and
+// whose usage counts twice: by estimate, and once it reports again.
+func TestSilentMemberIsChargedOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	allocator := NewAllocator(Bound{})
+	allocator.SetLimits(now, map[string]Limit{"o": {Rate: 100, Burst: 1000}})
+	report := func(sequence, total uint64) {
+		allocator.Observe(now, &wire.QuotaReport{Sender: "m", SenderStart: 1, Sequence: sequence, Uses: []*wire.QuotaUse{{Organisation: "o", Offered: total, Admitted: total}}})
+	}
+	for i := range uint64(200) { // 50 requests a second for 10 s
+		now = now.Add(50 * time.Millisecond)
+		report(i+1, 5*(i+1)/2)
+	}
+	silentSince, before := now, allocator.buckets["o"].level
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		allocator.Grant(now, 1)
+	}
+	charged := before + 104*now.Sub(silentSince).Seconds() - allocator.buckets["o"].level
+	assert.Assert(t, charged > 230 && charged < 270, "%v", charged)
+	level := allocator.buckets["o"].level
+	report(201, 500+250)
+	assert.Assert(t, level-allocator.buckets["o"].level < 20, "%v", level-allocator.buckets["o"].level)
+}
+
 // TestReturnedCreditIsUsable guards against requests that were refused without having run and
 // still use up the quota: at twice the rate, of which two thirds are returned, all are
 // admitted.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,6 +33,7 @@
 		{"no control", `["10.0.0.2:7100"]`, `[]`, "control: must name at least one address"},
 		{"log level", `"id":"n"`, `"id":"n","log_level":"loud"`, "log_level: must be debug, info, warn or error"},
 		{"negative", `"id":"n"`, `"id":"n","stop_timeout_ms":-1`, "stop_timeout_ms: must be at least 1"},
+		{"negative quota slack", `"id":"n"`, `"id":"n","quota_slack":-1`, "quota_slack: must not be negative"},
 		{"upstream address", `"id":"n"`, `"id":"n","upstream_address":"example.org:80"`, "upstream_address: host must be an IP address"},
 		{"a key twice", `"id":"n"`, `"id":"m","id":"n"`, "/id occurs twice"},
 		{"trailing data", `"id":"n"`, `"id":"n"} {"id":"n"`, "data after"},
