--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -32,6 +32,7 @@
 	gauge("registry_stale", func() float64 { return float64FromBool(c.registry.Status(time.Now()).Stale) })
 	gauge("claim_records", func() float64 { return float64(c.claimMachine.Stats().Records) })
 	gauge("claim_bytes", func() float64 { return float64(c.claimMachine.Stats().UsedBytes) })
+	gauge("quota_limited", func() float64 { return float64(c.quotas.collector.Limited()) })
 	set.NewGauge("chicorylever_log_lines_dropped_total", func() float64 { return float64(c.options.DroppedLogLines()) })
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
--- a/internal/coordination/quota/collector.go
+++ b/internal/coordination/quota/collector.go
@@ -161,6 +161,13 @@
 	c.shares = grant.GetShares()
 }
 
+// Limited returns the number of organisations that the last grant limits.
+func (c *Collector) Limited() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.shares)
+}
+
 // Grant returns the grant for a node whose report has the sequence. Its validity is what is
 // left of that of the owner's grant; it is 0 once that has expired.
 func (c *Collector) Grant(now time.Time, node string, sequence uint64) *wire.QuotaGrant {
--- a/internal/coordination/quota/scale_test.go
+++ b/internal/coordination/quota/scale_test.go
@@ -89,6 +89,30 @@
 	b.ReportMetric(float64(proto.Size(report(1, 1, 8, 2))), "report-bytes")
 }
 
+// BenchmarkMeter measures a decision at a node, and its memory with many organisations.
+func BenchmarkMeter(b *testing.B) {
+	meter := NewMeter("node", Bound{}, func() float64 { return 0 })
+	meter.SetNodes(6400)
+	now := time.Unix(1000, 0)
+	names := make([]string, manyOrganisations)
+	for o := range names {
+		names[o] = fmt.Sprint("organisation-", o)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for _, name := range names {
+		meter.Admit(now, name, 48, 48)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ResetTimer()
+	for i := range b.N {
+		meter.Admit(now, names[i%manyOrganisations], 48, 48)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+}
+
 // TestControlTraffic guards against more than 16 KB/s between a node and its member, with more
 // organisations limited and used than are listed in one message.
 func TestControlTraffic(t *testing.T) {
--- a/internal/node/quotarefusals.go
+++ b/internal/node/quotarefusals.go
@@ -22,6 +22,8 @@
 	quotaLogLines    = 20
 	// quotaSeries is the number of organisations with a metric of their own.
 	quotaSeries = 20
+	// quotaTracked bounds the organisations whose refusals are counted one by one.
+	quotaTracked = 10_000
 )
 
 // quotaRefusals counts and logs the requests that were refused over a quota.
@@ -29,10 +31,10 @@
 	logger log.Logger
 	grants *metrics.Counter
 
-	mu sync.Mutex
-	// organisations is bounded by the organisations with a rate in the documents that the
-	// node has had.
+	mu            sync.Mutex
 	organisations map[string]*refusedOrganisation
+	// untracked counts the refusals of organisations beyond quotaTracked.
+	untracked uint64
 	// lines counts the log lines since linesSince.
 	lines      int
 	linesSince time.Time
@@ -57,6 +59,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.organisations[organisation]
+	if o == nil && len(r.organisations) >= quotaTracked {
+		r.untracked++
+		return
+	}
 	if o == nil {
 		o = &refusedOrganisation{}
 		r.organisations[organisation] = o
@@ -89,6 +95,7 @@
 	}
 	var all []refused
 	r.mu.Lock()
+	other := r.untracked
 	for name, o := range r.organisations {
 		all = append(all, refused{name, o.total})
 	}
@@ -96,7 +103,6 @@
 	slices.SortFunc(all, func(a, b refused) int {
 		return cmp.Or(cmp.Compare(b.total, a.total), cmp.Compare(a.name, b.name))
 	})
-	var other uint64
 	for i, o := range all {
 		if i >= quotaSeries {
 			other += o.total
