--- a/internal/coordination/quota/table_test.go
+++ b/internal/coordination/quota/table_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -119,21 +120,27 @@
 		limits = append(limits, Limit{rate, rate})
 	}
 	for _, entries := range []int{22, 39, 91} {
-		for i, l := range loads() {
-			seed := uint64(i + 1)
-			system := run(newModel(rand.New(rand.NewPCG(seed, 1)), entries, limits), l, entries, limits, seed)
-			assert.Check(t, system.worst <= 1, "%d entries, %s: organisation %d", entries, l.name, system.worstOrganisation)
-			if !testing.Verbose() {
-				continue
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			t.Parallel()
+			for i, l := range loads() {
+				checkLoad(t, l, entries, limits, uint64(i+1))
 			}
-			fixed := run(&fixedShares{entries, map[[2]int]*counter{}}, l, entries, limits, seed)
-			ideal := run(&perfect{map[int]*counter{}}, l, entries, limits, seed)
-			t.Logf("| %d | %s | %d / %d / %d | %.2f / %.2f / %.2f | %+.1f %% / %+.1f %% |", entries, l.name,
-				system.refusedBelow, fixed.refusedBelow, ideal.refusedBelow,
-				system.worst, fixed.worst, ideal.worst,
-				more(system, ideal), more(fixed, ideal))
-		}
+		})
+	}
+}
+
+func checkLoad(t *testing.T, l load, entries int, limits []Limit, seed uint64) {
+	system := run(newModel(rand.New(rand.NewPCG(seed, 1)), entries, limits), l, entries, limits, seed)
+	assert.Check(t, system.worst <= 1, "%d entries, %s: organisation %d", entries, l.name, system.worstOrganisation)
+	if !testing.Verbose() {
+		return
 	}
+	fixed := run(&fixedShares{entries, map[[2]int]*counter{}}, l, entries, limits, seed)
+	ideal := run(&perfect{map[int]*counter{}}, l, entries, limits, seed)
+	t.Logf("| %d | %s | %d / %d / %d | %.2f / %.2f / %.2f | %+.1f %% / %+.1f %% |", entries, l.name,
+		system.refusedBelow, fixed.refusedBelow, ideal.refusedBelow,
+		system.worst, fixed.worst, ideal.worst,
+		more(system, ideal), more(fixed, ideal))
 }
 
 // more returns how many more requests were admitted than with a perfect counter, in percent.
