--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,6 +63,7 @@
 	leaseExchange *membership.Exchange
 	distributor   *distribute.Server
 	claimService  *claimService
+	quotas        *quotaService
 
 	meshListener net.Listener
 	apiListener  net.Listener
@@ -120,6 +121,8 @@
 	source := &documentSource{machine: c.documentMachine, proposer: c.replicatedLog}
 	c.distributor = distribute.NewServer(source, c.registry, c.collectCounts, c.logger)
 	c.distributor.SetMembers(c.memberAddresses)
+	c.quotas = c.newQuotaService()
+	c.distributor.SetQuotas(c.quotas.collector)
 	c.leaseExchange = c.newLeaseExchange()
 	c.claimService = &claimService{proposer: c.proposerFor(componentClaims), documentMachine: c.documentMachine}
 	return c, nil
@@ -241,6 +244,7 @@
 		c.distributor.Run,
 		c.leaseExchange.Run,
 		c.rolloutDriver.run,
+		c.quotas.run,
 		func(ctx context.Context) { c.burnCollector.Run(ctx, c.proposerFor(componentBurn), c.logger) },
 		newLostNodeDetector(c.registry, c.proposerFor(componentClaims), c.logger).run,
 	}
--- a/internal/coordination/distribute/client.go
+++ b/internal/coordination/distribute/client.go
@@ -101,6 +101,7 @@
 	lastContact atomic.Int64
 	dial        Dialer
 	sink        Sink
+	quotas      QuotaReporter
 	logger      log.Logger
 }
 
