Limit what nodes and control members hold for their clients

Pipelined heads of short fields took 1,183 MB on a node, endless frames on the mesh 611 MB on a node and 786 MB on a control member; readiness stayed unanswered behind 80 bodies that stop a byte short, and a node with 200 descriptors answered nothing behind 600 idle connections.

callerhttp counts heads before they are parsed, bodies read ahead, buffered responses and pipelined requests; httplisten counts heads of the local and admin addresses and of the operators' API and limits the time for a body that the handler did not read; mesh counts streams, their unread bytes and long messages; a node counts bodies and attempts, refuses with the reason memory (not run) and bounds the quotes that wait for a probe. Settings memory_limit_mb and max_descriptors, both reloadable, divide the VM among the listeners.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,6 +24,7 @@
 	"github.com/chicorylever/chicorylever/internal/state/claims"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 	"github.com/chicorylever/chicorylever/internal/state/slo"
+	"github.com/chicorylever/chicorylever/internal/transport/httplisten"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -64,6 +65,7 @@
 
 	meshListener net.Listener
 	apiListener  net.Listener
+	memory       *memory
 }
 
 // New opens the listeners of a member and the replicated log in its data directory.
@@ -86,6 +88,8 @@
 	logger = log.With(logger, "member", s.ID)
 	messageAuthorizer := newAuthorizer(config.TLS != nil, logger)
 	config.RequireControlServer = true
+	limits := newMemory(s)
+	config.Ledger = limits.mesh
 	config.OnServerRefused = messageAuthorizer.logRefusal
 	c := &Control{
 		settings:        s,
@@ -94,6 +98,7 @@
 		meshClient:      mesh.NewClient(config),
 		meshConfig:      config,
 		authorizer:      messageAuthorizer,
+		memory:          limits,
 		apiTLS:          apiTLS,
 		documentMachine: document.NewMachine(),
 		claimMachine:    claims.NewMachine(),
@@ -191,9 +196,10 @@
 	}
 	meshServer := mesh.NewServer(c.meshConfig, c.serveStream)
 	apiServer := api.NewServer(handler, c.apiTLS)
+	apiListener := httplisten.Guard(apiServer, c.apiListener, c.memory.api)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return meshServer.Serve(groupCtx, c.meshListener) })
-	group.Go(func() error { return api.Serve(apiServer, c.apiListener) })
+	group.Go(func() error { return api.Serve(apiServer, apiListener) })
 	for _, task := range c.backgroundTasks() {
 		group.Go(func() error { task(groupCtx); return nil })
 	}
@@ -212,6 +218,7 @@
 // restart; Reload returns the names of those that differ.
 func (c *Control) Reload(s *settings.Control) []string {
 	c.currentSettings.Store(s)
+	c.memory.reload(s)
 	c.replicatedLog.SetJoinAddresses(s.Join)
 	return c.settings.ChangesNeedingRestart(s)
 }
@@ -233,6 +240,7 @@
 	tasks := []func(ctx context.Context){
 		c.expireLeases,
 		c.watchQuorum,
+		c.watchMemory,
 		c.distributor.Run,
 		c.leaseExchange.Run,
 		func(ctx context.Context) { c.burnCollector.Run(ctx, c.proposerFor(componentBurn), c.logger) },
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/chicorylever/chicorylever/internal/obs"
 )
 
 // metricsHandler returns the handler that serves the member's metrics in the Prometheus
 // text format.
 func (c *Control) metricsHandler() http.Handler {
 	set := metrics.NewSet()
+	obs.RegisterMemory(set, c.memory.byListener())
 	gauge := func(name string, read func() float64) { set.NewGauge("chicorylever_control_"+name, read) }
 	gauge("leader", func() float64 {
 		status := c.replicatedLog.Status()
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
@@ -62,6 +63,9 @@
 	deadline       time.Time
 	headers        []*wire.Header
 
+	// hold counts the bytes held for the call beside those that its connection counts.
+	hold *memlimit.Hold
+
 	// body is the whole body, or its first part when streamed is set.
 	body     []byte
 	streamed bool
@@ -108,6 +112,7 @@
 		return nil, errInvalidTarget
 	}
 	c := &call{
+		hold:       memlimit.NewHold(memlimit.FromContext(r.Context())),
 		request:    r,
 		view:       view,
 		limits:     limitsWithDefaults(view.Doc),
--- a/internal/node/callbody.go
+++ b/internal/node/callbody.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 // bufferBody reads the body into memory when it has at most maxBufferedBodyBytes, and
@@ -16,6 +18,9 @@
 		c.bodyLength = 0
 		return nil
 	}
+	if err := c.hold.Acquire(time.Now(), c.bodyMemory()); err != nil {
+		return err
+	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(c.deadline)
 	body := http.MaxBytesReader(w, c.request.Body, c.limits.MaxBodyBytes)
@@ -39,6 +44,14 @@
 	return err
 }
 
+// bodyMemory returns the bytes that are held for the body.
+func (c *call) bodyMemory() int64 {
+	if c.bodyLength < 0 || c.bodyLength > maxBufferedBodyBytes {
+		return memlimit.BodyCopies * maxBufferedBodyBytes
+	}
+	return memlimit.BodyCopies * c.bodyLength
+}
+
 // finishBufferedRead removes the read deadline after a buffered body was read. Otherwise
 // the deadline would end the read by which the HTTP server detects that the caller has
 // closed its connection. After a failed read the deadline stays; the HTTP server removes
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -34,6 +35,7 @@
 		rejectCall(w, err)
 		return
 	}
+	defer c.hold.Release()
 	if c.urgency == overload.Nested {
 		n.upstream.requestTracker.CallBegan(c.parentRequestID, c.started)
 		defer func() { n.upstream.requestTracker.CallEnded(c.parentRequestID, time.Now()) }()
@@ -52,7 +54,7 @@
 		}
 	}()
 	if err := c.bufferBody(w); err != nil {
-		rejectBody(w, err)
+		n.rejectBody(w, r, err)
 		return
 	}
 	n.awaitFirstInstances(ctx, c.service)
@@ -80,7 +82,12 @@
 }
 
 // rejectBody responds to a request whose body could not be read.
-func rejectBody(w http.ResponseWriter, err error) {
+func (n *Node) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
+	var noMemory *memlimit.RefusedError
+	if errors.As(err, &noMemory) {
+		n.refuseForMemory(w, r)
+		return
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		rejectCall(w, errBodyTooLarge)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -166,7 +166,7 @@
 
 func (r *responseWriter) write(data []byte) error {
 	r.bodyBytes += uint64(len(data))
-	if !r.headWritten && len(r.buffered)+len(data) <= maxBufferedBodyBytes {
+	if !r.headWritten && len(r.buffered)+len(data) <= maxBufferedBodyBytes && r.call.hold.TryAcquire(2*int64(len(data))) {
 		if r.buffered == nil {
 			r.buffered = data // messages do not share memory
 		} else {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -166,6 +167,7 @@
 // registerGauges adds the gauges that are computed when the metrics are read.
 func (n *Node) registerGauges() {
 	set := n.metrics.set
+	obs.RegisterMemory(set, n.memory.byListener())
 	loadGauge := func(read func(*wire.LoadReport) float64) func() float64 {
 		return func() float64 { return read(n.upstream.gate.Report()) }
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,9 +31,8 @@
 )
 
 const (
-	maxEntryConnections = 20000
-	maxLocalConnections = 4096
-	maxAdminConnections = 64
+	// maxAdminHeaderBytes bounds the head of a request to the admin address.
+	maxAdminHeaderBytes = 16 << 10
 
 	// refusalQuietPeriod is the time without an attempt after which a stopping node closes
 	// its connections. Control's next difference reaches the entry nodes in about 60 ms.
@@ -86,6 +85,7 @@
 	upstream        *upstream
 	balancer        *balancer
 	metrics         *nodeMetrics
+	memory          *memory
 	settler         *claimSettler
 	suspension      suspension.Detector
 	splitter        trafficSplitter
@@ -126,6 +126,8 @@
 	config.OnServerRefused = func(err *mesh.PermissionError) {
 		_ = refusalLogger.Log("msg", "control member refused", "peer", err.Peer.Name, "err", err)
 	}
+	limits := newMemory(s)
+	config.Ledger = limits.mesh
 	n := &Node{
 		settings:             s,
 		options:              options,
@@ -137,6 +139,7 @@
 		rejectionLogger:      obs.RateLimit(level.Warn(log.With(logger, "node", s.ID)), refusalLogInterval),
 		startedAtNs:          uint64(time.Now().UnixNano()), //nolint:gosec // positive since 1970
 		metrics:              newNodeMetrics(),
+		memory:               limits,
 		client:               mesh.NewClient(config),
 	}
 	n.upstream = newUpstream(n.dialect, admission.ColdTolerance{Factor: s.ColdFactor, Slack: s.ColdSlack}, n.logger)
@@ -211,15 +214,19 @@
 // Run serves requests until ctx ends, then finishes accepted requests and stops.
 func (n *Node) Run(ctx context.Context) error {
 	entry := callerhttp.NewServer(http.HandlerFunc(n.handleCall), n.callerLimits, n.logPanic)
+	entry.LimitMemory(n.memory.callers, n.refuseForMemory)
 	local := httplisten.NewServer(n.localRoutes())
+	localListener := httplisten.Guard(local, n.localListener, n.memory.local)
 	admin := httplisten.NewServer(n.adminRoutes())
+	admin.MaxHeaderBytes = maxAdminHeaderBytes
+	adminListener := httplisten.Guard(admin, n.adminListener, n.memory.admin)
 	group, groupCtx := errgroup.WithContext(ctx)
 	// The services that accepted requests need keep running until these have finished.
 	backgroundCtx, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	group.Go(func() error { return ignoreClosed(entry.Serve(httplisten.Limit(n.entryListener, maxEntryConnections))) })
-	group.Go(func() error { return ignoreClosed(local.Serve(httplisten.Limit(n.localListener, maxLocalConnections))) })
-	group.Go(func() error { return ignoreClosed(admin.Serve(httplisten.Limit(n.adminListener, maxAdminConnections))) })
+	group.Go(func() error { return ignoreClosed(entry.Serve(n.entryListener)) })
+	group.Go(func() error { return ignoreClosed(local.Serve(localListener)) })
+	group.Go(func() error { return ignoreClosed(admin.Serve(adminListener)) })
 	group.Go(func() error { return n.server.Serve(backgroundCtx, n.meshListener) })
 	controlCtx, stopControl := context.WithCancel(backgroundCtx)
 	defer stopControl()
@@ -233,6 +240,7 @@
 		group.Go(func() error { n.quotes.Serve(n.answerQuote); return nil })
 	}
 	group.Go(func() error { n.watchState(backgroundCtx); return nil })
+	group.Go(func() error { n.watchMemory(backgroundCtx); return nil })
 	group.Go(func() error { n.suspension.Run(backgroundCtx); return nil })
 	group.Go(func() error { n.discoverUpstream(controlCtx); return nil })
 	group.Go(func() error {
@@ -259,6 +267,7 @@
 func (n *Node) Reload(s *settings.Node) []string {
 	n.subscription.SetMembers(s.Control)
 	n.liveSettings.Store(s)
+	n.memory.reload(s)
 	return n.settings.ChangesNeedingRestart(s)
 }
 
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -24,6 +24,9 @@
 	// suspectDuration is how long an upstream that refused a connection counts as cold,
 	// unless it announces itself earlier.
 	suspectDuration = 3 * time.Second
+	// maxProbeCallbacks bounds the quotes that wait for a probe; further ones get the last
+	// report.
+	maxProbeCallbacks = 1024
 	// maxProbeBytes bounds the body of a health response.
 	maxProbeBytes = 64 << 10
 	// defaultProbesPerSecond is the measurement budget of an upstream whose service has a
@@ -43,6 +46,11 @@
 		done()
 		return
 	}
+	if u.probing && len(u.probeCallbacks) >= maxProbeCallbacks {
+		u.mu.Unlock()
+		done()
+		return
+	}
 	if u.probing {
 		u.probeCallbacks = append(u.probeCallbacks, done)
 		u.mu.Unlock()
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
 	"github.com/chicorylever/chicorylever/internal/node/msgstream"
@@ -105,6 +107,12 @@
 // key, and forwards it to the upstream. It holds the permit until the work at the
 // upstream has ended.
 func (r *receivedAttempt) run(ctx context.Context, cancel context.CancelFunc) {
+	hold := memlimit.NewHold(memlimit.FromContext(ctx))
+	defer hold.Release()
+	if hold.Acquire(time.Now(), r.memoryBytes()) != nil {
+		r.refuse(wire.RefusalReason_REFUSAL_MEMORY, "no memory for the attempt")
+		return
+	}
 	if !r.streamed {
 		if err := r.receiveBody(); err != nil {
 			return
@@ -133,6 +141,16 @@
 	outcome = r.forward(ctx, cancel)
 }
 
+// memoryBytes returns the bytes that are held for the attempt: those of its head, and of a
+// buffered body and its messages.
+func (r *receivedAttempt) memoryBytes() int64 {
+	bytes := memlimit.HeadBytes(proto.Size(r.head), len(r.head.GetHeaders()))
+	if r.streamed {
+		return bytes
+	}
+	return bytes + memlimit.BodyCopies*r.head.GetBodyLength()
+}
+
 // cancelOnClose cancels the attempt when the entry node closes the stream. It is the last
 // user of the stream's reader and releases it.
 func cancelOnClose(stream msgstream.Stream, cancel context.CancelFunc) {
--- a/internal/program/daemons.go
+++ b/internal/program/daemons.go
@@ -8,26 +8,25 @@
 	"github.com/go-kit/log"
 
 	"github.com/chicorylever/chicorylever/internal/control"
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/node"
 	"github.com/chicorylever/chicorylever/internal/settings"
 )
 
 const (
-	// gcPercent and memoryLimitBytes trade memory for fewer garbage collections, which add
-	// to request latency. A node may use 128 MB.
-	gcPercent        = 100
-	memoryLimitBytes = 96 << 20
+	// gcPercent trades memory for fewer garbage collections, which add to request latency.
+	gcPercent = 100
 )
 
 // Node returns a Daemon that runs a node and reloads its settings file.
 func Node(options node.Options) Daemon {
 	options.DroppedLogLines = logOutput.Dropped
 	return func(ctx context.Context, path string) error {
-		tuneGC()
 		s, err := settings.LoadNode(path)
 		if err != nil {
 			return err
 		}
+		tuneGC(s.MemoryLimitMB)
 		logger, err := Logger(s.LogLevel)
 		if err != nil {
 			return err
@@ -43,6 +42,7 @@
 			if err != nil {
 				return nil, err
 			}
+			tuneGC(next.MemoryLimitMB)
 			return n.Reload(next), nil
 		})
 		return n.Run(ctx)
@@ -50,10 +50,10 @@
 }
 
 // tuneGC configures the garbage collector unless the environment does.
-func tuneGC() {
+func tuneGC(memoryMB int) {
 	if os.Getenv("GOGC") == "" && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetGCPercent(gcPercent)
-		debug.SetMemoryLimit(memoryLimitBytes)
+		debug.SetMemoryLimit(memlimit.SoftLimit(int64(memoryMB) << 20))
 	}
 }
 
@@ -65,6 +65,7 @@
 		if err != nil {
 			return err
 		}
+		tuneGC(s.MemoryLimitMB)
 		logger, err := Logger(s.LogLevel)
 		if err != nil {
 			return err
@@ -87,6 +88,7 @@
 		if err != nil {
 			return nil, err
 		}
+		tuneGC(next.MemoryLimitMB)
 		return c.Reload(next), nil
 	})
 	return c.Run(ctx)
--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -47,6 +47,17 @@
 	check         func(*wire.Envelope) error
 	encodeBuffer  []byte // reused to encode messages
 	receiveBuffer []byte // reused for messages larger than the reader's buffer
+	// memory counts what is held for large messages; nil counts nothing. messageBytes are
+	// counted for the last message.
+	memory       Memory
+	messageBytes int64
+}
+
+// Memory counts bytes held for the messages of a stream. AcquireMemory returns an error when they
+// may not be held, which ends the stream.
+type Memory interface {
+	AcquireMemory(bytes int64) error
+	ReleaseMemory(bytes int64)
 }
 
 var (
@@ -54,7 +65,8 @@
 	writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
 )
 
-// NewConn returns a Conn on the stream, with read and write buffers from the pools.
+// NewConn returns a Conn on the stream, with read and write buffers from the pools. If the stream
+// implements Memory, it counts the messages that are longer than maxRetainedBytes.
 func NewConn(stream io.ReadWriter) *Conn {
 	c := &Conn{
 		reader: readerPool.Get().(*bufio.Reader),
@@ -62,6 +74,7 @@
 	}
 	c.reader.Reset(stream)
 	c.writer.Reset(stream)
+	c.memory, _ = stream.(Memory)
 	return c
 }
 
@@ -144,6 +157,7 @@
 
 // ReceiveAny is like Receive but does not check the attempt ID of the message.
 func (c *Conn) ReceiveAny() (*wire.Envelope, error) {
+	c.releaseMessage()
 	size, err := binary.ReadUvarint(c.reader)
 	if err != nil {
 		return nil, receiveError(err)
@@ -193,9 +207,7 @@
 		_, err := io.ReadFull(c.reader, encoded)
 		return encoded, toUnexpectedEOF(err)
 	}
-	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, c.reader, int64(size))
-	return buffer.Bytes(), toUnexpectedEOF(err)
+	return c.readLarge(size)
 }
 
 // toUnexpectedEOF replaces io.EOF, when the stream ends within a message, by
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -52,6 +52,12 @@
 	APITLSKey  string `json:"api_tls_key,omitempty"`
 	// StopTimeoutMs is the timeout of a graceful stop in milliseconds; default 10000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
+	// MemoryLimitMB is the memory of the VM in MiB; default 280. What the member holds for
+	// clients is limited to parts of it.
+	MemoryLimitMB int `json:"memory_limit_mb,omitempty"`
+	// MaxDescriptors is the number of descriptors that the member may open; default is the
+	// limit of the process. Connections of clients get parts of it.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -72,6 +78,9 @@
 	if s.StopTimeoutMs == 0 {
 		s.StopTimeoutMs = 10000
 	}
+	if s.MemoryLimitMB == 0 {
+		s.MemoryLimitMB = DefaultControlMemoryMB
+	}
 	s.Bootstrap = withPorts(s.Bootstrap, s.MemberPort)
 	s.Join = withPorts(s.Join, s.MemberPort)
 	if s.LogLevel == "" {
@@ -90,6 +99,7 @@
 		checkNotNegative("member_port", s.MemberPort),
 		checkToleratedLosses(s.ToleratedLosses),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
+		checkResources(s.MemoryLimitMB, s.MaxDescriptors),
 		s.checkMemberAddresses(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		s.checkAPITLS(),
@@ -129,7 +139,7 @@
 	withoutReloadable := func(c *Control) Control {
 		copied := *c
 		copied.Bootstrap, copied.Join, copied.BootstrapDocument, copied.MemberPort = nil, nil, "", 0
-		copied.StopTimeoutMs = 0
+		copied.StopTimeoutMs, copied.MemoryLimitMB, copied.MaxDescriptors = 0, 0, 0
 		return copied
 	}
 	return differingFields(withoutReloadable(s), withoutReloadable(next))
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -58,6 +58,12 @@
 	UpstreamAddress string `json:"upstream_address,omitempty"`
 	// StopTimeoutMs is the timeout of a graceful stop in milliseconds; default 30000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
+	// MemoryLimitMB is the memory of the VM in MiB; default 184. What the node holds for
+	// clients is limited to parts of it.
+	MemoryLimitMB int `json:"memory_limit_mb,omitempty"`
+	// MaxDescriptors is the number of descriptors that the node may open; default is the
+	// limit of the process. Connections of clients get parts of it.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 }
 
 // LoadNode reads and validates the settings file of a node.
@@ -77,6 +83,9 @@
 	if s.StopTimeoutMs == 0 {
 		s.StopTimeoutMs = 30000
 	}
+	if s.MemoryLimitMB == 0 {
+		s.MemoryLimitMB = DefaultNodeMemoryMB
+	}
 }
 
 func (s *Node) check() *Error {
@@ -98,6 +107,7 @@
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		checkLogLevel(s.LogLevel),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
+		checkResources(s.MemoryLimitMB, s.MaxDescriptors),
 	)
 }
 
@@ -139,6 +149,7 @@
 		copied := *n
 		copied.Control, copied.ControlPort = nil, 0
 		copied.Service, copied.StopDelayMs, copied.StopTimeoutMs = "", 0, 0
+		copied.MemoryLimitMB, copied.MaxDescriptors = 0, 0
 		return copied
 	}
 	return differingFields(withoutReloadable(s), withoutReloadable(next))
--- a/internal/transport/callerhttp/body.go
+++ b/internal/transport/callerhttp/body.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 // errBodyNotRead reports that the handler did not read the request body and that the rest is
@@ -24,6 +26,11 @@
 	expectsContinue bool
 	// sendContinue sends the 100 Continue response, which asks the caller for the body.
 	sendContinue func()
+	// account counts the bytes of buffered; nil counts nothing.
+	account *memlimit.Account
+	// array is the memory of buffered, and counted the number of bytes counted for it.
+	array   []byte
+	counted int64
 
 	mu       sync.Mutex
 	cond     *sync.Cond
@@ -50,7 +57,9 @@
 			return errBodyNotRead
 		}
 	}
-	buffer := make([]byte, 16<<10)
+	b.count(bodyBufferBytes)
+	defer b.release(bodyBufferBytes)
+	buffer := make([]byte, bodyBufferBytes)
 	discarded := 0
 	for {
 		n, err := b.source.Read(buffer)
@@ -74,7 +83,7 @@
 func (b *requestBody) appendData(data []byte, err error) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.buffered) >= maxBufferedBodyBytes && !b.closed {
+	for !b.closed && !b.mayBufferLocked(len(data)) {
 		b.cond.Wait()
 	}
 	if !b.closed {
@@ -101,6 +110,9 @@
 		if len(b.buffered) > 0 {
 			n := copy(p, b.buffered)
 			b.buffered = b.buffered[n:]
+			if len(b.buffered) == 0 {
+				b.emptyLocked()
+			}
 			b.cond.Broadcast()
 			return n, nil
 		}
@@ -121,7 +133,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
-	b.buffered = nil
+	b.dropLocked()
 	if b.timer != nil {
 		b.timer.Stop()
 	}
@@ -157,3 +169,54 @@
 	defer b.mu.Unlock()
 	return errors.Is(b.err, io.EOF)
 }
+
+// mayBufferLocked makes room for size bytes and counts it. It returns false when the buffer may
+// not grow. An empty buffer always may, so that the body advances when memory is short.
+func (b *requestBody) mayBufferLocked(size int) bool {
+	needed := len(b.buffered) + size
+	switch {
+	case len(b.buffered) >= maxBufferedBodyBytes:
+		return false
+	case needed <= cap(b.buffered):
+		return true
+	}
+	bytes := bufferGrowth * int64(needed)
+	if len(b.buffered) == 0 {
+		b.count(bytes)
+	} else if b.account != nil && !b.account.TryAcquire(bytes) {
+		return false
+	}
+	b.array = make([]byte, 0, bytes)
+	b.buffered = append(b.array, b.buffered...)
+	b.release(b.counted)
+	b.counted = bytes
+	return true
+}
+
+// emptyLocked keeps a small buffer for the next bytes and releases a larger one.
+func (b *requestBody) emptyLocked() {
+	if b.counted > maxKeptBufferBytes {
+		b.dropLocked()
+		return
+	}
+	b.buffered = b.array[:0]
+}
+
+// dropLocked releases the buffer.
+func (b *requestBody) dropLocked() {
+	b.buffered, b.array = nil, nil
+	b.release(b.counted)
+	b.counted = 0
+}
+
+func (b *requestBody) count(bytes int64) {
+	if b.account != nil {
+		b.account.Force(bytes)
+	}
+}
+
+func (b *requestBody) release(bytes int64) {
+	if b.account != nil && bytes > 0 {
+		b.account.Release(bytes)
+	}
+}
--- a/internal/transport/callerhttp/conn.go
+++ b/internal/transport/callerhttp/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 // ioBufferBytes is the size of the read buffer of a connection and of the write buffer of a
@@ -27,6 +29,10 @@
 	cancel context.CancelFunc
 	// pipelineSlots limits the outstanding requests to maxPipelined.
 	pipelineSlots chan struct{}
+	// account counts the bytes held for the caller. exchangeEnded gets a value when a request
+	// has released its bytes.
+	account       *memlimit.Account
+	exchangeEnded chan struct{}
 
 	mu sync.Mutex
 	// outstanding is the number of requests whose exchange has not ended.
@@ -48,11 +54,12 @@
 func newConn(server *Server, netConn net.Conn) *conn {
 	c := &conn{
 		server:        server,
-		netConn:       netConn,
-		reader:        bufio.NewReaderSize(netConn, ioBufferBytes),
 		pipelineSlots: make(chan struct{}, maxPipelined),
 		responsesDone: make(chan struct{}),
+		exchangeEnded: make(chan struct{}, 1),
 	}
+	c.netConn = &movedConn{Conn: netConn, owner: c}
+	c.reader = bufio.NewReaderSize(c.netConn, ioBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -61,6 +68,7 @@
 // and closes it after the last response.
 func (c *conn) serve() {
 	defer c.server.remove(c)
+	defer c.account.Close()
 	defer func() { _ = c.netConn.Close() }()
 	defer c.cancel()
 	c.readRequests()
@@ -105,6 +113,9 @@
 	case <-c.ctx.Done():
 		return false
 	}
+	if !c.awaitPipelineMemory() {
+		return false
+	}
 	c.mu.Lock()
 	if c.closing {
 		c.mu.Unlock()
@@ -181,7 +192,9 @@
 
 // readBody reads the body of the request and returns false when no request may follow it.
 func (c *conn) readBody(x *exchange) bool {
-	if x.body != nil {
+	if x.body == nil {
+		x.beginWaiting()
+	} else {
 		if err := x.body.readFromConn(x.done); err != nil {
 			if !errors.Is(err, errBodyNotRead) {
 				c.handleReadError(err)
@@ -189,6 +202,7 @@
 			c.startClosing()
 			return false
 		}
+		x.beginWaiting()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -214,6 +228,10 @@
 // endExchange ends an exchange whose response is complete or has failed.
 func (c *conn) endExchange() {
 	<-c.pipelineSlots
+	select {
+	case c.exchangeEnded <- struct{}{}:
+	default:
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outstanding--
--- a/internal/transport/callerhttp/exchange.go
+++ b/internal/transport/callerhttp/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 var (
@@ -52,15 +54,24 @@
 	// hasWriteDeadline is set once the handler has set a write deadline.
 	hasWriteDeadline bool
 	writer           *bufio.Writer
+	// hold counts the bytes held for the request.
+	hold *memlimit.Hold
+
+	// waitMu guards isWaiting, which is set while the caller waits for the response, and
+	// waitEnded.
+	waitMu               sync.Mutex
+	isWaiting, waitEnded bool
 }
 
 func newExchange(c *conn, request *http.Request, previousDone <-chan struct{}) *exchange {
 	x := &exchange{conn: c, previousDone: previousDone, done: make(chan struct{}), header: http.Header{}, contentLength: -1}
+	x.hold = memlimit.NewHold(c.account)
 	x.closeAfter = request.Close || !request.ProtoAtLeast(1, 1)
 	request.Body = http.NoBody
 	if reader := newBodyReader(request, c.reader); reader != nil {
 		expectsContinue := strings.EqualFold(request.Header.Get("Expect"), "100-continue")
 		x.body = newRequestBody(reader, expectsContinue, x.sendContinue)
+		x.body.account = c.account
 		request.Body = x.body
 	}
 	request.RemoteAddr = remoteAddress(c)
@@ -87,10 +98,13 @@
 			}
 		}
 	}()
-	if x.rejectStatus != 0 {
-		x.WriteHeader(x.rejectStatus)
-	} else {
+	switch x.rejectStatus {
+	case 0:
 		x.conn.server.handler.ServeHTTP(x, x.request)
+	case http.StatusServiceUnavailable:
+		x.conn.server.refuse(x, x.request)
+	default:
+		x.WriteHeader(x.rejectStatus)
 	}
 	if err := x.completeResponse(); err != nil {
 		x.conn.abort()
@@ -109,6 +123,9 @@
 	if x.body != nil {
 		_ = x.body.Close()
 	}
+	x.endWaiting()
+	x.bufferedBody = nil
+	x.hold.Release()
 	close(x.done)
 	x.conn.endExchange()
 }
@@ -133,7 +150,7 @@
 	if !x.allowsBody() {
 		return len(p), nil
 	}
-	if !x.started && len(x.bufferedBody)+len(p) <= maxBufferedResponseBytes {
+	if !x.started && len(x.bufferedBody)+len(p) <= maxBufferedResponseBytes && x.hold.TryAcquire(bufferGrowth*int64(len(p))) {
 		x.bufferedBody = append(x.bufferedBody, p...)
 		return len(p), nil
 	}
@@ -212,6 +229,7 @@
 	if err := x.awaitPreviousResponses(); err != nil {
 		return err
 	}
+	x.endWaiting()
 	x.started = true
 	if !x.hasWriteDeadline {
 		_ = x.conn.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/transport/callerhttp/linger.go
+++ b/internal/transport/callerhttp/linger.go
@@ -17,7 +17,7 @@
 	// whose bytes may never end.
 	maxRejectedBytes = 256 << 10
 	// lingerBufferBytes is the size of the buffer for reads that are discarded.
-	lingerBufferBytes = 32 << 10
+	lingerBufferBytes = 4 << 10
 )
 
 // linger discards what the caller still sends until it closes the connection, pauses, or
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 var (
@@ -23,13 +25,24 @@
 // readExchange reads the head of a request and returns its exchange, or the status to
 // reject the request with, or neither when the caller has disconnected.
 func (c *conn) readExchange(previousDone <-chan struct{}) (x *exchange, rejectStatus int) {
-	head, err := readHead(c.reader, c.limits().MaxHeaderBytes)
+	hold := memlimit.NewHold(c.account)
+	defer func() {
+		if x == nil {
+			hold.Release()
+		}
+	}()
+	head, err := readCountedHead(c.reader, c.limits().MaxHeaderBytes, func(bytes int64) error { return c.acquire(hold, bytes) })
 	var request *http.Request
+	if err == nil {
+		err = c.acquire(hold, memlimit.HeadBytes(len(head), bytes.Count(head, []byte("\n"))))
+	}
 	if err == nil {
 		request, err = parseHead(head)
 	}
 	switch {
 	case err == nil:
+	case errors.Is(err, errNoMemory):
+		return nil, http.StatusServiceUnavailable
 	case errors.Is(err, errFieldsTooLarge):
 		return nil, http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -40,13 +53,22 @@
 	default:
 		return nil, http.StatusBadRequest
 	}
-	return newExchange(c, request, previousDone), 0
+	x = newExchange(c, request, previousDone)
+	x.hold = hold
+	return x, 0
 }
 
 // readHead reads up to the empty line after the last header field. It returns no head after
 // a read error.
 func readHead(reader *bufio.Reader, limit int) ([]byte, error) {
+	return readCountedHead(reader, limit, func(int64) error { return nil })
+}
+
+// readCountedHead is like readHead, and calls acquire before it holds more than
+// uncountedHeadBytes.
+func readCountedHead(reader *bufio.Reader, limit int, acquire func(bytes int64) error) ([]byte, error) {
 	var head []byte
+	countedBytes := uncountedHeadBytes
 	skippedBytes := 0
 	atLineStart := true
 	for {
@@ -62,10 +84,16 @@
 			}
 			continue
 		}
-		head = append(head, part...)
-		if len(head) > limit {
+		if len(head)+len(part) > limit {
 			return nil, errFieldsTooLarge
 		}
+		if len(head)+len(part) > countedBytes {
+			if err := acquire(bufferGrowth * uncountedHeadBytes); err != nil {
+				return nil, err
+			}
+			countedBytes += uncountedHeadBytes
+		}
+		head = append(head, part...)
 		atLineStart = err == nil
 		if isEmpty && err == nil {
 			return head, nil
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 const (
@@ -73,6 +75,9 @@
 	limits  func() Limits
 	// reportPanic is called with the value of a panic of the handler.
 	reportPanic func(value any)
+	// ledger counts the bytes held for callers; refuse responds when there are too many.
+	ledger *memlimit.Ledger
+	refuse http.HandlerFunc
 
 	mu           sync.Mutex
 	conns        map[*conn]struct{}
@@ -86,7 +91,12 @@
 // open connections too. It calls reportPanic for each panic of the handler other than
 // http.ErrAbortHandler. Any panic aborts the connection.
 func NewServer(handler http.Handler, limits func() Limits, reportPanic func(value any)) *Server {
-	return &Server{handler: handler, limits: limits, reportPanic: reportPanic, conns: map[*conn]struct{}{}, allConnsClosed: make(chan struct{})}
+	return &Server{
+		handler: handler, limits: limits, reportPanic: reportPanic,
+		ledger: memlimit.NewLedger(memlimit.Limits{}),
+		refuse: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		conns:  map[*conn]struct{}{}, allConnsClosed: make(chan struct{}),
+	}
 }
 
 // Serve accepts connections until the listener is closed; it then returns ErrClosed.
@@ -102,10 +112,16 @@
 			continue
 		}
 		c := newConn(s, netConn)
+		if !c.openAccount() {
+			_ = netConn.Close()
+			continue
+		}
 		if !s.add(c) {
+			c.account.Close()
 			_ = netConn.Close()
 			continue
 		}
+		limitSocket(netConn, s.Connections())
 		go c.serve()
 	}
 }
--- a/internal/transport/mesh/accepted.go
+++ b/internal/transport/mesh/accepted.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -16,6 +17,8 @@
 	session *session
 	// isIdle is guarded by the server's lock.
 	isIdle bool
+	// messageBytes are counted for messages that the handler holds.
+	messageBytes atomic.Int64
 }
 
 // EndExchange ends an exchange and makes the stream idle. It returns false when the
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -209,7 +209,7 @@
 		return nil, err
 	}
 	deadline, _ := ctx.Deadline()
-	s, err := newSession(raw, config, deadline, clientSide)
+	s, err := newSession(raw, config, deadline, clientSide, nil)
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/internal/transport/mesh/config.go
+++ b/internal/transport/mesh/config.go
@@ -11,6 +11,8 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 // Class is a traffic class. Each class of a peer has its own TCP connection.
@@ -79,6 +81,9 @@
 	MaxStreams int
 	// MaxSessions bounds the accepted connections of a server.
 	MaxSessions int
+	// Ledger counts what a server holds for its accepted connections, and decides which of
+	// them are closed; nil counts nothing.
+	Ledger *memlimit.Ledger
 }
 
 // DefaultConfig returns the default settings, which detect a silent connection in about
--- a/internal/transport/mesh/server.go
+++ b/internal/transport/mesh/server.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 // acceptRetryDelay is the delay before the next accept after one has failed.
@@ -80,7 +82,17 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	sess, err := newSession(conn, s.config, acceptHandshakeDeadline(s.config), serverSide)
+	account, err := s.openAccount(conn)
+	if err != nil {
+		s.releaseConn(nil)
+		_ = conn.Close()
+		return
+	}
+	if account != nil {
+		ctx = memlimit.WithAccount(ctx, account)
+		defer account.Close()
+	}
+	sess, err := newSession(conn, s.config, acceptHandshakeDeadline(s.config), serverSide, account)
 	defer s.releaseConn(sess)
 	if err != nil {
 		_ = conn.Close()
@@ -100,8 +112,11 @@
 			return
 		}
 		sess.wakeWatchdog()
-		if sess.NumStreams() > s.config.MaxStreams {
+		if sess.NumStreams() > s.config.MaxStreams || sess.counted != nil && sess.counted.isRefused(stream.StreamID()) {
 			_ = stream.Close()
+			if sess.counted != nil {
+				sess.counted.handlerEnded(stream.StreamID())
+			}
 			continue
 		}
 		if !s.addActive() {
@@ -111,12 +126,22 @@
 		go func() {
 			a := &Accepted{Stream: stream, server: s, session: sess}
 			defer s.endHandler(a)
+			defer a.endMemory()
 			defer func() { _ = stream.Close() }()
 			s.handler(ctx, a)
 		}()
 	}
 }
 
+// openAccount opens the account of a connection, nil without a ledger.
+func (s *Server) openAccount(conn net.Conn) (*memlimit.Account, error) {
+	if s.config.Ledger == nil {
+		return nil, nil
+	}
+	address, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	return s.config.Ledger.Open(time.Now(), address, sessionBytes, func() { _ = conn.Close() })
+}
+
 // addActive counts the handler of a new stream. It returns false after Close, which may
 // already be waiting for the last handler.
 func (s *Server) addActive() bool {
--- a/internal/transport/mesh/session.go
+++ b/internal/transport/mesh/session.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 )
 
 // keepAlive detects idle connections whose peer no longer exists. The default probes
@@ -27,6 +29,8 @@
 type session struct {
 	*yamux.Session
 	activity *activityConn
+	// counted counts what is held for an accepted session; nil for a dialled one.
+	counted *countedConn
 	// remote is the identity of the peer.
 	remote Identity
 	// wake makes the watchdog check the session, for example after a stream was opened or
@@ -49,8 +53,8 @@
 
 // newSession performs the TLS and the mesh handshake on the connection and starts yamux.
 // The handshakes must complete by the deadline. The caller closes the connection after
-// an error.
-func newSession(raw net.Conn, config Config, deadline time.Time, s side) (*session, error) {
+// an error. account counts what is held for the session; nil counts nothing.
+func newSession(raw net.Conn, config Config, deadline time.Time, s side, account *memlimit.Account) (*session, error) {
 	if err := raw.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
@@ -69,6 +73,11 @@
 	if err := raw.SetDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
+	var counted *countedConn
+	if account != nil {
+		counted = newCountedConn(secured, account)
+		secured = counted
+	}
 	start := yamux.Client
 	if s == serverSide {
 		start = yamux.Server
@@ -78,7 +87,7 @@
 		return nil, err
 	}
 	created := &session{
-		Session: yamuxSession, activity: activity, remote: remote,
+		Session: yamuxSession, activity: activity, counted: counted, remote: remote,
 		wake: make(chan struct{}, 1), streams: map[*Stream]struct{}{},
 	}
 	created.idlePool.session = created
