Count streamed responses, hedged bodies and the bodies of the operators' API

A caller that reads a long response slowly makes its entry hold the receive window of the stream (256 KB, in a buffer of up to twice that), a hedged request holds its body again, and a patch of up to 8 MB is read whole by a control member before it is decoded. These are now counted; what can't be refused any more closes the largest stalled client instead.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -195,7 +195,7 @@
 		return err
 	}
 	meshServer := mesh.NewServer(c.meshConfig, c.serveStream)
-	apiServer := api.NewServer(handler, c.apiTLS)
+	apiServer := api.NewServer(httplisten.CountBodies(handler), c.apiTLS)
 	apiListener := httplisten.Guard(apiServer, c.apiListener, c.memory.api)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return meshServer.Serve(groupCtx, c.meshListener) })
--- a/internal/coordination/memlimit/hold.go
+++ b/internal/coordination/memlimit/hold.go
@@ -19,8 +19,8 @@
 	return a
 }
 
-// Hold counts the bytes held for one request, which are released together at its end. The zero
-// value counts nothing.
+// Hold counts the bytes held for one request, which are released together at its end. A nil
+// hold, and one without an account, counts nothing.
 type Hold struct {
 	account *Account
 	bytes   atomic.Int64
@@ -31,7 +31,7 @@
 
 // Acquire counts bytes before they are held; see Account.Acquire.
 func (h *Hold) Acquire(now time.Time, bytes int64) error {
-	if h.account == nil {
+	if h == nil || h.account == nil {
 		return nil
 	}
 	if err := h.account.Acquire(now, bytes); err != nil {
@@ -43,6 +43,9 @@
 
 // Release releases all that the request holds.
 func (h *Hold) Release() {
+	if h == nil {
+		return
+	}
 	if bytes := h.bytes.Swap(0); bytes > 0 {
 		h.account.Release(bytes)
 	}
@@ -50,7 +53,7 @@
 
 // TryAcquire counts bytes that are useful but not needed; see Account.TryAcquire.
 func (h *Hold) TryAcquire(bytes int64) bool {
-	if h.account == nil {
+	if h == nil || h.account == nil {
 		return true
 	}
 	if !h.account.TryAcquire(bytes) {
@@ -60,9 +63,17 @@
 	return true
 }
 
+// Demand counts bytes that can't be refused any more. When there is no room for them, a client is
+// closed as for Acquire.
+func (h *Hold) Demand(now time.Time, bytes int64) {
+	if h.Acquire(now, bytes) != nil {
+		h.Force(bytes)
+	}
+}
+
 // Force counts bytes that are held already and can't be refused.
 func (h *Hold) Force(bytes int64) {
-	if h.account != nil {
+	if h != nil && h.account != nil {
 		h.account.Force(bytes)
 		h.bytes.Add(bytes)
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -281,7 +281,7 @@
 // to another instance.
 func (a *attempt) startUpload() {
 	a.call.uploadStarted = true
-	a.call.hold.Force(streamedBodyBytes)
+	a.call.hold.Demand(time.Now(), streamedBodyBytes)
 	a.uploadDone = make(chan struct{})
 	go func() {
 		defer close(a.uploadDone)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -174,6 +174,9 @@
 		}
 		return nil
 	}
+	if !r.headWritten {
+		r.call.hold.Demand(time.Now(), streamedResponseBytes)
+	}
 	if err := r.writeHead(); err != nil {
 		return err
 	}
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
@@ -39,6 +40,7 @@
 		cancelPrimary:   cancelPrimary,
 		secondaryResult: make(chan attemptResult, 1),
 	}
+	c.hold.Demand(time.Now(), memlimit.BodyCopies*int64(len(c.body)))
 	timer := time.AfterFunc(delay, h.startSecondary)
 	primaryResult := n.tryInstance(primaryCtx, c, instance, 1)
 	if timer.Stop() {
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -14,6 +14,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/strictjson"
+	"github.com/chicorylever/chicorylever/internal/transport/httplisten"
 )
 
 const (
@@ -190,6 +191,7 @@
 // decodeBody decodes the JSON body of a request of the upstream. On failure it writes an
 // error response and returns false.
 func decodeBody(w http.ResponseWriter, r *http.Request, target any) bool {
+	defer httplisten.CountBody(r)()
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxLocalBodyBytes))
 	if err == nil {
 		err = strictjson.UnmarshalKnown(data, target)
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -15,6 +15,9 @@
 	// streamedBodyBytes are held for a streamed body beside the part that is read ahead: the
 	// buffers of its senders and the messages on their way.
 	streamedBodyBytes = 384 << 10
+	// streamedResponseBytes are held for a response that is sent while it arrives: the receive
+	// window of its stream, or the messages of an attempt within this node.
+	streamedResponseBytes = 512 << 10
 	// memoryCheckInterval is the interval of checks whether requests were refused or
 	// connections closed for lack of memory, and with it of log lines about them.
 	memoryCheckInterval = 10 * time.Second
--- a/internal/transport/httplisten/guard_test.go
+++ b/internal/transport/httplisten/guard_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +46,21 @@
 	}
 	t.Fatalf("%d bytes are still counted", ledger.Counts().Held)
 }
+
+// TestCountBody guards against bodies that are read without memory for them, and that stay
+// counted after their requests.
+func TestCountBody(t *testing.T) {
+	ledger := memlimit.NewLedger(memlimit.Limits{Total: 100 << 10, StallAfter: time.Minute})
+	account, err := ledger.Open(time.Now(), "a", 0, func() {})
+	assert.NilError(t, err)
+	for _, size := range []int{10 << 10, 50 << 10} {
+		r, err := http.NewRequestWithContext(memlimit.WithAccount(t.Context(), account), http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		assert.NilError(t, err)
+		release := CountBody(r)
+		_, err = io.ReadAll(r.Body)
+		assert.Equal(t, err != nil, size > 20<<10)
+		assert.Assert(t, account.Held() > 0)
+		release()
+		assert.Equal(t, account.Held(), int64(0))
+	}
+}
