--- a/internal/transport/mesh/memory.go
+++ b/internal/transport/mesh/memory.go
@@ -24,6 +24,9 @@
 	// memoryWait bounds the wait of a connection for memory before it is closed.
 	memoryWait       = 500 * time.Millisecond
 	memoryRetryDelay = 10 * time.Millisecond
+	// maxRefusedStreams bounds the streams of a connection that find no memory, since yamux
+	// keeps each of them for a time.
+	maxRefusedStreams = 256
 	// closedStreamTime is the time for which yamux may keep a stream that this side has closed
 	// and the peer has not.
 	closedStreamTime = time.Minute + time.Second
@@ -45,6 +48,8 @@
 	// current frame that has not.
 	header    []byte
 	bodyBytes uint32
+	// refused is the number of streams that found no memory.
+	refused int
 
 	mu      sync.Mutex
 	streams map[uint32]*countedStream
@@ -95,7 +100,9 @@
 		return nil // a ping, or the end of the session
 	}
 	if flags&yamuxFlagSYN != 0 {
-		c.addStream(id)
+		if c.addStream(id); c.refused > maxRefusedStreams {
+			return errNoMemory
+		}
 	}
 	if kind == yamuxTypeData {
 		c.bodyBytes = length
@@ -110,9 +117,16 @@
 }
 
 func (c *countedConn) addStream(id uint32) {
+	c.mu.Lock()
+	exists := c.streams[id] != nil
+	c.mu.Unlock()
+	if exists {
+		return // a violation of the protocol, for which yamux ends the session
+	}
 	stream := &countedStream{counted: streamBytes}
 	if c.account.Acquire(time.Now(), streamBytes) != nil {
 		stream.counted, stream.refused = 0, true
+		c.refused++
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
