--- a/internal/coordination/memlimit/memlimit_test.go
+++ b/internal/coordination/memlimit/memlimit_test.go
@@ -164,3 +164,26 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// TestPlans guards against parts of the memory that together leave less than 30 % for the rest of the
+// process, parts of the descriptors that leave less than a fifth for the connections that it dials, and a
+// reserve without room for some ordinary requests.
+func TestPlans(t *testing.T) {
+	node, control := PlanNode(184<<20, 4100), PlanControl(280<<20, 4100)
+	for _, plan := range []struct {
+		memory int64
+		parts  []Limits
+	}{{184 << 20, []Limits{node.Callers, node.Local, node.Admin, node.Mesh}}, {280 << 20, []Limits{control.API, control.Mesh}}} {
+		var memory int64
+		descriptors := 0
+		for _, part := range plan.parts {
+			memory += part.Total
+			descriptors += part.Connections
+		}
+		assert.Assert(t, memory < plan.memory*70/100)
+		assert.Assert(t, descriptors <= 4100*80/100)
+	}
+	assert.Assert(t, node.Callers.Reserve/node.Callers.Small >= 50)
+	assert.Assert(t, node.Callers.Address < node.Callers.Total-node.Callers.Reserve)
+	assert.Assert(t, node.Callers.Connections >= 2000)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,6 +34,9 @@
 		{"log level", `"id":"n"`, `"id":"n","log_level":"loud"`, "log_level: must be debug, info, warn or error"},
 		{"negative", `"id":"n"`, `"id":"n","stop_timeout_ms":-1`, "stop_timeout_ms: must be at least 1"},
 		{"upstream address", `"id":"n"`, `"id":"n","upstream_address":"example.org:80"`, "upstream_address: host must be an IP address"},
+		{"little memory", `"id":"n"`, `"id":"n","memory_limit_mb":95`, "memory_limit_mb: must be at least 96"},
+		{"memory", `"id":"n"`, `"id":"n","memory_limit_mb":96,"max_descriptors":64`, ""},
+		{"few descriptors", `"id":"n"`, `"id":"n","max_descriptors":63`, "max_descriptors: must be at least 64"},
 		{"a key twice", `"id":"n"`, `"id":"m","id":"n"`, "/id occurs twice"},
 		{"trailing data", `"id":"n"`, `"id":"n"} {"id":"n"`, "data after"},
 	}
