--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -72,6 +72,12 @@
 	QuotaWindowS float64 `json:"quota_window_s,omitempty"`
 	QuotaOverage float64 `json:"quota_overage,omitempty"`
 	QuotaSlack   float64 `json:"quota_slack,omitempty"`
+	// MemoryLimitMB is the memory of the VM in MiB; default 280. What the member holds for
+	// clients is limited to parts of it.
+	MemoryLimitMB int `json:"memory_limit_mb,omitempty"`
+	// MaxDescriptors is the number of descriptors that the member may open; default is the
+	// limit of the process. Connections of clients get parts of it.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -93,6 +99,9 @@
 		s.StopTimeoutMs = 10000
 	}
 	s.setRolloutDefaults()
+	if s.MemoryLimitMB == 0 {
+		s.MemoryLimitMB = DefaultControlMemoryMB
+	}
 	s.Bootstrap = withPorts(s.Bootstrap, s.MemberPort)
 	s.Join = withPorts(s.Join, s.MemberPort)
 	if s.LogLevel == "" {
@@ -127,6 +136,7 @@
 		checkRolloutShare(s.RolloutShare),
 		checkPositive("rollout_slack", s.RolloutSlack),
 		checkPositive("rollback_ms", s.RollbackMs),
+		checkResources(s.MemoryLimitMB, s.MaxDescriptors),
 		s.checkMemberAddresses(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		s.checkAPITLS(),
@@ -173,7 +183,7 @@
 	withoutReloadable := func(c *Control) Control {
 		copied := *c
 		copied.Bootstrap, copied.Join, copied.BootstrapDocument, copied.MemberPort = nil, nil, "", 0
-		copied.StopTimeoutMs = 0
+		copied.StopTimeoutMs, copied.MemoryLimitMB, copied.MaxDescriptors = 0, 0, 0
 		return copied
 	}
 	return differingFields(withoutReloadable(s), withoutReloadable(next))
