Take a reset of an upstream that reports room for a failure, not for a full upstream

Upstreams that lose responses reset their connections at once. Each reset lowered the limit to the requests that were running, for two seconds and more.

--- a/internal/node/full_test.go
+++ b/internal/node/full_test.go
@@ -59,3 +59,23 @@
 	assert.Equal(t, beside.requests.Load(), int32(2))
 	assert.Equal(t, beside.metrics.upstreamResets.Get(), uint64(2))
 }
+
+// TestResetWithRoomIsFailure guards against fewer requests for an upstream that loses responses.
+// Load: an upstream that reports room in its responses resets each request; before, two resets
+// paused it.
+func TestResetWithRoomIsFailure(t *testing.T) {
+	_, entry, beside := startPair(t, func(w http.ResponseWriter, _ *http.Request) {
+		raw, _, err := http.NewResponseController(w).Hijack()
+		if !assert.Check(t, err) {
+			return
+		}
+		assert.Check(t, raw.(*net.TCPConn).SetLinger(0))
+		assert.Check(t, raw.Close())
+	})
+	for range 5 {
+		assert.Assert(t, beside.Node.upstream.setReportedLoad(beside.Node.upstream.currentAnnouncement().StartID, 0))
+		response := send(t, http.MethodPost, entry.url("/"), nil)
+		assert.Assert(t, response.StatusCode >= http.StatusInternalServerError)
+	}
+	assert.Equal(t, beside.metrics.upstreamResets.Get(), uint64(0))
+}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -42,6 +42,14 @@
 	u.gate.SetSlowdown(float64(u.slowdownPercent) / normalSlowdownPercent)
 }
 
+// reportsRoom reports whether the upstream's own recent report counts fewer requests than it
+// has slots. An upstream with room that resets a request has failed it and is not full.
+func (u *upstream) reportsRoom() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.announcement != nil && u.reportedLoad < u.announcement.Slots && time.Since(u.reportedLoadAt) < maxReportedLoadAge
+}
+
 // recordOutcome records whether the upstream itself failed a request.
 func (u *upstream) recordOutcome(failed bool) {
 	u.mu.Lock()
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -89,7 +89,7 @@
 		return admission.ResultCancelled
 	case ctx.Err() != nil:
 		return admission.ResultTimeout
-	case errors.Is(err, egress.ErrReset) && time.Since(r.dispatchedAt) < resetWindow:
+	case r.isResetByFullUpstream(err):
 		r.node.metrics.upstreamResets.Inc()
 		_ = r.node.upstream.signalLogger.Log("msg", "upstream resets requests and gets fewer for some seconds", "instance", r.head.GetInstance())
 		return admission.ResultReset
@@ -98,6 +98,11 @@
 	}
 }
 
+// isResetByFullUpstream reports whether the upstream has reset the attempt because it is full.
+func (r *receivedAttempt) isResetByFullUpstream(err error) bool {
+	return errors.Is(err, egress.ErrReset) && time.Since(r.dispatchedAt) < resetWindow && !r.node.upstream.reportsRoom()
+}
+
 // sendLast sends the last message of the attempt. The head of the next attempt may arrive
 // as soon as the entry node has received it.
 func (r *receivedAttempt) sendLast(message *wire.Envelope) {
