Hedge by what the nodes quote, within a share of its own over all nodes

With a retry limit over all nodes a hedge took from the bucket of the retries and the hedge share of the document was not used. Both limits must now allow a hedge, and an explicit share of 0 switches hedging off; the 0 that earlier versions encoded for an absent share still selects the default. The target must be warm and free by its quote, and the service must have room.

--- a/internal/coordination/balance/sim_test.go
+++ b/internal/coordination/balance/sim_test.go
@@ -187,7 +187,7 @@
 		return
 	}
 	s.dispatch(r, c)
-	if delay, known := s.entries[r.Entry].retryPolicy.HedgeDelay(); known && s.scenario.hedged && r.attempts == 1 {
+	if delay, known := s.entries[r.Entry].retryPolicy.HedgeDelay(retry.Primary{}); known && s.scenario.hedged && r.attempts == 1 {
 		s.schedule(delay, func() { s.hedge(r, c.ID, delay) })
 	}
 }
@@ -204,7 +204,7 @@
 	if !ok {
 		return
 	}
-	if !s.entries[r.Entry].retryPolicy.TakeHedge(s.clock(), true, waited, &c) {
+	if s.entries[r.Entry].retryPolicy.TakeHedge(s.clock(), retry.Hedge{Repeatable: true, Waited: waited, Target: &c}) != retry.HedgeSend {
 		s.entries[r.Entry].picker.Observe(s.clock(), c.ID, balance.Outcome{Result: balance.ResultCancelled})
 		return
 	}
--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -32,7 +32,10 @@
 // holds at most one token, so that nodes that were restarted or idle do not together exceed
 // the limit.
 type Share struct {
-	limit      Limit
+	// perRequest is the number of tokens that a request earns, perSecond the number that all
+	// nodes together earn in a second.
+	perRequest float64
+	perSecond  float64
 	nodes      int
 	tokens     float64
 	refilledAt time.Time
@@ -40,7 +43,27 @@
 
 // NewShare returns the share of one of the nodes, with an empty token bucket.
 func NewShare(now time.Time, limit Limit, nodes int) *Share {
-	return &Share{limit: limit, nodes: max(1, nodes), refilledAt: now}
+	return &Share{
+		perRequest: usableRatio * limit.Ratio,
+		perSecond:  usableSlack * limit.Slack / limit.Window.Seconds(),
+		nodes:      max(1, nodes), refilledAt: now,
+	}
+}
+
+// NewHedgeShare returns one node's share of a limit on hedges, with an empty token bucket:
+// all nodes together hedge at most perRequest times the requests since their starts. In any
+// window it is at most one hedge for each node more, the token that it may have saved.
+func NewHedgeShare(now time.Time, perRequest float64) *Share {
+	return &Share{perRequest: perRequest, nodes: 1, refilledAt: now}
+}
+
+// SetPerRequest changes the number of tokens that a request earns. At 0 it removes the saved
+// token.
+func (s *Share) SetPerRequest(perRequest float64) {
+	s.perRequest = perRequest
+	if perRequest == 0 {
+		s.tokens = 0
+	}
 }
 
 // SetNodes changes the number of nodes that share the limit.
@@ -49,13 +72,18 @@
 // Earn adds the retry tokens that one request earns.
 func (s *Share) Earn(now time.Time) {
 	s.refill(now)
-	s.tokens = min(bucketSize, s.tokens+usableRatio*s.limit.Ratio)
+	s.tokens = min(bucketSize, s.tokens+s.perRequest)
+}
+
+// CanTake reports whether there is a token.
+func (s *Share) CanTake(now time.Time) bool {
+	s.refill(now)
+	return s.tokens >= 1-roundingTolerance
 }
 
 // Take takes the token for one retry, or returns false when there is none.
 func (s *Share) Take(now time.Time) bool {
-	s.refill(now)
-	if s.tokens < 1-roundingTolerance {
+	if !s.CanTake(now) {
 		return false
 	}
 	s.tokens = max(0, s.tokens-1)
@@ -68,6 +96,6 @@
 		return
 	}
 	s.refilledAt = now
-	perSecond := usableSlack * s.limit.Slack / s.limit.Window.Seconds() / float64(s.nodes)
+	perSecond := s.perSecond / float64(s.nodes)
 	s.tokens = min(bucketSize, s.tokens+perSecond*elapsed.Seconds())
 }
--- a/internal/coordination/budget/budget_test.go
+++ b/internal/coordination/budget/budget_test.go
@@ -65,3 +65,33 @@
 	assert.Assert(t, share.Take(now.Add(10*time.Second)))
 	assert.Assert(t, !share.Take(now.Add(10*time.Second)))
 }
+
+// TestHedgeShare guards against nodes that together hedge more than their share of the
+// requests since their starts, and against hedges after the share was set to 0.
+func TestHedgeShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 50).Draw(t, "nodes")
+		perRequest := rapid.Float64Range(0, 0.5).Draw(t, "perRequest")
+		now := time.Unix(1000, 0)
+		shares := make([]*Share, nodes)
+		for i := range shares {
+			shares[i] = NewHedgeShare(now, perRequest)
+		}
+		earned, taken := 0.0, 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			i := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			if rapid.Bool().Draw(t, "request") {
+				shares[i].Earn(now)
+				earned += perRequest
+			} else if shares[i].Take(now) {
+				taken++
+			}
+			assert.Assert(t, taken <= earned+1e-6)
+		}
+		for i := range shares {
+			shares[i].SetPerRequest(0)
+			assert.Assert(t, !shares[i].Take(now))
+		}
+	})
+}
--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -21,6 +21,14 @@
 	refilledAt    time.Time // last refill of minRateTokens
 }
 
+// setShare changes the share. At 0 it removes the tokens that first attempts have earned.
+func (b *Budget) setShare(share float64) {
+	b.share = share
+	if share == 0 {
+		b.shareTokens = 0
+	}
+}
+
 // NewBudget returns a budget that holds the tokens of one second at the minimum rate.
 func NewBudget(now time.Time, share, minPerSecond float64) Budget {
 	return Budget{share: share, minPerSecond: minPerSecond, minRateTokens: minPerSecond * minRateBurst.Seconds(), refilledAt: now}
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -7,7 +7,6 @@
 import (
 	"time"
 
-	"github.com/chicorylever/chicorylever/internal/coordination/balance"
 	"github.com/chicorylever/chicorylever/internal/coordination/budget"
 )
 
@@ -17,7 +16,6 @@
 	defaultMinRetriesPerSecond = 2.0
 	defaultHedgeShare          = 0.02
 	defaultMaxAttempts         = 3
-	minHedgeDelay              = 2 * time.Millisecond
 	// maxRefusals is the number of refusals by nodes after which a request is not retried.
 	maxRefusals = 4
 )
@@ -28,13 +26,13 @@
 	RetryShare float64
 	// MinRetriesPerSecond is the rate of retries that is allowed in addition to RetryShare.
 	MinRetriesPerSecond float64
-	// HedgeShare is the share of first attempts that may be hedged.
+	// HedgeShare is the share of first attempts that may be hedged, summed over all nodes.
 	HedgeShare float64
 	// MaxAttempts is the largest number of attempts of one request at this hop, the first
 	// one included.
 	MaxAttempts int
 	// ClusterLimit bounds the retries and hedges of all nodes together. When it is set,
-	// RetryShare, MinRetriesPerSecond and HedgeShare are not used.
+	// RetryShare and MinRetriesPerSecond are not used; HedgeShare applies in addition.
 	ClusterLimit budget.Limit
 	// Nodes is the number of nodes between which ClusterLimit is divided.
 	Nodes int
@@ -126,10 +124,11 @@
 	config  Config
 	retries Budget
 	hedges  Budget
-	// nodeBudget is this node's share of Config.ClusterLimit. It replaces both budgets when
-	// it is not nil.
-	nodeBudget *budget.Share
-	latencies  latencyQuantiles
+	// nodeBudget is this node's share of Config.ClusterLimit. It replaces retries when it is
+	// not nil, and hedgeBudget then replaces hedges.
+	nodeBudget  *budget.Share
+	hedgeBudget *budget.Share
+	latencies   latencyQuantiles
 }
 
 // New returns a policy for one service.
@@ -142,6 +141,7 @@
 	}
 	if config.ClusterLimit.IsSet() {
 		p.nodeBudget = budget.NewShare(now, config.ClusterLimit, config.Nodes)
+		p.hedgeBudget = budget.NewHedgeShare(now, config.HedgeShare)
 	}
 	return p
 }
@@ -153,12 +153,16 @@
 	}
 }
 
-// SetShares updates the shares of both budgets, as after a change of the configuration.
+// SetShares updates the shares of both budgets, as after a change of the configuration. A
+// hedge share of 0 switches hedging off.
 func (p *Policy) SetShares(retryShare, hedgeShare float64) {
 	p.config.RetryShare = retryShare
 	p.config.HedgeShare = hedgeShare
 	p.retries.share = retryShare
-	p.hedges.share = hedgeShare
+	p.hedges.setShare(hedgeShare)
+	if p.hedgeBudget != nil {
+		p.hedgeBudget.SetPerRequest(hedgeShare)
+	}
 }
 
 // RecordFirstAttempt adds the tokens that one request earns to the budgets. It is called
@@ -166,6 +170,7 @@
 func (p *Policy) RecordFirstAttempt(now time.Time) {
 	if p.nodeBudget != nil {
 		p.nodeBudget.Earn(now)
+		p.hedgeBudget.Earn(now)
 		return
 	}
 	p.retries.Earn(now)
@@ -206,43 +211,16 @@
 	return p.retries.Take(now)
 }
 
+// takeHedgeToken takes the tokens of one hedge: with a ClusterLimit one of the hedge share
+// and one of the retry limit, or neither.
 func (p *Policy) takeHedgeToken(now time.Time) bool {
-	if p.nodeBudget != nil {
-		return p.nodeBudget.Take(now)
+	if p.nodeBudget == nil {
+		return p.hedges.Take(now)
 	}
-	return p.hedges.Take(now)
+	return p.hedgeBudget.CanTake(now) && p.nodeBudget.Take(now) && p.hedgeBudget.Take(now)
 }
 
 // ObserveLatency updates the latency estimates with a complete response.
 func (p *Policy) ObserveLatency(latency time.Duration) {
 	p.latencies.observe(latency)
 }
-
-// HedgeDelay returns the time after which an attempt without a response may be hedged:
-// the estimated p95 latency of the service, but at least defaultMinHedgeDelay. It returns
-// false until there are enough responses for an estimate.
-func (p *Policy) HedgeDelay() (time.Duration, bool) {
-	return p.latencies.p95()
-}
-
-// TakeHedge reports whether an attempt that has waited for a response may be hedged with a
-// second one to the candidate. When it returns true, the hedge was charged to the budget.
-func (p *Policy) TakeHedge(now time.Time, repeatable bool, waited time.Duration, candidate *balance.Candidate) bool {
-	delay, known := p.HedgeDelay()
-	if !repeatable || !known || waited < delay || !canReceiveHedge(candidate) {
-		return false
-	}
-	return p.takeHedgeToken(now)
-}
-
-// canReceiveHedge reports whether the candidate is warm and below its concurrency limit.
-func canReceiveHedge(c *balance.Candidate) bool {
-	if c.State != balance.StateWarm {
-		return false
-	}
-	limit := c.Slots
-	if c.Report.Limit > 0 {
-		limit = c.Report.Limit
-	}
-	return max(c.InFlight, c.Report.InFlight+c.Report.Queued) < limit
-}
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -118,22 +118,25 @@
 		p.RecordFirstAttempt(start)
 		p.ObserveLatency(time.Duration(1+i%100) * time.Millisecond)
 	}
-	delay, known := p.HedgeDelay()
+	delay, known := p.HedgeDelay(retry.Primary{})
 	assert.Assert(t, known && delay > 85*time.Millisecond && delay < 105*time.Millisecond, "hedge delay %v", delay)
 	warm := balance.Candidate{Slots: 4, Report: balance.LoadReport{Limit: 4, InFlight: 3}}
 	full, cold, leaving := warm, warm, warm
 	full.Report.Queued = 1
 	cold.State = balance.StateCold
 	leaving.State = balance.StateLeaving
-	assert.Assert(t, !p.TakeHedge(start, true, delay, &full))
-	assert.Assert(t, !p.TakeHedge(start, true, delay, &cold))
-	assert.Assert(t, !p.TakeHedge(start, true, delay, &leaving))
-	assert.Assert(t, !p.TakeHedge(start, false, delay, &warm))
-	assert.Assert(t, !p.TakeHedge(start, true, delay-1, &warm))
+	allowed := func(repeatable bool, waited time.Duration, target *balance.Candidate) bool {
+		return p.TakeHedge(start, retry.Hedge{Repeatable: repeatable, Waited: waited, Target: target}) == retry.HedgeSend
+	}
+	assert.Assert(t, !allowed(true, delay, &full))
+	assert.Assert(t, !allowed(true, delay, &cold))
+	assert.Assert(t, !allowed(true, delay, &leaving))
+	assert.Assert(t, !allowed(false, delay, &warm))
+	assert.Assert(t, !allowed(true, delay-1, &warm))
 	hedges := 0
 	for range requests {
 		p.RecordFirstAttempt(start)
-		if p.TakeHedge(start, true, delay, &warm) {
+		if allowed(true, delay, &warm) {
 			hedges++
 		}
 	}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -101,6 +102,8 @@
 	sentAttempts, refusedAttempts int
 	// hedged is set once the first attempt has been hedged.
 	hedged atomic.Bool
+	// firstQuote is what the upstream of the first attempt had quoted when it was chosen.
+	firstQuote retry.Primary
 	// suppressCallerRetries is set when the hops above must not retry either.
 	suppressCallerRetries bool
 	// status is the status code of the response that was forwarded.
@@ -208,7 +211,7 @@
 	if limits.RetryShare == 0 {
 		limits.RetryShare = defaults.RetryShare
 	}
-	if limits.HedgeShare == 0 {
+	if limits.HedgeShare == nil {
 		limits.HedgeShare = defaults.HedgeShare
 	}
 	return limits
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
@@ -36,6 +37,13 @@
 	_ = level.Debug(n.logger).Log(keyvals...)
 }
 
+// logHedge logs a second attempt and what was known of the upstream of the first one.
+func (n *Node) logHedge(h *hedge, target hedgeTarget, primary retry.Primary) {
+	_ = level.Info(n.logger).Log("msg", "attempt hedged", "request", h.call.requestID, "service", h.call.service,
+		"first", h.primary.GetId(), "instance", target.instance.GetId(), "waited_ms", time.Since(h.sentAt).Milliseconds(),
+		"first_answered_quote", primary.Quote != nil, "first_responded", primary.Responded)
+}
+
 // logFailedAttempt logs why an attempt gave no response that was forwarded, and whether a
 // retry follows.
 func (n *Node) logFailedAttempt(c *call, attemptNumber int, instance *wire.Instance, result *attemptResult, willRetry bool) {
--- a/internal/node/directory/directory.go
+++ b/internal/node/directory/directory.go
@@ -114,6 +114,7 @@
 	if err := json.Unmarshal(state.GetDocument(), doc); err != nil {
 		return d.sections
 	}
+	doc.DropEarlierZero(state.GetDocument())
 	sections, _, err := d.sections.Advance(state.GetRevision(), state.GetDocument())
 	if err != nil {
 		return d.sections
--- a/internal/node/directory/patch.go
+++ b/internal/node/directory/patch.go
@@ -68,6 +68,7 @@
 			if err := json.Unmarshal(section.GetJson(), &limits); err != nil {
 				return err
 			}
+			limits.DropEarlierZero(section.GetJson())
 		}
 		doc.Limits = limits
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -105,7 +105,7 @@
 
 // serveCall makes attempts until one gets a response or no further attempt is allowed.
 func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *call) callResult {
-	hedgeDelay := n.balancer.recordFirstAttempt(c.service, c.limits)
+	n.balancer.recordFirstAttempt(c.service, c.limits)
 	var tried map[string]bool
 	// fallback is an error response of an upstream. It is forwarded when no other
 	// instance gives a better one.
@@ -127,7 +127,7 @@
 			c.retries++
 			n.metrics.retries.Inc()
 		}
-		result := n.makeAttempt(ctx, c, instance, attemptNumber, hedgeDelay)
+		result := n.makeAttempt(ctx, c, instance, attemptNumber)
 		c.countAttempt(&result)
 		if result.outcome == outcomeAnswered && !isRetryableStatus(c, result) {
 			fallback.discard()
@@ -153,9 +153,11 @@
 	return n.finishFailedCall(ctx, w, c, fallback, failure)
 }
 
-func (n *Node) makeAttempt(ctx context.Context, c *call, instance *wire.Instance, attemptNumber int, hedgeDelay time.Duration) attemptResult {
-	if attemptNumber == 1 && hedgeDelay > 0 && c.isHedgeable() {
-		return n.hedgedAttempt(ctx, c, instance, hedgeDelay)
+func (n *Node) makeAttempt(ctx context.Context, c *call, instance *wire.Instance, attemptNumber int) attemptResult {
+	if attemptNumber == 1 && c.isHedgeable() {
+		if delay := n.balancer.hedgeDelay(c.service, c.limits, c.firstQuote); delay > 0 {
+			return n.hedgedAttempt(ctx, c, instance, delay)
+		}
 	}
 	return n.tryInstance(ctx, c, instance, attemptNumber)
 }
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
@@ -20,13 +21,20 @@
 	// cancelPrimary ends the first attempt when the second one gets a response first.
 	cancelPrimary   context.CancelFunc
 	secondaryResult chan attemptResult // of the second attempt, exactly one
+	// primaryEnded is closed when the first attempt has ended without a response. From then
+	// on a retry replaces the hedge, unless it has been sent.
+	primaryEnded chan struct{}
+	// sentAt is the time at which the first attempt was sent, secondarySentAt that of the
+	// second one, zero without one.
+	sentAt, secondarySentAt time.Time
 
 	mu        sync.Mutex
 	hasWinner bool
 }
 
-// hedgedAttempt makes the first attempt of a repeatable call. After the delay it sends
-// one hedge to another instance, if there is one and the hedge budget allows it.
+// hedgedAttempt makes the first attempt of a repeatable call. After the delay it asks the
+// node beside the upstream again, and sends one hedge to another instance when the policy
+// allows it.
 func (n *Node) hedgedAttempt(ctx context.Context, c *call, instance *wire.Instance, delay time.Duration) attemptResult {
 	primaryCtx, cancelPrimary := context.WithCancel(ctx)
 	secondaryCtx, cancelSecondary := context.WithCancel(ctx)
@@ -38,6 +46,8 @@
 		secondaryCtx:    secondaryCtx,
 		cancelPrimary:   cancelPrimary,
 		secondaryResult: make(chan attemptResult, 1),
+		primaryEnded:    make(chan struct{}),
+		sentAt:          time.Now(),
 	}
 	timer := time.AfterFunc(delay, h.startSecondary)
 	primaryResult := n.tryInstance(primaryCtx, c, instance, 1)
@@ -49,6 +59,7 @@
 		cancelSecondary()
 		return attachCancel(primaryResult, cancelPrimary)
 	}
+	close(h.primaryEnded)
 	secondaryResult := <-h.secondaryResult
 	if secondaryResult.outcome != outcomeAnswered {
 		cancelSecondary()
@@ -83,33 +94,129 @@
 
 func (h *hedge) startSecondary() {
 	result := h.runSecondary()
+	won := false
 	if result.outcome == outcomeAnswered {
-		if h.tryWin() {
+		if won = h.tryWin(); won {
 			h.cancelPrimary()
 		} else {
 			result.attempt.finish(balance.Outcome{Result: balance.ResultCancelled})
 			result = attemptResult{}
 		}
 	}
+	if !h.secondarySentAt.IsZero() {
+		h.recordEnd(won)
+	}
 	h.secondaryResult <- result
 }
 
+// runSecondary sends the second attempt as soon as the policy allows it. It returns the zero
+// value without a second attempt.
 func (h *hedge) runSecondary() attemptResult {
 	n, c := h.node, h.call
-	if n.balancer.hasRespondedSince(h.primary.GetId(), c.started) {
-		// The upstream is responding to other requests: this request is slow by itself
-		// and would be slow at another instance too.
+	primary, ok := h.awaitSlowPrimary()
+	if !ok {
 		return attemptResult{}
 	}
-	instance, candidate, ok := n.selectInstance(h.secondaryCtx, c, 1, map[string]bool{h.primary.GetId(): true})
+	target, ok := n.selectHedgeTarget(h.secondaryCtx, c, h.primary.GetId())
 	if !ok {
+		n.metrics.hedgeVerdicts[retry.HedgeTargetBusy].Inc()
 		return attemptResult{}
 	}
-	if !n.balancer.takeHedge(c.service, c.limits, time.Since(c.started), &candidate) {
-		n.balancer.endAttempt(instance, balance.Outcome{Result: balance.ResultCancelled}, nil)
+	verdict := retry.HedgeTooEarly
+	if !h.isPrimaryOver() {
+		verdict = n.balancer.takeHedge(c.service, c.limits, retry.Hedge{
+			Repeatable: c.isRepeatable(), Waited: time.Since(h.sentAt), Primary: primary,
+			Target: &target.candidate, TargetQuote: target.quote, Quotes: target.quotes,
+		})
+	}
+	n.metrics.hedgeVerdicts[verdict].Inc()
+	if verdict != retry.HedgeSend {
+		n.balancer.endAttempt(target.instance, balance.Outcome{Result: balance.ResultCancelled}, nil)
 		return attemptResult{}
 	}
 	n.metrics.hedges.Inc()
 	c.hedged.Store(true)
-	return n.tryInstance(h.secondaryCtx, c, instance, 1)
+	h.secondarySentAt = time.Now()
+	n.logHedge(h, target, primary)
+	return n.tryInstance(h.secondaryCtx, c, target.instance, 1)
+}
+
+// awaitSlowPrimary waits until the upstream of the first attempt has taken longer than the
+// policy allows for what its node says of it. It returns false when the first attempt ends
+// before.
+func (h *hedge) awaitSlowPrimary() (retry.Primary, bool) {
+	for {
+		primary := h.node.askPrimary(h.secondaryCtx, h.call, h.primary, h.sentAt)
+		delay := h.node.balancer.hedgeDelay(h.call.service, h.call.limits, primary)
+		if delay == 0 || h.isPrimaryOver() {
+			return primary, false
+		}
+		remaining := delay - time.Since(h.sentAt)
+		if remaining <= 0 {
+			return primary, true
+		}
+		timer := time.NewTimer(remaining)
+		select {
+		case <-timer.C:
+		case <-h.primaryEnded:
+		case <-h.secondaryCtx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// isPrimaryOver reports whether the first attempt has ended, with a response or without one.
+func (h *hedge) isPrimaryOver() bool {
+	select {
+	case <-h.primaryEnded:
+		return true
+	case <-h.secondaryCtx.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// recordEnd counts a second attempt that has ended. The work of the attempt that was not used
+// is counted from its start to now, as the entry node sees it; the node beside its upstream
+// counts what has run there.
+func (h *hedge) recordEnd(won bool) {
+	wasted := time.Since(h.secondarySentAt)
+	if won {
+		wasted = time.Since(h.sentAt)
+		h.node.metrics.hedgesWon.Inc()
+	}
+	h.node.metrics.hedgeWastedSeconds.Add(wasted.Seconds())
+}
+
+// askPrimary asks the node beside the upstream of the first attempt for its state.
+func (n *Node) askPrimary(ctx context.Context, c *call, instance *wire.Instance, sentAt time.Time) retry.Primary {
+	sample := []quoteCandidate{{instance: instance}}
+	if n.quotes != nil {
+		n.collectQuotes(ctx, c, sample)
+	}
+	return c.firstQuote.AfterSending(n.quotes != nil, sample[0].quote, n.balancer.hasRespondedSince(instance.GetId(), sentAt))
+}
+
+// hedgeTarget is the instance for a second attempt, with its quote and those of the others
+// that were asked; nil where there is none.
+type hedgeTarget struct {
+	quoteCandidate
+	quotes []*balance.Quote
+}
+
+// selectHedgeTarget chooses another instance than the first attempt's and counts an attempt in
+// flight to it.
+func (n *Node) selectHedgeTarget(ctx context.Context, c *call, primary string) (hedgeTarget, bool) {
+	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, map[string]bool{primary: true})
+	if !ok {
+		return hedgeTarget{}, false
+	}
+	target := hedgeTarget{quoteCandidate: quoteCandidate{instance: instance, candidate: candidate}, quotes: quotesOf(sample)}
+	for i := range sample {
+		if sample[i].instance == instance {
+			target.quote = sample[i].quote
+		}
+	}
+	return target, true
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -44,6 +45,16 @@
 	calls   [addressingCount]*metrics.Counter
 	retries *metrics.Counter
 	hedges  *metrics.Counter
+	// hedgesWon counts the hedges whose response was used, hedgeWastedSeconds the time of the
+	// attempts beside the one that was used, and hedgeVerdicts the decisions.
+	hedgesWon          *metrics.Counter
+	hedgeWastedSeconds *metrics.FloatCounter
+	hedgeVerdicts      [len(retry.HedgeVerdictNames)]*metrics.Counter
+	// cancelledQueued counts the attempts that their entry node cancelled before they were
+	// sent to the upstream, cancelledRunning those that it cancelled later, and
+	// cancelledSeconds the time for which the latter ran.
+	cancelledQueued, cancelledRunning *metrics.Counter
+	cancelledSeconds                  *metrics.FloatCounter
 	// upstreamRequests counts the requests sent to the upstream beside this node, without
 	// probes.
 	upstreamRequests *metrics.Counter
@@ -76,6 +87,11 @@
 		set:                   set,
 		retries:               set.NewCounter("chicorylever_retries_total"),
 		hedges:                set.NewCounter("chicorylever_hedges_total"),
+		hedgesWon:             set.NewCounter("chicorylever_hedges_won_total"),
+		hedgeWastedSeconds:    set.NewFloatCounter("chicorylever_hedge_wasted_seconds_total"),
+		cancelledQueued:       set.NewCounter(`chicorylever_attempts_cancelled_total{state="queued"}`),
+		cancelledRunning:      set.NewCounter(`chicorylever_attempts_cancelled_total{state="running"}`),
+		cancelledSeconds:      set.NewFloatCounter("chicorylever_attempts_cancelled_seconds_total"),
 		upstreamRequests:      set.NewCounter("chicorylever_upstream_requests_total"),
 		ejections:             set.NewCounter("chicorylever_ejections_total"),
 		rejectedAnnouncements: set.NewCounter("chicorylever_announcements_rejected_total"),
@@ -87,6 +103,9 @@
 	for reason := range keyProblems {
 		m.keyRefusals[reason] = set.NewCounter(fmt.Sprintf("chicorylever_key_refusals_total{reason=%q}", reason))
 	}
+	for verdict, name := range retry.HedgeVerdictNames {
+		m.hedgeVerdicts[verdict] = set.NewCounter(fmt.Sprintf("chicorylever_hedge_decisions_total{verdict=%q}", name))
+	}
 	for by, name := range addressingNames {
 		m.calls[by] = set.NewCounter(fmt.Sprintf("chicorylever_calls_total{addressed_by=%q}", name))
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -211,18 +211,23 @@
 		policy = retry.New(time.Now(), retry.Config{ClusterLimit: b.clusterRetryLimit, Nodes: b.nodeCount})
 		b.retryPolicies[service] = policy
 	}
-	policy.SetShares(limits.RetryShare, limits.HedgeShare)
+	policy.SetShares(limits.RetryShare, limits.HedgeShareOrDefault())
 	return policy
 }
 
-// recordFirstAttempt adds to the budgets for retries and hedges. It returns the time
-// after which the attempt may be hedged, 0 when hedging is not possible yet.
-func (b *balancer) recordFirstAttempt(service string, limits document.Limits) time.Duration {
+// recordFirstAttempt adds to the budgets for retries and hedges.
+func (b *balancer) recordFirstAttempt(service string, limits document.Limits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	policy := b.retryPolicyLocked(service, limits)
-	policy.RecordFirstAttempt(time.Now())
-	delay, _ := policy.HedgeDelay()
+	b.retryPolicyLocked(service, limits).RecordFirstAttempt(time.Now())
+}
+
+// hedgeDelay returns the time after which an attempt may be hedged, 0 when hedging is off or
+// not possible yet.
+func (b *balancer) hedgeDelay(service string, limits document.Limits, primary retry.Primary) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delay, _ := b.retryPolicyLocked(service, limits).HedgeDelay(primary)
 	return delay
 }
 
@@ -240,10 +245,10 @@
 	return b.policy.HasRespondedSince(instance, since)
 }
 
-func (b *balancer) takeHedge(service string, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
+func (b *balancer) takeHedge(service string, limits document.Limits, h retry.Hedge) retry.HedgeVerdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.retryPolicyLocked(service, limits).TakeHedge(time.Now(), true, waited, candidate)
+	return b.retryPolicyLocked(service, limits).TakeHedge(time.Now(), h)
 }
 
 // retryAfter returns the Retry-After delay of a refused caller, given the expected queue
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -9,6 +9,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/datagram"
 )
@@ -48,10 +49,22 @@
 	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, tried)
 	if ok {
 		n.logSelection(c, attemptNumber, instance, sample)
+		c.firstQuote = primaryOf(instance, sample)
 	}
 	return instance, candidate, ok
 }
 
+// primaryOf returns what a sample says about the chosen instance. A sample of one was not
+// asked.
+func primaryOf(chosen *wire.Instance, sample []quoteCandidate) retry.Primary {
+	for i := range sample {
+		if sample[i].instance == chosen && len(sample) > 1 {
+			return retry.Primary{Asked: true, Quote: sample[i].quote}
+		}
+	}
+	return retry.Primary{}
+}
+
 func (n *Node) selectByQuotes(ctx context.Context, c *call, tried map[string]bool) (*wire.Instance, balance.Candidate, []quoteCandidate, bool) {
 	v, service := c.view, c.service
 	if n.quotes == nil {
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -117,6 +117,7 @@
 	}
 	permit, reason := r.acquirePermit(ctx)
 	if permit == nil {
+		r.countCancelled(ctx)
 		r.refuse(reason, "")
 		return
 	}
@@ -131,6 +132,22 @@
 		return
 	}
 	outcome = r.forward(ctx, cancel)
+	if outcome.Result == admission.ResultCancelled && !r.declined {
+		r.countCancelled(ctx)
+	}
+}
+
+// countCancelled counts an attempt that the entry node has cancelled, as the loser of a hedge
+// or because its caller has left.
+func (r *receivedAttempt) countCancelled(ctx context.Context) {
+	switch {
+	case !errors.Is(ctx.Err(), context.Canceled):
+	case r.isDispatched():
+		r.node.metrics.cancelledRunning.Inc()
+		r.node.metrics.cancelledSeconds.Add(time.Since(r.dispatchedAt).Seconds())
+	default:
+		r.node.metrics.cancelledQueued.Inc()
+	}
 }
 
 // cancelOnClose cancels the attempt when the entry node closes the stream. It is the last
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -128,13 +128,14 @@
 // Limits are the limits of the whole system.
 type Limits struct {
 	// MaxBodyBytes bounds the size of a request body.
-	MaxBodyBytes int64 `json:"max_body_bytes"`
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
 	// RetryShare is the share of first attempts that may be retried.
-	RetryShare float64 `json:"retry_share"`
-	// HedgeShare is the share of first attempts that may be hedged.
-	HedgeShare float64 `json:"hedge_share"`
+	RetryShare float64 `json:"retry_share,omitempty"`
+	// HedgeShare is the share of the requests of a service that may be hedged, summed over
+	// all nodes. 0 switches hedging off, nil selects the default.
+	HedgeShare *float64 `json:"hedge_share,omitempty"`
 	// ClaimHours is how many hours the record of a request with an idempotency key is kept.
-	ClaimHours int `json:"claim_hours"`
+	ClaimHours int `json:"claim_hours,omitempty"`
 	// MaxHeaderBytes bounds the size of a request head; 0 selects 64 KiB.
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
 	// HeaderTimeoutMs bounds the time in milliseconds to receive a request head; 0 selects
@@ -147,10 +148,19 @@
 	Labels map[string]string `json:"labels,omitempty"`
 }
 
-// DefaultLimits returns the defaults of MaxBodyBytes, RetryShare, HedgeShare and
-// ClaimHours, which apply where a document leaves them at 0.
+// DefaultLimits returns the defaults of MaxBodyBytes, RetryShare and ClaimHours, which apply
+// where a document leaves them at 0, and of HedgeShare, which applies where it is nil.
 func DefaultLimits() Limits {
-	return Limits{MaxBodyBytes: 256 << 20, RetryShare: 0.2, HedgeShare: 0.02, ClaimHours: 24}
+	hedgeShare := 0.02
+	return Limits{MaxBodyBytes: 256 << 20, RetryShare: 0.2, HedgeShare: &hedgeShare, ClaimHours: 24}
+}
+
+// HedgeShareOrDefault returns HedgeShare, or its default when the document states none.
+func (l *Limits) HedgeShareOrDefault() float64 {
+	if l.HedgeShare == nil {
+		return *DefaultLimits().HedgeShare
+	}
+	return *l.HedgeShare
 }
 
 // Parse decodes a document, sets default limits and validates it. Unknown fields are
@@ -169,7 +179,7 @@
 	return doc, doc.Validate()
 }
 
-// setDefaults sets limits of 0 to those of DefaultLimits.
+// setDefaults sets limits of 0, and a HedgeShare of nil, to those of DefaultLimits.
 func (d *Document) setDefaults() {
 	defaults := DefaultLimits()
 	if d.Limits.MaxBodyBytes == 0 {
@@ -178,7 +188,7 @@
 	if d.Limits.RetryShare == 0 {
 		d.Limits.RetryShare = defaults.RetryShare
 	}
-	if d.Limits.HedgeShare == 0 {
+	if d.Limits.HedgeShare == nil {
 		d.Limits.HedgeShare = defaults.HedgeShare
 	}
 	if d.Limits.ClaimHours == 0 {
--- a/internal/state/document/machine_test.go
+++ b/internal/state/document/machine_test.go
@@ -286,3 +286,27 @@
 		assert.Equal(t, string(restored), string(stored))
 	})
 }
+
+// TestHedgeShareOff guards against taking an explicit hedge share of 0 for an absent one, and
+// the 0 that earlier versions encoded for an absent share for an explicit one.
+func TestHedgeShareOff(t *testing.T) {
+	for body, want := range map[string]float64{
+		`{}`:                                     0.02,
+		`{"hedge_share": 0}`:                     0,
+		`{"hedge_share": 0, "retry_share": 0.1}`: 0,
+		`{"hedge_share": 0.3}`:                   0.3,
+		`{"max_body_bytes":9,"retry_share":0,"hedge_share":0,"claim_hours":0}`:    0.02,
+		`{"max_body_bytes":9,"retry_share":0.2,"hedge_share":0,"claim_hours":24}`: 0,
+	} {
+		value, err := DecodeSection("limits", []byte(body))
+		assert.NilError(t, err)
+		limits := value.(Limits)
+		assert.Equal(t, limits.HedgeShareOrDefault(), want, body)
+		encoded, err := json.Marshal(limits)
+		assert.NilError(t, err)
+		value, err = DecodeSection("limits", encoded)
+		assert.NilError(t, err)
+		limits = value.(Limits)
+		assert.Equal(t, limits.HedgeShareOrDefault(), want, "%s", encoded)
+	}
+}
--- a/internal/state/document/section.go
+++ b/internal/state/document/section.go
@@ -87,7 +87,7 @@
 	case kindOrganisations:
 		return decodeStrict[Organisation](path, body)
 	default:
-		return decodeStrict[Limits](path, body)
+		return decodeLimits(path, body)
 	}
 }
 
--- a/internal/state/document/snapshot.go
+++ b/internal/state/document/snapshot.go
@@ -52,6 +52,13 @@
 	view.Revision = s.Revision
 	if s.Document != nil {
 		view.Document = s.Document
+		var parts struct {
+			Document json.RawMessage `json:"document"`
+		}
+		if err := json.Unmarshal(data, &parts); err != nil {
+			return errors.Wrap(err, "decode document snapshot")
+		}
+		view.Document.DropEarlierZero(parts.Document)
 	}
 	if s.Versions != nil {
 		view.versions = s.Versions
--- a/internal/state/document/validate.go
+++ b/internal/state/document/validate.go
@@ -173,7 +173,7 @@
 	if l.RetryShare < 0 || l.RetryShare > 1 {
 		return &FieldError{"limits/retry_share", "must be between 0 and 1"}
 	}
-	if l.HedgeShare < 0 || l.HedgeShare > 1 {
+	if share := l.HedgeShareOrDefault(); share < 0 || share > 1 {
 		return &FieldError{"limits/hedge_share", "must be between 0 and 1"}
 	}
 	if l.MaxHeaderBytes < 0 {
