Explain where a node would send a request

POST /v1/explain at the admin address runs the decisions of a request up to the choice of an instance and changes no state of the node: no weight of a split, budget or counter.

--- a/internal/coordination/routing/split.go
+++ b/internal/coordination/routing/split.go
@@ -54,6 +54,23 @@
 	return route.Backends[best].Service
 }
 
+// Peek returns the service that Choose would return next, without changing a weight. Before
+// the first request of a route it is the one with the largest weight.
+func (s *Splitter) Peek(route *Route) string {
+	w := s.weights[route.Name]
+	best, highest := 0, 0
+	for i, backend := range route.Backends {
+		weight := backend.Weight
+		if w != nil && sameBackends(w.route, route) {
+			weight += w.current[i]
+		}
+		if i == 0 || weight > highest {
+			best, highest = i, weight
+		}
+	}
+	return route.Backends[best].Service
+}
+
 // newRouteWeights returns random current weights for the services of the route.
 func (s *Splitter) newRouteWeights(route *Route) *routeWeights {
 	w := &routeWeights{route: route, current: make([]int, len(route.Backends))}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -40,7 +40,7 @@
 	Denied uint64  `json:"denied"`
 }
 
-// adminRoutes returns the handler for metrics, readiness and status.
+// adminRoutes returns the handler for metrics, readiness, status and explanations.
 func (n *Node) adminRoutes() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -55,6 +55,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.status())
 	}).Methods(http.MethodGet)
+	router.HandleFunc("/v1/explain", n.handleExplain).Methods(http.MethodPost)
 	return router
 }
 
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -127,7 +127,7 @@
 		started:    now,
 		bodyLength: r.ContentLength,
 	}
-	if err := n.selectService(c); err != nil {
+	if err := n.selectService(c, n.splitter.chooseService); err != nil {
 		return nil, err
 	}
 	if err := n.authenticate(c); err != nil {
@@ -157,14 +157,15 @@
 	return c, err
 }
 
-// selectService sets the target, the service and the rule of a call. Routes take
+// selectService sets the target, the service and the rule of a call. choose returns the
+// service of a route. Routes take
 // precedence over the hosts and path prefixes of services.
-func (n *Node) selectService(c *call) error {
+func (n *Node) selectService(c *call, choose func(*routing.Route) string) error {
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
 	if c.route = c.view.Routes.Match(c.request.Host, path); c.route != nil {
 		c.addressing = addressedByRoute
 		c.target = c.request.RequestURI
-		c.service = n.splitter.chooseService(c.route)
+		c.service = choose(c.route)
 		c.rule = document.RequestRule{Repeatable: c.route.Repeatable(), TimeoutMs: c.route.TimeoutMs}
 		return nil
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -136,6 +136,33 @@
 	return sample
 }
 
+// describeCandidates returns all instances of the service as candidates. Unlike a selection it
+// changes no state.
+func (b *balancer) describeCandidates(v *directory.View, service string) []quoteCandidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var described []quoteCandidate
+	for _, instance := range v.Services[service] {
+		state, known := b.states[instance.GetId()]
+		candidate := b.candidateLocked(now, v, instance)
+		if !known {
+			delete(b.states, instance.GetId())
+		} else {
+			b.states[instance.GetId()] = state
+		}
+		described = append(described, quoteCandidate{instance: instance, candidate: candidate})
+	}
+	return described
+}
+
+// isEjected reports whether this entry node has ejected the instance at the moment.
+func (b *balancer) isEjected(now time.Time, instance string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.policy.Ejected(now, instance)
+}
+
 // startAttempt counts an attempt in flight to a sampled candidate. Each call needs one
 // call of endAttempt.
 func (b *balancer) startAttempt(chosen *quoteCandidate) {
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -129,6 +129,16 @@
 // collectQuotes requests the quotes of a sample and waits until all have arrived, one of
 // them is ideal, or quoteTimeout has passed.
 func (n *Node) collectQuotes(ctx context.Context, c *call, sample []quoteCandidate) {
+	n.collectUntil(ctx, c, sample, func(quote *balance.Quote) bool { return quote.IsIdeal() && quote.NetworkCost == 0 })
+}
+
+// collectAllQuotes requests the quotes of a sample and waits until all have arrived or
+// quoteTimeout has passed.
+func (n *Node) collectAllQuotes(ctx context.Context, c *call, sample []quoteCandidate) {
+	n.collectUntil(ctx, c, sample, func(*balance.Quote) bool { return false })
+}
+
+func (n *Node) collectUntil(ctx context.Context, c *call, sample []quoteCandidate, isEnough func(*balance.Quote) bool) {
 	responses := make(chan datagram.Response, len(sample))
 	pending := make(map[uint64]int, len(sample))
 	defer func() {
@@ -150,7 +160,7 @@
 			i := pending[response.RequestID]
 			delete(pending, response.RequestID)
 			sample[i].quote = n.decodeQuote(c, &sample[i], response.Payload)
-			if quote := sample[i].quote; quote != nil && quote.IsIdeal() && quote.NetworkCost == 0 {
+			if quote := sample[i].quote; quote != nil && isEnough(quote) {
 				return
 			}
 		case <-timer.C:
--- a/internal/node/splits.go
+++ b/internal/node/splits.go
@@ -19,6 +19,13 @@
 	return trafficSplitter{mu: &sync.Mutex{}, splitter: routing.NewSplitter(random)}
 }
 
+// peekService returns the service that chooseService would return, and changes nothing.
+func (s trafficSplitter) peekService(route *routing.Route) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.splitter.Peek(route)
+}
+
 func (s trafficSplitter) chooseService(route *routing.Route) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
