--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -23,6 +23,8 @@
 
 // Streams are the output streams of a command.
 type Streams struct {
+	// In is standard input; nil selects that of the process.
+	In  io.Reader
 	Out io.Writer
 	Err io.Writer
 	// Progress is the terminal that shows the progress of a long wait; nil shows none.
@@ -50,6 +52,7 @@
 		Name:           "chicoryctl",
 		Usage:          "operate a chicorylever cluster",
 		Description:    description,
+		Reader:         streams.In,
 		Writer:         streams.Out,
 		ErrWriter:      streams.Err,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
@@ -57,7 +60,7 @@
 		Commands: []*cli.Command{
 			p.getCommand(), p.editCommand(), p.applyCommand(), p.removeCommand(), p.zoneCommand(),
 			p.statusCommand(), p.historyCommand(), p.memberCommand(), p.reportCommand(),
-			p.checkCommand(), p.tokenCommand(),
+			p.checkCommand(), p.tokenCommand(), p.explainCommand(),
 		},
 		Action: unknownCommand,
 	}
