--- a/internal/coordination/retry/hedge_sim_test.go
+++ b/internal/coordination/retry/hedge_sim_test.go
@@ -192,11 +192,12 @@
 func (s *hedgeSim) send(a *simAttempt) {
 	s.schedule(s.now+simOneWay, func() {
 		u := s.upstreams[a.upstream]
-		if u.running >= simPlaces && len(u.queue) < simMaxQueue {
-			u.queue = append(u.queue, a)
-		} else if u.running < simPlaces {
+		switch {
+		case u.running < simPlaces:
 			s.startService(a)
-		} else if !a.isHedge {
+		case len(u.queue) < simMaxQueue:
+			u.queue = append(u.queue, a)
+		case !a.isHedge:
 			s.refuse(a.simRequest)
 		}
 	})
--- a/internal/coordination/retry/hedge_test.go
+++ b/internal/coordination/retry/hedge_test.go
@@ -112,3 +112,37 @@
 		assert.Equal(t, retried, c.mayRetry, c.name)
 	}
 }
+
+// TestHedgeTarget guards against a hedge to an upstream whose quote says that it is cold, slow,
+// full or closed, and against hedges while the quoted upstreams are short of places.
+func TestHedgeTarget(t *testing.T) {
+	free := balance.Quote{Open: true, Running: 1, Limit: 4, Slowdown: 1}
+	with := func(change func(q *balance.Quote)) balance.Quote {
+		q := free
+		change(&q)
+		return q
+	}
+	busy := with(func(q *balance.Quote) { q.Running, q.Queued = 4, 2 })
+	for name, c := range map[string]struct {
+		target balance.Quote
+		others []*balance.Quote
+		want   retry.HedgeVerdict
+	}{
+		"free":              {free, []*balance.Quote{&free, nil}, retry.HedgeSend},
+		"cold":              {with(func(q *balance.Quote) { q.Cold = true }), nil, retry.HedgeTargetBusy},
+		"slow":              {with(func(q *balance.Quote) { q.Slowdown = 4 }), nil, retry.HedgeTargetBusy},
+		"full":              {with(func(q *balance.Quote) { q.Running = 4 }), nil, retry.HedgeTargetBusy},
+		"rate limit":        {with(func(q *balance.Quote) { q.QueueWait = time.Millisecond }), nil, retry.HedgeTargetBusy},
+		"closed":            {with(func(q *balance.Quote) { q.Open = false }), nil, retry.HedgeTargetBusy},
+		"short of places":   {free, []*balance.Quote{&free, &busy, &busy, &busy}, retry.HedgeNoRoom},
+		"one other is busy": {free, []*balance.Quote{&free, &free, &free, &busy}, retry.HedgeSend},
+	} {
+		p := retry.New(start, retry.Config{HedgeShare: 1})
+		for range 100 {
+			p.RecordFirstAttempt(start)
+			p.ObserveLatency(10 * time.Millisecond)
+		}
+		h := retry.Hedge{Repeatable: true, Waited: time.Second, Target: &balance.Candidate{}, TargetQuote: &c.target, Quotes: c.others}
+		assert.Equal(t, p.TakeHedge(start, h), c.want, name)
+	}
+}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -89,3 +89,22 @@
 		assert.Equal(t, splitter.Choose(after.Match("a", "/")), "u")
 	}
 }
+
+// TestPeek guards against a peek that differs from the next choice or changes it.
+func TestPeek(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 9), 1, 4).Draw(t, "weights")
+		route := &Route{Name: "r"}
+		for i, weight := range weights {
+			route.Backends = append(route.Backends, document.Backend{Service: string(rune('a' + i)), Weight: weight})
+			route.totalWeight += weight
+		}
+		peeked, plain := NewSplitter(rand.New(rand.NewPCG(1, 2))), NewSplitter(rand.New(rand.NewPCG(1, 2)))
+		assert.Equal(t, peeked.Choose(route), plain.Choose(route))
+		for range 20 {
+			next := peeked.Peek(route)
+			assert.Equal(t, peeked.Choose(route), next)
+			assert.Equal(t, plain.Choose(route), next)
+		}
+	})
+}
