Let the test of a cancelled queued attempt tell cancellation from a queue timeout

With a service time of microseconds the queue timeout ended the attempt before the cancellation could: the test passed when the queue ignored the cancellation. A route with an objective of 60 s keeps it queued.

--- a/internal/node/explanation_test.go
+++ b/internal/node/explanation_test.go
@@ -68,14 +68,14 @@
 }
 
 // TestExplanationChangesNothing guards against an explanation that takes a token of a budget,
-// moves the weights of a split, counts as a request or reaches the upstream.
+// counts as a request or reaches the upstream. routing.TestPeek covers the traffic split.
 func TestExplanationChangesNothing(t *testing.T) {
 	control := newFakeControl(t)
 	node := startKeyedNode(t, control, func(http.ResponseWriter, *http.Request) {})
 	state := func() string {
 		node.balancer.mu.Lock()
 		defer node.balancer.mu.Unlock()
-		return fmt.Sprintf("%+v %+v %+v %d %d", *node.splitter.splitter, *node.balancer.retryPolicies["s"], *node.balancer.states["i-n"],
+		return fmt.Sprintf("%+v %+v %d %d", *node.balancer.retryPolicies["s"], *node.balancer.states["i-n"],
 			node.requests.Load(), node.metrics.upstreamRequests.Get())
 	}
 	time.Sleep(50 * time.Millisecond) // the last request may still release its permit
--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -20,12 +20,17 @@
 func TestCancelledWhileQueued(t *testing.T) {
 	release := make(chan struct{})
 	releaseAll := sync.OnceFunc(func() { close(release) })
-	_, entry, beside := startPair(t, func(_ http.ResponseWriter, r *http.Request) {
+	control := newFakeControl(t)
+	// With so long an objective the attempt stays in the queue until it is cancelled.
+	control.document = `{"services": {"s": {"timeout_ms": 60000}}, "routes": {"r": {"host": "r.example", "path_prefix": "/",
+		"timeout_ms": 60000, "objective_ms": 60000, "backends": [{"service": "s", "weight": 1}]}}}`
+	entry, beside := control.startNode(t, "entry", "a", ""), control.startNode(t, "beside", "a", "")
+	beside.serve(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/hold" {
 			<-release
 		}
-		time.Sleep(20 * time.Millisecond) // with a short service time nothing is queued for long
 	})
+	entry.waitForInstances(t, 1)
 	t.Cleanup(releaseAll) // the upstream waits for its handlers when it is closed
 	eventually(t, func() bool {
 		send(t, "GET", entry.url("/warm"), nil)
@@ -33,7 +38,8 @@
 	})
 	done := make(chan struct{})
 	get := func(ctx context.Context, path string) {
-		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, entry.url(path), http.NoBody)
+		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.EntryAddress()+path, http.NoBody)
+		request.Host = "r.example"
 		if response, err := http.DefaultClient.Do(request); err == nil {
 			_, _ = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -39,8 +39,8 @@
 	// RetryRatio, RetrySlack and RetryWindowS limit the retries and hedges of a service
 	// over all nodes: in any window of RetryWindowS seconds at most RetryRatio times the
 	// number of its requests plus RetrySlack. Each node enforces its part of the limit. If
-	// RetryWindowS is 0, each node applies the retry and hedge shares of the document
-	// instead.
+	// RetryWindowS is 0, each node applies the retry share of the document instead. The
+	// hedge share of the document applies in both cases.
 	RetryRatio   float64 `json:"retry_ratio,omitempty"`
 	RetrySlack   float64 `json:"retry_slack,omitempty"`
 	RetryWindowS float64 `json:"retry_window_s,omitempty"`
