--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,10 +20,12 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/distribute"
 	"github.com/chicorylever/chicorylever/internal/coordination/membership"
 	"github.com/chicorylever/chicorylever/internal/coordination/replica"
+	"github.com/chicorylever/chicorylever/internal/coordination/rollout"
 	"github.com/chicorylever/chicorylever/internal/settings"
 	"github.com/chicorylever/chicorylever/internal/state/claims"
 	"github.com/chicorylever/chicorylever/internal/state/document"
 	"github.com/chicorylever/chicorylever/internal/state/slo"
+	"github.com/chicorylever/chicorylever/internal/transport/httplisten"
 	"github.com/chicorylever/chicorylever/internal/transport/mesh"
 )
 
@@ -56,14 +58,17 @@
 	claimMachine    *claims.Machine
 	burnMachine     *slo.Machine
 	burnCollector   *slo.Collector
+	rolloutDriver   *rolloutDriver
 
 	registry      *membership.Registry
 	leaseExchange *membership.Exchange
 	distributor   *distribute.Server
 	claimService  *claimService
+	quotas        *quotaService
 
 	meshListener net.Listener
 	apiListener  net.Listener
+	memory       *memory
 }
 
 // New opens the listeners of a member and the replicated log in its data directory.
@@ -86,6 +91,8 @@
 	logger = log.With(logger, "member", s.ID)
 	messageAuthorizer := newAuthorizer(config.TLS != nil, logger)
 	config.RequireControlServer = true
+	limits := newMemory(s)
+	config.Ledger = limits.mesh
 	config.OnServerRefused = messageAuthorizer.logRefusal
 	c := &Control{
 		settings:        s,
@@ -94,6 +101,7 @@
 		meshClient:      mesh.NewClient(config),
 		meshConfig:      config,
 		authorizer:      messageAuthorizer,
+		memory:          limits,
 		apiTLS:          apiTLS,
 		documentMachine: document.NewMachine(),
 		claimMachine:    claims.NewMachine(),
@@ -101,6 +109,7 @@
 		burnCollector:   slo.NewCollector(),
 		registry:        membership.NewRegistry(),
 	}
+	c.documentMachine.SetRolloutPolicy(rollout.Advance)
 	c.currentSettings.Store(s)
 	if err := checkBootstrapDocument(s.BootstrapDocument); err != nil {
 		return nil, err
@@ -112,9 +121,13 @@
 		c.closeListeners()
 		return nil, err
 	}
+	rollback := time.Duration(s.RollbackMs) * time.Millisecond
+	c.rolloutDriver = newRolloutDriver(c.documentMachine, c.registry, c.proposerFor(componentDocument), rollback, logger)
 	source := &documentSource{machine: c.documentMachine, proposer: c.replicatedLog}
 	c.distributor = distribute.NewServer(source, c.registry, c.collectCounts, c.logger)
 	c.distributor.SetMembers(c.memberAddresses)
+	c.quotas = c.newQuotaService()
+	c.distributor.SetQuotas(c.quotas.collector)
 	c.leaseExchange = c.newLeaseExchange()
 	c.claimService = &claimService{proposer: c.proposerFor(componentClaims), documentMachine: c.documentMachine}
 	return c, nil
@@ -190,10 +203,11 @@
 		return err
 	}
 	meshServer := mesh.NewServer(c.meshConfig, c.serveStream)
-	apiServer := api.NewServer(handler, c.apiTLS)
+	apiServer := api.NewServer(httplisten.CountBodies(handler), c.apiTLS)
+	apiListener := httplisten.Guard(apiServer, c.apiListener, c.memory.api)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return meshServer.Serve(groupCtx, c.meshListener) })
-	group.Go(func() error { return api.Serve(apiServer, c.apiListener) })
+	group.Go(func() error { return api.Serve(apiServer, apiListener) })
 	for _, task := range c.backgroundTasks() {
 		group.Go(func() error { task(groupCtx); return nil })
 	}
@@ -212,6 +226,7 @@
 // restart; Reload returns the names of those that differ.
 func (c *Control) Reload(s *settings.Control) []string {
 	c.currentSettings.Store(s)
+	c.memory.reload(s)
 	c.replicatedLog.SetJoinAddresses(s.Join)
 	return c.settings.ChangesNeedingRestart(s)
 }
@@ -233,8 +248,11 @@
 	tasks := []func(ctx context.Context){
 		c.expireLeases,
 		c.watchQuorum,
+		c.watchMemory,
 		c.distributor.Run,
 		c.leaseExchange.Run,
+		c.rolloutDriver.run,
+		c.quotas.run,
 		func(ctx context.Context) { c.burnCollector.Run(ctx, c.proposerFor(componentBurn), c.logger) },
 		newLostNodeDetector(c.registry, c.proposerFor(componentClaims), c.logger).run,
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/chicorylever/chicorylever/internal/obs"
 )
 
 // metricsHandler returns the handler that serves the member's metrics in the Prometheus
 // text format.
 func (c *Control) metricsHandler() http.Handler {
 	set := metrics.NewSet()
+	obs.RegisterMemory(set, c.memory.byListener())
 	gauge := func(name string, read func() float64) { set.NewGauge("chicorylever_control_"+name, read) }
 	gauge("leader", func() float64 {
 		status := c.replicatedLog.Status()
@@ -32,9 +35,11 @@
 	gauge("registry_stale", func() float64 { return float64FromBool(c.registry.Status(time.Now()).Stale) })
 	gauge("claim_records", func() float64 { return float64(c.claimMachine.Stats().Records) })
 	gauge("claim_bytes", func() float64 { return float64(c.claimMachine.Stats().UsedBytes) })
+	gauge("quota_limited", func() float64 { return float64(c.quotas.collector.Limited()) })
 	set.NewGauge("chicorylever_log_lines_dropped_total", func() float64 { return float64(c.options.DroppedLogLines()) })
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
+		c.writeRolloutMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
 }
--- a/internal/coordination/admission/types.go
+++ b/internal/coordination/admission/types.go
@@ -24,6 +24,14 @@
 	// Urgency and Priority determine the order of queued requests; priority 0 goes first.
 	Urgency  overload.Urgency
 	Priority int
+	// Organisation is whose request this is, empty when unknown. Within a priority,
+	// requests of organisations that use less than their share of the upstream go first.
+	Organisation string
+	// Weight is the size of the share of the organisation relative to others; 0 counts as 1.
+	Weight float64
+	// GivesWay is set for a request that will probably fail, since the calls that requests
+	// like it make have had no room recently. Others of its priority go first.
+	GivesWay bool
 	// Work is the expected service time; Work.OwnTime is 0 when unknown.
 	Work Work
 	// Attempt is 1 for the first attempt of a request. Later attempts may wait longer,
@@ -41,6 +49,9 @@
 	ResultError
 	// ResultOverloaded is a response by which the upstream sheds load.
 	ResultOverloaded
+	// ResultReset is a connection that the upstream has reset shortly after dispatch and
+	// before any byte of a response, as some do when they are full.
+	ResultReset
 	// ResultConnectRefused is a refused connection; nothing was written.
 	ResultConnectRefused
 	// ResultTimeout is an attempt whose deadline passed after dispatch.
--- a/internal/coordination/distribute/server.go
+++ b/internal/coordination/distribute/server.go
@@ -37,7 +37,8 @@
 	Changed() <-chan struct{}
 }
 
-// CountSink receives the heartbeats that carry request counts. It must not block.
+// CountSink receives the heartbeats that carry request counts or evidence of rollouts. It
+// must not block.
 type CountSink func(heartbeat *wire.Heartbeat)
 
 // Server serves the subscriptions of nodes.
@@ -49,6 +50,7 @@
 	// members returns the mesh addresses of the control members; when nil,
 	// acknowledgements list no members.
 	members func() []string
+	quotas  QuotaCollector
 	// isolated is set while the member has no contact with a quorum.
 	isolated atomic.Bool
 
@@ -214,8 +216,12 @@
 			s.handleHeartbeat(sub, message.GetHeartbeat())
 		case message.GetSubscribe() != nil:
 			sub.subscribe(message.GetSubscribe())
+		case message.GetQuotaReport() != nil:
+			if err := s.handleQuotaReport(sub, message.GetQuotaReport()); err != nil {
+				return err
+			}
 		default:
-			return errors.WithMessage(frame.ErrUnexpected, "node sent neither a heartbeat nor a subscription")
+			return errors.WithMessage(frame.ErrUnexpected, "node sent neither a heartbeat, a subscription nor a quota report")
 		}
 	}
 	return ctx.Err()
@@ -223,9 +229,12 @@
 
 func (s *Server) handleHeartbeat(sub *subscription, heartbeat *wire.Heartbeat) {
 	s.registry.Renew(time.Now(), heartbeat)
-	if s.counts != nil && len(heartbeat.GetCounts()) > 0 {
+	if s.counts != nil && len(heartbeat.GetCounts())+len(heartbeat.GetEvidence()) > 0 {
 		s.counts(heartbeat)
 	}
+	if s.quotas != nil && heartbeat.GetStopping() {
+		s.quotas.Stopped(heartbeat.GetNodeId())
+	}
 	sub.acknowledge(heartbeat)
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -45,6 +45,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.write(w)
+		n.entryQuotas.refusals.write(w, n.entryQuotas.meter.GrantAge(time.Now()))
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !n.isReady() {
@@ -114,6 +115,9 @@
 		}
 		n.syncZone()
 		n.applyUpstreamConfig()
+		if n.observeRollouts(time.Now()) || n.evidence.isUnreported() {
+			n.directory.RequestHeartbeat()
+		}
 		if current := n.directory.View(); current != lastPruned {
 			n.balancer.removeUnlisted(current)
 			lastPruned = current
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -14,8 +14,10 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
+	"github.com/chicorylever/chicorylever/internal/coordination/rollout"
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -63,6 +65,9 @@
 	deadline       time.Time
 	headers        []*wire.Header
 
+	// hold counts the bytes held for the call beside those that its connection counts.
+	hold *memlimit.Hold
+
 	// body is the whole body, or its first part when streamed is set.
 	body     []byte
 	streamed bool
@@ -85,6 +90,8 @@
 	// keyDigest.
 	hasKey    bool
 	keyDigest document.KeyDigest
+	// usesQuota is set when the call was counted against the quota of its organisation.
+	usesQuota bool
 	// parent is the running request that makes this call, if isNested is set.
 	parent   overload.Parent
 	isNested bool
@@ -100,6 +107,13 @@
 	// sentAttempts counts the attempts that may have reached an upstream, refusedAttempts those
 	// that a node refused.
 	sentAttempts, refusedAttempts int
+	// versionRefused is set once an available instance of the version that the call chose in a
+	// rollout has not answered the call well. The call then stays with this version: the load or
+	// the fault of one version must not move requests to the other.
+	versionRefused bool
+	// excludedVersions are the versions of instances whose nodes refused the call because of a
+	// later revision of the rollout.
+	excludedVersions rollout.VersionSet
 	// hedged is set once the first attempt has been hedged.
 	hedged atomic.Bool
 	// firstQuote is what the upstream of the first attempt had quoted when it was chosen.
@@ -121,6 +135,7 @@
 		return nil, errInvalidTarget
 	}
 	c := &call{
+		hold:       memlimit.NewHold(memlimit.FromContext(r.Context())),
 		request:    r,
 		view:       view,
 		limits:     limitsWithDefaults(view.Doc),
@@ -256,7 +271,7 @@
 }
 
 // head returns the RequestHead message of an attempt.
-func (c *call) head(instance *wire.Instance, entry *settings.Node, attemptNumber int) *wire.RequestHead {
+func (c *call) head(instance *wire.Instance, entry *settings.Node, revision uint64, attemptNumber int) *wire.RequestHead {
 	return &wire.RequestHead{
 		RequestId:      c.id[:],
 		Service:        c.service,
@@ -270,7 +285,7 @@
 		IdempotencyKey: c.idempotencyKey,
 		Repeatable:     c.rule.Repeatable,
 		BodyLength:     c.bodyLength,
-		Revision:       c.view.Revision,
+		Revision:       revision,
 		EntryZone:      entry.Zone,
 		SenderAddress:  entry.MeshAddress,
 		AttemptNumber:  uint32(attemptNumber),                         //nolint:gosec // small
--- a/internal/node/egress/egress_test.go
+++ b/internal/node/egress/egress_test.go
@@ -16,7 +16,7 @@
 )
 
 // scriptedUpstream is an upstream that reads the n-th request and writes the n-th response.
-// An empty or missing response closes the connection instead. A response that contains
+// An empty or missing response closes the connection instead, and "reset" resets it. A response that contains
 // "early" is written before the request body is read. After one that contains "cut" the
 // connection is closed.
 type scriptedUpstream struct {
@@ -59,6 +59,10 @@
 		if !strings.Contains(response, "early") {
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
+		if response == "reset" {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
 		if _, err := io.WriteString(c, response); err != nil || response == "" || strings.Contains(response, "cut") {
 			return
 		}
@@ -107,6 +111,40 @@
 	}
 }
 
+// TestDiscardKeepsConnection guards against a new connection after each response whose body
+// is of no use, such as one by which the upstream sheds load.
+func TestDiscardKeepsConnection(t *testing.T) {
+	shed := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy"
+	s := newScriptedUpstream(t, shed, shed, okResponse)
+	p := s.pool()
+	for range 2 {
+		response, err := p.Do(context.Background(), newRequest(t, http.MethodPost, "b"), false, allowDispatch)
+		assert.NilError(t, err)
+		response.Discard()
+		response.Close()
+	}
+	_, _, err := roundTrip(t, p, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.connectionEnded), 0)
+}
+
+// TestReset guards against not telling an upstream that resets connections, because it is
+// full, from one that fails a request in another way or closes an idle connection.
+func TestReset(t *testing.T) {
+	s := newScriptedUpstream(t, "reset", "no HTTP", "", okResponse, "reset")
+	p := s.pool()
+	for _, isReset := range []bool{true, false, false} {
+		_, _, err := roundTrip(t, p, http.MethodPost)
+		assert.ErrorIs(t, err, ErrNoResponse)
+		assert.Equal(t, errors.Is(err, ErrReset), isReset, "%v", err)
+	}
+	_, _, err := roundTrip(t, p, http.MethodPost)
+	assert.NilError(t, err)
+	p.idle[0].idleSince = p.idle[0].idleSince.Add(-recentUse)
+	_, _, err = roundTrip(t, p, http.MethodPost)
+	assert.Assert(t, errors.Is(err, ErrNoResponse) && !errors.Is(err, ErrReset), "%v", err)
+}
+
 // TestClosedIdleConnection guards against an error or an unknown outcome for a request
 // because the upstream had already closed an idle connection.
 func TestClosedIdleConnection(t *testing.T) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
@@ -39,6 +40,10 @@
 		rejectCall(w, err)
 		return
 	}
+	defer c.hold.Release()
+	if !n.entryQuotas.admit(w, c) {
+		return
+	}
 	if c.urgency == overload.Nested {
 		n.upstream.requestTracker.CallBegan(c.parentRequestID, c.started)
 		defer func() { n.upstream.requestTracker.CallEnded(c.parentRequestID, time.Now()) }()
@@ -46,6 +51,7 @@
 	n.metrics.beginCall(c)
 	result := callFailed
 	defer func() {
+		n.entryQuotas.finish(c, result)
 		n.metrics.endCall(c, result)
 		n.logCallEnd(c, result)
 	}()
@@ -57,7 +63,7 @@
 		}
 	}()
 	if err := c.bufferBody(w); err != nil {
-		rejectBody(w, err)
+		n.rejectBody(w, r, err)
 		return
 	}
 	n.awaitFirstInstances(ctx, c.service)
@@ -90,7 +96,12 @@
 }
 
 // rejectBody responds to a request whose body could not be read.
-func rejectBody(w http.ResponseWriter, err error) {
+func (n *Node) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
+	var noMemory *memlimit.RefusedError
+	if errors.As(err, &noMemory) {
+		n.refuseForMemory(w, r)
+		return
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		rejectCall(w, errBodyTooLarge)
@@ -112,13 +123,13 @@
 	var fallback attemptResult
 	failure := attemptResult{reason: wire.RefusalReason_REFUSAL_NO_UPSTREAM}
 	for attemptNumber := 1; ; attemptNumber++ {
-		instance, _, ok := n.selectInstance(ctx, c, attemptNumber, tried)
+		instance, ok := n.selectInstance(ctx, c, attemptNumber, tried)
 		if !ok && failure.isConnectionLost() {
 			// All instances were tried. The last one, whose connection failed or stopped
 			// responding, may respond on a new connection. Only repeatable requests get
 			// here.
 			tried = nil
-			instance, _, ok = n.selectInstance(ctx, c, attemptNumber, tried)
+			instance, ok = n.selectInstance(ctx, c, attemptNumber, tried)
 		}
 		if !ok {
 			break
@@ -129,6 +140,7 @@
 		}
 		result := n.makeAttempt(ctx, c, instance, attemptNumber)
 		c.countAttempt(&result)
+		n.observeVersion(c, instance, &result)
 		if result.outcome == outcomeAnswered && !isRetryableStatus(c, result) {
 			fallback.discard()
 			if n.forwardToCaller(w, c, &result) {
@@ -165,7 +177,7 @@
 // finishFailedCall responds to a call after its last attempt: with the fallback response
 // if there is one, otherwise with an error.
 func (n *Node) finishFailedCall(ctx context.Context, w http.ResponseWriter, c *call, fallback, failure attemptResult) callResult {
-	if failure.outcome == outcomeAnswered {
+	if failure.outcome == outcomeAnswered && failure.attempt != fallback.attempt {
 		fallback.discard()
 		fallback = failure
 	}
@@ -257,7 +269,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return callCancelled
 	}
-	n.recordNestedFailure(c)
+	n.recordNestedFailure(c, failure)
 	body := httpapi.ErrorBody{Outcome: httpapi.OutcomeNotRun, Reason: httpapi.ReasonName(failure.reason)}
 	switch failure.reason {
 	case wire.RefusalReason_REFUSAL_CLAIM_IN_PROGRESS:
@@ -308,6 +320,7 @@
 	case wire.RefusalReason_REFUSAL_LEAVING,
 		wire.RefusalReason_REFUSAL_STOPPING,
 		wire.RefusalReason_REFUSAL_ZONE_OUT,
+		wire.RefusalReason_REFUSAL_VERSION,
 		wire.RefusalReason_REFUSAL_WRONG_INSTANCE:
 		return true
 	default:
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -51,7 +51,7 @@
 	outcome := balance.Outcome{Result: balance.ResultError}
 	defer func() { a.finish(outcome) }()
 	if result.head.GetStatus() >= http.StatusInternalServerError {
-		n.recordNestedFailure(c)
+		n.recordNestedFailure(c, *result)
 	}
 	writer := newResponseWriter(w, c, result.head)
 	end, err := writer.copyFrom(a.stream)
@@ -166,7 +166,7 @@
 
 func (r *responseWriter) write(data []byte) error {
 	r.bodyBytes += uint64(len(data))
-	if !r.headWritten && len(r.buffered)+len(data) <= maxBufferedBodyBytes {
+	if !r.headWritten && len(r.buffered)+len(data) <= maxBufferedBodyBytes && r.call.hold.TryAcquire(2*int64(len(data))) {
 		if r.buffered == nil {
 			r.buffered = data // messages do not share memory
 		} else {
@@ -174,6 +174,9 @@
 		}
 		return nil
 	}
+	if !r.headWritten {
+		r.call.hold.Demand(time.Now(), streamedResponseBytes)
+	}
 	if err := r.writeHead(); err != nil {
 		return err
 	}
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -49,6 +50,7 @@
 		primaryEnded:    make(chan struct{}),
 		sentAt:          time.Now(),
 	}
+	c.hold.Demand(time.Now(), memlimit.BodyCopies*int64(len(c.body)))
 	timer := time.AfterFunc(delay, h.startSecondary)
 	primaryResult := n.tryInstance(primaryCtx, c, instance, 1)
 	if timer.Stop() {
@@ -206,9 +208,14 @@
 }
 
 // selectHedgeTarget chooses another instance than the first attempt's and counts an attempt in
-// flight to it.
+// flight to it. During a rollout it is none of the target version.
 func (n *Node) selectHedgeTarget(ctx context.Context, c *call, primary string) (hedgeTarget, bool) {
-	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, map[string]bool{primary: true})
+	v := n.selectionView(c)
+	selection, ok := n.selectHedgeVersions(v, c.service)
+	if !ok {
+		return hedgeTarget{}, false
+	}
+	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, v, map[string]bool{primary: true}, selection)
 	if !ok {
 		return hedgeTarget{}, false
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
+	"github.com/chicorylever/chicorylever/internal/obs"
 	"github.com/chicorylever/chicorylever/internal/protocol/httpapi"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
@@ -58,6 +59,9 @@
 	// upstreamRequests counts the requests sent to the upstream beside this node, without
 	// probes.
 	upstreamRequests *metrics.Counter
+	// upstreamResets counts the requests after which the upstream reset the connection at
+	// once, without a response, as when it is full.
+	upstreamResets *metrics.Counter
 	// ejections counts the ejections of failing instances by this entry node.
 	ejections *metrics.Counter
 	// rejectedAnnouncements counts the announcements that describe no instance.
@@ -75,6 +79,7 @@
 type serviceMetrics struct {
 	results  [callResultCount]*metrics.Counter
 	inFlight *metrics.Gauge
+	rollout  rolloutMetrics
 
 	mu   sync.Mutex
 	good uint64
@@ -93,6 +98,7 @@
 		cancelledRunning:      set.NewCounter(`chicorylever_attempts_cancelled_total{state="running"}`),
 		cancelledSeconds:      set.NewFloatCounter("chicorylever_attempts_cancelled_seconds_total"),
 		upstreamRequests:      set.NewCounter("chicorylever_upstream_requests_total"),
+		upstreamResets:        set.NewCounter("chicorylever_upstream_resets_total"),
 		ejections:             set.NewCounter("chicorylever_ejections_total"),
 		rejectedAnnouncements: set.NewCounter("chicorylever_announcements_rejected_total"),
 		addedLatency:          set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
@@ -136,6 +142,7 @@
 		return s
 	}
 	s = &serviceMetrics{inFlight: m.set.NewGauge(fmt.Sprintf("chicorylever_requests_in_flight{service=%q}", name), nil)}
+	s.rollout = newRolloutMetrics(m.set, name)
 	for result, resultName := range callResultNames {
 		s.results[result] = m.set.NewCounter(fmt.Sprintf("chicorylever_requests_total{service=%q,outcome=%q}", name, resultName))
 	}
@@ -191,6 +198,7 @@
 // registerGauges adds the gauges that are computed when the metrics are read.
 func (n *Node) registerGauges() {
 	set := n.metrics.set
+	obs.RegisterMemory(set, n.memory.byListener())
 	loadGauge := func(read func(*wire.LoadReport) float64) func() float64 {
 		return func() float64 { return read(n.upstream.gate.Report()) }
 	}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -9,12 +9,13 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
 )
 
 const (
 	// freshLoadAge is the age up to which the upstream's report of its load is used
-	// without a new probe.
+	// without a new probe while requests wait for its speed.
 	freshLoadAge = 40 * time.Millisecond
 	// probeTimeout bounds a probe of the upstream.
 	probeTimeout = 100 * time.Millisecond
@@ -24,6 +25,9 @@
 	// suspectDuration is how long an upstream that refused a connection counts as cold,
 	// unless it announces itself earlier.
 	suspectDuration = 3 * time.Second
+	// maxProbeCallbacks bounds the quotes that wait for a probe; further ones get the last
+	// report.
+	maxProbeCallbacks = 1024
 	// maxProbeBytes bounds the body of a health response.
 	maxProbeBytes = 64 << 10
 	// defaultProbesPerSecond is the measurement budget of an upstream whose service has a
@@ -31,18 +35,39 @@
 	defaultProbesPerSecond = 40.0
 )
 
-// refreshLoad calls done once the upstream's load report is as recent as possible. It probes the
-// upstream when the last report is older than freshLoadAge, or older still when the upstream
-// states a rate limit, and the measurement budget allows it. The callback may run before
+// needsProbeForQuote reports whether a quote needs a probe of the upstream; see
+// admission.NeedsProbe. The caller holds u.mu.
+func (u *upstream) needsProbeForQuote() bool {
+	report := u.gate.Report()
+	return admission.NeedsProbe(admission.LoadFacts{
+		Age:      time.Since(u.reportedLoadAt),
+		Slowdown: float64(u.slowdownPercent) / normalSlowdownPercent,
+		Running:  int(report.GetInFlight()),
+		Limit:    int(report.GetLimit()),
+	})
+}
+
+// needsProbeForSpeed reports whether requests that wait for a slow upstream need a probe. The
+// caller holds u.mu.
+func (u *upstream) needsProbeForSpeed() bool { return time.Since(u.reportedLoadAt) >= freshLoadAge }
+
+// refreshLoad calls done once the upstream's load report is recent enough. It probes the
+// upstream when needsProbe, which is called with u.mu locked, asks for it, no stated rate limit
+// speaks against it, and the measurement budget allows it. The callback may run before
 // refreshLoad returns; it must not block.
-func (u *upstream) refreshLoad(path string, done func()) {
+func (u *upstream) refreshLoad(path string, needsProbe func() bool, done func()) {
 	u.mu.Lock()
-	if path == "" || u.pool == nil || time.Since(u.reportedLoadAt) < freshLoadAge ||
+	if path == "" || u.pool == nil || !needsProbe() ||
 		time.Since(u.unreachableAt) < unreachableDuration || u.rateLimit.needsNoProbe(time.Now()) {
 		u.mu.Unlock()
 		done()
 		return
 	}
+	if u.probing && len(u.probeCallbacks) >= maxProbeCallbacks {
+		u.mu.Unlock()
+		done()
+		return
+	}
 	if u.probing {
 		u.probeCallbacks = append(u.probeCallbacks, done)
 		u.mu.Unlock()
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -10,6 +10,7 @@
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
 	"github.com/chicorylever/chicorylever/internal/coordination/retry"
+	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/datagram"
 )
@@ -45,13 +46,27 @@
 // some upstreams, and counts an attempt in flight to it. Load changes within
 // milliseconds, so that the reports in earlier responses are of little use. Without
 // quotes they are used nevertheless.
-func (n *Node) selectInstance(ctx context.Context, c *call, attemptNumber int, tried map[string]bool) (*wire.Instance, balance.Candidate, bool) {
-	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, tried)
+//
+// During a rollout of the service the first attempt of a call is for the version that a random
+// draw chooses, a later one for the version of repeats.
+func (n *Node) selectInstance(ctx context.Context, c *call, attemptNumber int, tried map[string]bool) (*wire.Instance, bool) {
+	v := n.selectionView(c)
+	selection := n.selectVersions(v, c, attemptNumber == 1)
+	instance, _, sample, ok := n.selectByQuotes(ctx, c, v, tried, selection)
+	if !ok && !c.versionRefused {
+		if fallback, isAllowed := selection.fallback(); isAllowed {
+			instance, _, sample, ok = n.selectByQuotes(ctx, c, v, tried, fallback)
+		}
+	}
+	if !ok && selection.needsQuote {
+		selection.needsQuote = false
+		instance, _, sample, ok = n.selectByQuotes(ctx, c, v, tried, selection)
+	}
 	if ok {
 		n.logSelection(c, attemptNumber, instance, sample)
 		c.firstQuote = primaryOf(instance, sample)
 	}
-	return instance, candidate, ok
+	return instance, ok
 }
 
 // primaryOf returns what a sample says about the chosen instance. A sample of one was not
@@ -65,13 +80,13 @@
 	return retry.Primary{}
 }
 
-func (n *Node) selectByQuotes(ctx context.Context, c *call, tried map[string]bool) (*wire.Instance, balance.Candidate, []quoteCandidate, bool) {
-	v, service := c.view, c.service
+func (n *Node) selectByQuotes(ctx context.Context, c *call, v *directory.View, tried map[string]bool, selection versionSelection) (*wire.Instance, balance.Candidate, []quoteCandidate, bool) {
+	service := c.service
 	if n.quotes == nil {
-		instance, candidate, ok := n.balancer.pickInstance(v, service, tried)
+		instance, candidate, ok := n.balancer.pickInstance(v, service, tried, selection)
 		return instance, candidate, nil, ok
 	}
-	sample := n.balancer.sampleCandidates(v, service, tried, c.sameZoneCount())
+	sample := n.balancer.sampleCandidates(v, service, tried, selection, c.sameZoneCount())
 	if len(sample) == 1 {
 		n.balancer.startAttempt(&sample[0])
 		return sample[0].instance, sample[0].candidate, sample, true
@@ -79,8 +94,11 @@
 	n.collectByZone(ctx, c, sample)
 	quotes := quotesOf(sample)
 	best := balance.Best(quotes, meanServiceTime(quotes))
+	if best < 0 && selection.needsQuote {
+		return nil, balance.Candidate{}, nil, false
+	}
 	if best < 0 {
-		instance, candidate, ok := n.balancer.pickInstance(v, service, tried)
+		instance, candidate, ok := n.balancer.pickInstance(v, service, tried, selection)
 		return instance, candidate, sample, ok
 	}
 	n.balancer.startAttempt(&sample[best])
@@ -240,13 +258,13 @@
 const crossZoneRoundTrip = 3 * time.Millisecond
 
 // answerQuote answers a quote request for the upstream beside this node. When the last
-// load report is old, it probes the upstream first.
+// load report may be misleading, it probes the upstream first.
 func (n *Node) answerQuote(payload []byte, reply func(response []byte)) {
 	request := &wire.QuoteRequest{}
 	if proto.Unmarshal(payload, request) != nil {
 		return
 	}
-	n.upstream.refreshLoad(n.healthPath(), func() {
+	n.upstream.refreshLoad(n.healthPath(), n.upstream.needsProbeForQuote, func() {
 		response, err := proto.Marshal(n.currentQuote(request))
 		if err == nil {
 			reply(response)
@@ -266,11 +284,14 @@
 func (n *Node) currentQuote(request *wire.QuoteRequest) *wire.Quote {
 	n.syncZone()
 	wait := n.upstream.gate.Wait(admission.Request{
-		Urgency:  urgencyFromWire(request.GetUrgency()),
-		Priority: int(request.GetPriority()),
-		Work:     n.expectedWork(request.GetRoute()),
+		Urgency:      urgencyFromWire(request.GetUrgency()),
+		Priority:     int(request.GetPriority()),
+		Organisation: request.GetOrganisation(),
+		Weight:       n.organisationWeight(request.GetOrganisation()),
+		Work:         n.expectedWork(request.GetRoute()),
 	})
 	quote := &wire.Quote{WaitUs: uint64(wait.Microseconds()), Load: n.upstream.loadReportForRoute(request.GetRoute(), n.priorWork(request.GetRoute())), Revision: n.directory.View().Revision}
-	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance())
+	quote.Open = quote.Load.GetState() != wire.InstanceState_INSTANCE_LEAVING && n.upstream.isOpen(request.GetInstance()) &&
+		n.upstreamVersionRefusal() == wire.RefusalReason_REFUSAL_UNSPECIFIED
 	return quote
 }
--- a/internal/node/received.go
+++ b/internal/node/received.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
+	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
 	"github.com/chicorylever/chicorylever/internal/node/egress"
 	"github.com/chicorylever/chicorylever/internal/node/msgstream"
@@ -36,6 +38,7 @@
 var (
 	errDeadlinePassed   = errors.New("deadline passed before dispatch")
 	errAttemptCancelled = errors.New("attempt cancelled before dispatch")
+	errVersionExcluded  = errors.New("software version excluded before dispatch")
 	errNoOriginMarker   = errors.New("response has no origin marker of the upstream")
 )
 
@@ -67,6 +70,12 @@
 	// endedCleanly is set when the last message was sent to an entry node that had sent
 	// nothing after its request. Only then may watch.nextMessage be read.
 	endedCleanly bool
+	// evidence is what the attempt may tell about the software version of the upstream; it is
+	// set at dispatch.
+	evidence evidenceSubject
+	// versionRefusal is the wire.RefusalReason of the last check of the version, unspecified if
+	// the attempt may run.
+	versionRefusal atomic.Int32
 	// declined is set when the upstream has responded that it did not run the attempt.
 	declined bool
 }
@@ -105,6 +114,12 @@
 // key, and forwards it to the upstream. It holds the permit until the work at the
 // upstream has ended.
 func (r *receivedAttempt) run(ctx context.Context, cancel context.CancelFunc) {
+	hold := memlimit.NewHold(memlimit.FromContext(ctx))
+	defer hold.Release()
+	if hold.Acquire(time.Now(), r.memoryBytes()) != nil {
+		r.refuse(wire.RefusalReason_REFUSAL_MEMORY, "no memory for the attempt")
+		return
+	}
 	if !r.streamed {
 		if err := r.receiveBody(); err != nil {
 			return
@@ -150,6 +165,16 @@
 	}
 }
 
+// memoryBytes returns the bytes that are held for the attempt: those of its head, and of a
+// buffered body and its messages.
+func (r *receivedAttempt) memoryBytes() int64 {
+	bytes := memlimit.HeadBytes(proto.Size(r.head), len(r.head.GetHeaders()))
+	if r.streamed {
+		return bytes
+	}
+	return bytes + memlimit.BodyCopies*r.head.GetBodyLength()
+}
+
 // cancelOnClose cancels the attempt when the entry node closes the stream. It is the last
 // user of the stream's reader and releases it.
 func cancelOnClose(stream msgstream.Stream, cancel context.CancelFunc) {
@@ -180,6 +205,9 @@
 		return nil, reason
 	}
 	r.pool = pool
+	if !r.checkVersion() {
+		return nil, wire.RefusalReason(r.versionRefusal.Load())
+	}
 	r.node.syncZone()
 	r.node.upstream.watchSlowdown(r.node.healthPath())
 	permit, err := r.node.upstream.gate.Acquire(ctx, r.admissionRequest())
@@ -192,16 +220,26 @@
 
 func (r *receivedAttempt) admissionRequest() admission.Request {
 	request := admission.Request{
-		Deadline: r.deadline,
-		Urgency:  urgencyFromWire(r.head.GetUrgency()),
-		Priority: int(r.head.GetPriority()),
-		Work:     r.node.expectedWork(r.head.GetRoute()),
-		Attempt:  int(r.head.GetAttemptNumber()),
+		Deadline:     r.deadline,
+		Urgency:      urgencyFromWire(r.head.GetUrgency()),
+		Priority:     int(r.head.GetPriority()),
+		Organisation: r.head.GetOrganisation(),
+		Weight:       r.node.organisationWeight(r.head.GetOrganisation()),
+		Work:         r.node.expectedWork(r.head.GetRoute()),
+		Attempt:      int(r.head.GetAttemptNumber()),
 	}
 	request.Objective = r.objectiveDeadline
+	request.GivesWay = r.node.upstream.drawGivesWay(r.head.GetRoute())
 	return request
 }
 
+// organisationWeight returns the size of the share of an organisation, which is the rate of
+// its quota in requests per second; 0 without one.
+func (n *Node) organisationWeight(name string) float64 {
+	organisation, _ := n.directory.View().Organisations.Get(name)
+	return organisation.RatePerSecond
+}
+
 // dispatch is called just before the first byte is written to the upstream. It reads the
 // clock, because the timer of a context may fire late in a process that was suspended.
 func (r *receivedAttempt) dispatch(ctx context.Context) error {
@@ -212,7 +250,11 @@
 	if ctx.Err() != nil {
 		return errAttemptCancelled
 	}
+	if !r.checkVersion() {
+		return errVersionExcluded
+	}
 	r.dispatchedAt = now
+	r.evidence = r.node.evidenceSubject()
 	r.slowdownPercent = r.node.upstream.currentSlowdownPercent()
 	r.node.metrics.upstreamRequests.Inc()
 	r.state.Store(int32(stateDispatched))
@@ -231,6 +273,10 @@
 		return admission.Outcome{Result: admission.ResultCancelled}
 	}
 	if r.streamed {
+		// The check at dispatch comes too late for a body that can't be sent again.
+		if !r.checkVersion() {
+			return r.fail(ctx, errVersionExcluded)
+		}
 		// The entry node sends the body only after the attempt has been admitted.
 		if err := sendAndFlush(r.stream, responseHead(&wire.ResponseHead{Status: http.StatusContinue})); err != nil {
 			r.settleClaim(nil)
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -12,6 +12,10 @@
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 )
 
+// resetWindow is the time after dispatch in which a reset means that the upstream is full. One
+// that is running a request and stops resets it later.
+const resetWindow = 100 * time.Millisecond
+
 // refuseDeclined refuses an attempt after the upstream has responded that it did not run
 // the attempt.
 func (r *receivedAttempt) refuseDeclined(response *egress.Response) admission.Outcome {
@@ -26,6 +30,11 @@
 		r.node.upstream.observeSignals(r.pool, r.dispatchedAt, response.Header)
 	}
 	r.recordUpstreamOutcome(outcome.Result)
+	if response.IsSendDone() {
+		// The connection is kept for the next request, which the permit may allow at once.
+		response.Discard()
+		response.Close()
+	}
 	r.permit.Release(outcome)
 	r.declined = true
 	r.refuse(reason, "declined by the upstream")
@@ -43,10 +52,13 @@
 		outcome.ServiceTime = time.Since(r.dispatchedAt)
 	}
 	reason := wire.RefusalReason_REFUSAL_CONNECT
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
+	if refusal := wire.RefusalReason(r.versionRefusal.Load()); refusal != wire.RefusalReason_REFUSAL_UNSPECIFIED {
+		reason = refusal
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.deadline) {
 		reason = wire.RefusalReason_REFUSAL_DEADLINE
 	}
 	r.recordUpstreamOutcome(outcome.Result)
+	r.recordBrokenResponse(outcome.Result)
 	r.permit.Release(outcome)
 	r.refuse(reason, "")
 	return outcome
@@ -55,6 +67,9 @@
 // recordUpstreamOutcome records for quotes whether the upstream itself failed the attempt. A
 // cancelled attempt tells nothing, nor does one that failed with a nested call.
 func (r *receivedAttempt) recordUpstreamOutcome(result admission.Result) {
+	if result != admission.ResultCancelled {
+		r.node.upstream.observeNestedRoom(r.head.GetRoute(), r.requestID())
+	}
 	switch {
 	case result == admission.ResultCancelled:
 	case result == admission.ResultSuccess:
@@ -74,11 +89,20 @@
 		return admission.ResultCancelled
 	case ctx.Err() != nil:
 		return admission.ResultTimeout
+	case r.isResetByFullUpstream(err):
+		r.node.metrics.upstreamResets.Inc()
+		_ = r.node.upstream.signalLogger.Log("msg", "upstream resets requests and gets fewer for some seconds", "instance", r.head.GetInstance())
+		return admission.ResultReset
 	default:
 		return admission.ResultError
 	}
 }
 
+// isResetByFullUpstream reports whether the upstream has reset the attempt because it is full.
+func (r *receivedAttempt) isResetByFullUpstream(err error) bool {
+	return errors.Is(err, egress.ErrReset) && time.Since(r.dispatchedAt) < resetWindow && !r.node.upstream.reportsRoom()
+}
+
 // sendLast sends the last message of the attempt. The head of the next attempt may arrive
 // as soon as the entry node has received it.
 func (r *receivedAttempt) sendLast(message *wire.Envelope) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -49,6 +49,7 @@
 	reportedLoadAt time.Time
 	workEstimates  admission.WorkEstimator
 	failures       admission.FailureTracker
+	nestedRoom     admission.NestedRoom
 	// rateLimit is the one that the announced start states in its responses.
 	rateLimit statedLimit
 	// requestTracker holds the requests at the upstream by the request IDs of the callers.
@@ -142,7 +143,13 @@
 	if a.Leaving {
 		u.markDeparting()
 	}
-	if previous == nil || previous.StartID != a.StartID || previous.Address != a.Address || previous.Slots != a.Slots {
+	if a.Version == "" && previous != nil && previous.Version != "" && previous.StartID == a.StartID {
+		kept := *a
+		kept.Version = previous.Version
+		a = &kept
+	}
+	if previous == nil || previous.StartID != a.StartID || previous.Address != a.Address || previous.Slots != a.Slots ||
+		previous.Version != a.Version {
 		u.version++
 	}
 	u.announcement = a
@@ -162,6 +169,14 @@
 	u.gate.SetWarmup(perSecond, time.Now().Add(time.Duration(a.ColdMs)*time.Millisecond))
 }
 
+// isWarmingUp reports whether the upstream is cold and its service has a configured warm-up.
+func (u *upstream) isWarmingUp() bool {
+	state := u.gate.Report().GetState()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.warmupPerSecond > 0 && state == wire.InstanceState_INSTANCE_COLD
+}
+
 func (u *upstream) newPool(a *httpapi.Announcement) *egress.Pool {
 	return egress.NewPool(egress.Config{
 		Address:        a.Address,
@@ -270,5 +285,7 @@
 		NodeStart:   nodeStart,
 		Version:     u.version,
 		Departing:   u.departing,
+
+		SoftwareVersion: u.announcement.Version,
 	}
 }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -6,6 +6,10 @@
 	// defaultToleratedLosses gives a cluster of up to five voters.
 	defaultToleratedLosses = 2
 	maxToleratedLosses     = 4
+	// Defaults of the limits of rollouts, from docs/requirements.md, section 1.1.
+	defaultRolloutShare = 0.1
+	defaultRolloutSlack = 50
+	defaultRollbackMs   = 5000
 )
 
 // Control holds the settings of chicorylever-control.
@@ -52,6 +56,28 @@
 	APITLSKey  string `json:"api_tls_key,omitempty"`
 	// StopTimeoutMs is the timeout of a graceful stop in milliseconds; default 10000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
+	// RolloutShare is the largest share of a service's requests that a bad target version
+	// may get between the start of a rollout and its deadline; default 0.1. It applies to
+	// rollouts that are started through this member.
+	RolloutShare float64 `json:"rollout_share,omitempty"`
+	// RolloutSlack is the number of requests that the target version may get in addition;
+	// default 50.
+	RolloutSlack int `json:"rollout_slack,omitempty"`
+	// RollbackMs is the time in milliseconds after the 50th bad response of the target
+	// version within which it must get no more requests; default 5000.
+	RollbackMs int `json:"rollback_ms,omitempty"`
+	// QuotaWindowS, QuotaOverage and QuotaSlack bound the requests of an organisation that
+	// reach an upstream: in any window of QuotaWindowS seconds at most (rate x window + burst)
+	// x (1 + QuotaOverage) + QuotaSlack. The defaults 5, 0.1 and 20 stand for values of 0.
+	QuotaWindowS float64 `json:"quota_window_s,omitempty"`
+	QuotaOverage float64 `json:"quota_overage,omitempty"`
+	QuotaSlack   float64 `json:"quota_slack,omitempty"`
+	// MemoryLimitMB is the memory of the VM in MiB; default 280. What the member holds for
+	// clients is limited to parts of it.
+	MemoryLimitMB int `json:"memory_limit_mb,omitempty"`
+	// MaxDescriptors is the number of descriptors that the member may open; default is the
+	// limit of the process. Connections of clients get parts of it.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// LogLevel is debug, info, warn or error; default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -72,6 +98,10 @@
 	if s.StopTimeoutMs == 0 {
 		s.StopTimeoutMs = 10000
 	}
+	s.setRolloutDefaults()
+	if s.MemoryLimitMB == 0 {
+		s.MemoryLimitMB = DefaultControlMemoryMB
+	}
 	s.Bootstrap = withPorts(s.Bootstrap, s.MemberPort)
 	s.Join = withPorts(s.Join, s.MemberPort)
 	if s.LogLevel == "" {
@@ -79,6 +109,18 @@
 	}
 }
 
+func (s *Control) setRolloutDefaults() {
+	if s.RolloutShare == 0 {
+		s.RolloutShare = defaultRolloutShare
+	}
+	if s.RolloutSlack == 0 {
+		s.RolloutSlack = defaultRolloutSlack
+	}
+	if s.RollbackMs == 0 {
+		s.RollbackMs = defaultRollbackMs
+	}
+}
+
 func (s *Control) check() *Error {
 	return firstProblem(
 		checkNotEmpty("id", s.ID),
@@ -89,7 +131,12 @@
 		checkAddress("api_listen", s.APIListen),
 		checkNotNegative("member_port", s.MemberPort),
 		checkToleratedLosses(s.ToleratedLosses),
+		checkQuotaBound(s.QuotaWindowS, s.QuotaOverage, s.QuotaSlack),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
+		checkRolloutShare(s.RolloutShare),
+		checkPositive("rollout_slack", s.RolloutSlack),
+		checkPositive("rollback_ms", s.RollbackMs),
+		checkResources(s.MemoryLimitMB, s.MaxDescriptors),
 		s.checkMemberAddresses(),
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		s.checkAPITLS(),
@@ -106,6 +153,13 @@
 	return nil
 }
 
+func checkRolloutShare(share float64) *Error {
+	if share <= 0 || share > 1 {
+		return &Error{Field: "rollout_share", Problem: "must be above 0 and at most 1"}
+	}
+	return nil
+}
+
 func (s *Control) checkAPITLS() *Error {
 	if (s.APITLSCert == "") != (s.APITLSKey == "") {
 		return &Error{Field: "api_tls_cert", Problem: "api_tls_cert and api_tls_key must be set together"}
@@ -129,7 +183,7 @@
 	withoutReloadable := func(c *Control) Control {
 		copied := *c
 		copied.Bootstrap, copied.Join, copied.BootstrapDocument, copied.MemberPort = nil, nil, "", 0
-		copied.StopTimeoutMs = 0
+		copied.StopTimeoutMs, copied.MemoryLimitMB, copied.MaxDescriptors = 0, 0, 0
 		return copied
 	}
 	return differingFields(withoutReloadable(s), withoutReloadable(next))
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -49,6 +49,12 @@
 	// ColdSlack requests. If both are 0, the defaults 1.5 and 5 apply.
 	ColdFactor float64 `json:"cold_factor,omitempty"`
 	ColdSlack  float64 `json:"cold_slack,omitempty"`
+	// QuotaWindowS, QuotaOverage and QuotaSlack bound the requests of an organisation that
+	// reach an upstream: in any window of QuotaWindowS seconds at most (rate x window + burst)
+	// x (1 + QuotaOverage) + QuotaSlack. The defaults 5, 0.1 and 20 stand for values of 0.
+	QuotaWindowS float64 `json:"quota_window_s,omitempty"`
+	QuotaOverage float64 `json:"quota_overage,omitempty"`
+	QuotaSlack   float64 `json:"quota_slack,omitempty"`
 	// StopDelayMs is the time in milliseconds for which a stopping node still accepts
 	// callers' requests while it reports that it is not ready, so that callers switch to
 	// other nodes before it closes its listener; default 0.
@@ -58,6 +64,12 @@
 	UpstreamAddress string `json:"upstream_address,omitempty"`
 	// StopTimeoutMs is the timeout of a graceful stop in milliseconds; default 30000.
 	StopTimeoutMs int `json:"stop_timeout_ms,omitempty"`
+	// MemoryLimitMB is the memory of the VM in MiB; default 184. What the node holds for
+	// clients is limited to parts of it.
+	MemoryLimitMB int `json:"memory_limit_mb,omitempty"`
+	// MaxDescriptors is the number of descriptors that the node may open; default is the
+	// limit of the process. Connections of clients get parts of it.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 }
 
 // LoadNode reads and validates the settings file of a node.
@@ -77,6 +89,9 @@
 	if s.StopTimeoutMs == 0 {
 		s.StopTimeoutMs = 30000
 	}
+	if s.MemoryLimitMB == 0 {
+		s.MemoryLimitMB = DefaultNodeMemoryMB
+	}
 }
 
 func (s *Node) check() *Error {
@@ -91,6 +106,7 @@
 		checkNotNegative("stop_delay_ms", s.StopDelayMs),
 		s.checkRetryLimit(),
 		s.checkColdLimit(),
+		checkQuotaBound(s.QuotaWindowS, s.QuotaOverage, s.QuotaSlack),
 		checkAddress("mesh_listen", s.MeshListen),
 		checkAddress("mesh_address", s.MeshAddress),
 		checkAddress("admin_listen", s.AdminListen),
@@ -98,6 +114,7 @@
 		checkTLS(s.TLSCert, s.TLSKey, s.TLSCA),
 		checkLogLevel(s.LogLevel),
 		checkPositive("stop_timeout_ms", s.StopTimeoutMs),
+		checkResources(s.MemoryLimitMB, s.MaxDescriptors),
 	)
 }
 
@@ -139,6 +156,7 @@
 		copied := *n
 		copied.Control, copied.ControlPort = nil, 0
 		copied.Service, copied.StopDelayMs, copied.StopTimeoutMs = "", 0, 0
+		copied.MemoryLimitMB, copied.MaxDescriptors = 0, 0
 		return copied
 	}
 	return differingFields(withoutReloadable(s), withoutReloadable(next))
--- a/internal/state/document/section.go
+++ b/internal/state/document/section.go
@@ -19,13 +19,14 @@
 	kindZones    = "zones"
 	kindTeams    = "teams"
 	kindRoutes   = "routes"
+	kindRollouts = "rollouts"
 	kindLimits   = "limits"
 
 	kindOrganisations = "organisations"
 )
 
 // sectionProblem describes the valid section paths in error messages.
-const sectionProblem = "must be limits, routes/NAME, services/NAME, zones/NAME, teams/NAME or organisations/NAME"
+const sectionProblem = "must be limits, routes/NAME, rollouts/NAME, services/NAME, zones/NAME, teams/NAME or organisations/NAME"
 
 // sectionPath is a parsed section path such as services/drafts or limits. The name is empty
 // for limits.
@@ -55,7 +56,7 @@
 			return sectionPath{}, &FieldError{"section", "limits has no parts"}
 		}
 		return sectionPath{kind: kind}, nil
-	case kindServices, kindRoutes, kindZones, kindTeams, kindOrganisations:
+	case kindServices, kindRoutes, kindZones, kindTeams, kindRollouts, kindOrganisations:
 		if !namePattern.MatchString(name) {
 			return sectionPath{}, &FieldError{"section", nameProblem}
 		}
@@ -80,6 +81,8 @@
 		return decodeStrict[Service](path, body)
 	case kindRoutes:
 		return decodeStrict[Route](path, body)
+	case kindRollouts:
+		return decodeStrict[Rollout](path, body)
 	case kindZones:
 		return decodeStrict[Zone](path, body)
 	case kindTeams:
@@ -135,6 +138,8 @@
 		value, ok = lookup(d.Services, p.name)
 	case kindRoutes:
 		value, ok = lookup(d.Routes, p.name)
+	case kindRollouts:
+		value, ok = lookup(d.Rollouts, p.name)
 	case kindZones:
 		value, ok = lookup(d.Zones, p.name)
 	case kindTeams:
@@ -161,6 +166,8 @@
 		next.Services = withEntry(d.Services, p.name, value)
 	case kindRoutes:
 		next.Routes = withEntry(d.Routes, p.name, value)
+	case kindRollouts:
+		next.Rollouts = withEntry(d.Rollouts, p.name, value)
 	case kindZones:
 		next.Zones = withEntry(d.Zones, p.name, value)
 	case kindTeams:
@@ -197,6 +204,9 @@
 	for _, name := range sortedKeys(d.Routes) {
 		paths = append(paths, kindRoutes+"/"+name)
 	}
+	for _, name := range sortedKeys(d.Rollouts) {
+		paths = append(paths, kindRollouts+"/"+name)
+	}
 	for _, name := range sortedKeys(d.Services) {
 		paths = append(paths, kindServices+"/"+name)
 	}
@@ -217,6 +227,8 @@
 		return s.Owner
 	case Route:
 		return s.Owner
+	case Rollout:
+		return s.Owner
 	case Zone:
 		return s.Owner
 	case Organisation:
