--- a/internal/coordination/quota/meter.go
+++ b/internal/coordination/quota/meter.go
@@ -102,6 +102,21 @@
 	return decision
 }
 
+// Peek returns the decision that Admit would return now, and counts nothing.
+func (m *Meter) Peek(now time.Time, organisation string, rate, burst float64) Decision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if rate <= 0 || m.startedAt.IsZero() {
+		return Decision{Admitted: true, Share: 1}
+	}
+	limit := Limit{Rate: rate, Burst: burst}
+	entry := meterEntry{own: ownShare{tokens: m.ownBurst(limit), refilledAt: now}}
+	if known := m.organisations[organisation]; known != nil {
+		entry = *known
+	}
+	return m.decide(now, organisation, &entry, limit)
+}
+
 func (m *Meter) begin(now time.Time) {
 	if m.startedAt.IsZero() {
 		m.startedAt, m.ownerHeardAt, m.acknowledgedAt = now, now, now
--- a/internal/coordination/quota/property_test.go
+++ b/internal/coordination/quota/property_test.go
@@ -156,3 +156,25 @@
 		m.step(now)
 	}
 }
+
+// TestPeekCountsNothing guards against an explanation that uses up a quota or differs from
+// the decision on the next request.
+func TestPeekCountsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peeked, plain := NewMeter("node", Bound{}, func() float64 { return 0 }), NewMeter("node", Bound{}, func() float64 { return 0 })
+	refused := 0
+	for i := range 400 {
+		at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+		expected := plain.Admit(at, "acme", 5, 5)
+		if i > 0 {
+			for range 3 {
+				assert.Equal(t, peeked.Peek(at, "acme", 5, 5), expected)
+			}
+		}
+		assert.Equal(t, peeked.Admit(at, "acme", 5, 5), expected)
+		if !expected.Admitted {
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 0)
+}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -105,7 +105,7 @@
 		line("priority", e.Priority)
 	}
 	if e.Quota != nil {
-		line("quota", fmt.Sprintf("%.1f left of %.1f/s", e.Quota.Left, e.Quota.RequestsPerSecond))
+		line("quota", fmt.Sprintf("%.1f/s, burst %.0f, %.0f %% of its requests admitted, known for %d ms", e.Quota.RequestsPerSecond, e.Quota.Burst, 100*e.Quota.Share, e.Quota.GrantAgeMs))
 	}
 	for i := range e.Candidates {
 		line("candidate", candidateText(&e.Candidates[i]))
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -78,14 +78,35 @@
 		return e
 	}
 	c.priority = c.ownPriority()
-	e.Organisation, e.Priority, e.Quota = c.organisation, c.priority, n.explainQuota(c)
+	e.Organisation, e.Priority = c.organisation, c.priority
+	n.explainQuota(c, e)
 	n.explainCandidates(ctx, c, e)
 	return e
 }
 
-// explainQuota returns what is left of the quota of the call's organisation, without taking
-// anything from it. Nodes apply no quotas yet.
-func (n *Node) explainQuota(_ *call) *httpapi.ExplainedQuota { return nil }
+// explainQuota adds the state of the quota of the call's organisation, and the refusal of a
+// call that is over it. It takes nothing from the quota.
+func (n *Node) explainQuota(c *call, e *httpapi.Explanation) {
+	configured, ok := c.view.Organisations.Get(c.organisation)
+	if !c.hasKey || !ok || configured.RatePerSecond <= 0 {
+		return
+	}
+	decision := n.entryQuotas.meter.Peek(time.Now(), c.organisation, configured.RatePerSecond, configured.Burst)
+	e.Quota = &httpapi.ExplainedQuota{
+		RequestsPerSecond: configured.RatePerSecond, Burst: configured.Burst, Share: decision.Share,
+		GrantAgeMs: decision.GrantAge.Milliseconds(), Detached: decision.Detached,
+	}
+	if decision.GrantAge < 0 {
+		e.Quota.GrantAgeMs = -1
+	}
+	if !decision.Admitted {
+		e.Refusal = &httpapi.ExplainedRefusal{
+			Status: http.StatusTooManyRequests, Error: "the organisation has used up its quota",
+			Reason:            httpapi.ReasonName(wire.RefusalReason_REFUSAL_QUOTA),
+			RetryAfterSeconds: decision.RetryAfter.Seconds(),
+		}
+	}
+}
 
 // authenticateDescribed sets the organisation of a described call: that of its key, or the
 // named one.
@@ -148,6 +169,9 @@
 		}
 		e.Candidates = append(e.Candidates, explained)
 	}
+	if e.Refusal != nil {
+		return
+	}
 	if best := balance.Best(quotes, serviceTime); best >= 0 {
 		e.Chosen = sample[best].instance.GetId()
 		return
--- a/internal/protocol/httpapi/explain.go
+++ b/internal/protocol/httpapi/explain.go
@@ -39,10 +39,17 @@
 	Refusal *ExplainedRefusal `json:"refusal,omitempty"`
 }
 
-// ExplainedQuota is what is left of a quota.
+// ExplainedQuota is the state of an organisation's quota at the node.
 type ExplainedQuota struct {
 	RequestsPerSecond float64 `json:"requests_per_second"`
-	Left              float64 `json:"left"`
+	Burst             float64 `json:"burst"`
+	// Share is the share of the organisation's requests that the node admits now: 1 while
+	// the quota is not used up.
+	Share float64 `json:"share"`
+	// GrantAgeMs is the age of what the node knows from control, -1 before the first grant.
+	GrantAgeMs int64 `json:"grant_age_ms"`
+	// Detached is set when this is too old and the node admits its own share.
+	Detached bool `json:"detached"`
 }
 
 // ExplainedRefusal is the response that the request would get from the node.
