--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -16,6 +16,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/memlimit"
 	"github.com/chicorylever/chicorylever/internal/coordination/overload"
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/coordination/rollout"
 	"github.com/chicorylever/chicorylever/internal/coordination/routing"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
@@ -115,6 +116,8 @@
 	excludedVersions rollout.VersionSet
 	// hedged is set once the first attempt has been hedged.
 	hedged atomic.Bool
+	// firstQuote is what the upstream of the first attempt had quoted when it was chosen.
+	firstQuote retry.Primary
 	// suppressCallerRetries is set when the hops above must not retry either.
 	suppressCallerRetries bool
 	// status is the status code of the response that was forwarded.
@@ -139,7 +142,7 @@
 		started:    now,
 		bodyLength: r.ContentLength,
 	}
-	if err := n.selectService(c); err != nil {
+	if err := n.selectService(c, n.splitter.chooseService); err != nil {
 		return nil, err
 	}
 	if err := n.authenticate(c); err != nil {
@@ -169,14 +172,15 @@
 	return c, err
 }
 
-// selectService sets the target, the service and the rule of a call. Routes take
+// selectService sets the target, the service and the rule of a call. choose returns the
+// service of a route. Routes take
 // precedence over the hosts and path prefixes of services.
-func (n *Node) selectService(c *call) error {
+func (n *Node) selectService(c *call, choose func(*routing.Route) string) error {
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
 	if c.route = c.view.Routes.Match(c.request.Host, path); c.route != nil {
 		c.addressing = addressedByRoute
 		c.target = c.request.RequestURI
-		c.service = n.splitter.chooseService(c.route)
+		c.service = choose(c.route)
 		c.rule = document.RequestRule{Repeatable: c.route.Repeatable(), TimeoutMs: c.route.TimeoutMs}
 		return nil
 	}
@@ -223,7 +227,7 @@
 	if limits.RetryShare == 0 {
 		limits.RetryShare = defaults.RetryShare
 	}
-	if limits.HedgeShare == 0 {
+	if limits.HedgeShare == nil {
 		limits.HedgeShare = defaults.HedgeShare
 	}
 	return limits
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -144,6 +144,33 @@
 	return sample
 }
 
+// describeCandidates returns all instances of the service as candidates. Unlike a selection it
+// changes no state.
+func (b *balancer) describeCandidates(v *directory.View, service string) []quoteCandidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var described []quoteCandidate
+	for _, instance := range v.Services[service] {
+		state, known := b.states[instance.GetId()]
+		candidate := b.candidateLocked(now, v, instance)
+		if !known {
+			delete(b.states, instance.GetId())
+		} else {
+			b.states[instance.GetId()] = state
+		}
+		described = append(described, quoteCandidate{instance: instance, candidate: candidate})
+	}
+	return described
+}
+
+// isEjected reports whether this entry node has ejected the instance at the moment.
+func (b *balancer) isEjected(now time.Time, instance string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.policy.Ejected(now, instance)
+}
+
 // startAttempt counts an attempt in flight to a sampled candidate. Each call needs one
 // call of endAttempt.
 func (b *balancer) startAttempt(chosen *quoteCandidate) {
@@ -219,18 +246,23 @@
 		policy = retry.New(time.Now(), retry.Config{ClusterLimit: b.clusterRetryLimit, Nodes: b.nodeCount})
 		b.retryPolicies[service] = policy
 	}
-	policy.SetShares(limits.RetryShare, limits.HedgeShare)
+	policy.SetShares(limits.RetryShare, limits.HedgeShareOrDefault())
 	return policy
 }
 
-// recordFirstAttempt adds to the budgets for retries and hedges. It returns the time
-// after which the attempt may be hedged, 0 when hedging is not possible yet.
-func (b *balancer) recordFirstAttempt(service string, limits document.Limits) time.Duration {
+// recordFirstAttempt adds to the budgets for retries and hedges.
+func (b *balancer) recordFirstAttempt(service string, limits document.Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retryPolicyLocked(service, limits).RecordFirstAttempt(time.Now())
+}
+
+// hedgeDelay returns the time after which an attempt may be hedged, 0 when hedging is off or
+// not possible yet.
+func (b *balancer) hedgeDelay(service string, limits document.Limits, primary retry.Primary) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	policy := b.retryPolicyLocked(service, limits)
-	policy.RecordFirstAttempt(time.Now())
-	delay, _ := policy.HedgeDelay()
+	delay, _ := b.retryPolicyLocked(service, limits).HedgeDelay(primary)
 	return delay
 }
 
@@ -248,10 +280,10 @@
 	return b.policy.HasRespondedSince(instance, since)
 }
 
-func (b *balancer) takeHedge(service string, limits document.Limits, waited time.Duration, candidate *balance.Candidate) bool {
+func (b *balancer) takeHedge(service string, limits document.Limits, h retry.Hedge) retry.HedgeVerdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.retryPolicyLocked(service, limits).TakeHedge(time.Now(), true, waited, candidate)
+	return b.retryPolicyLocked(service, limits).TakeHedge(time.Now(), h)
 }
 
 // retryAfter returns the Retry-After delay of a refused caller, given the expected queue
--- a/internal/node/quote.go
+++ b/internal/node/quote.go
@@ -9,6 +9,7 @@
 
 	"github.com/chicorylever/chicorylever/internal/coordination/admission"
 	"github.com/chicorylever/chicorylever/internal/coordination/balance"
+	"github.com/chicorylever/chicorylever/internal/coordination/retry"
 	"github.com/chicorylever/chicorylever/internal/node/directory"
 	"github.com/chicorylever/chicorylever/internal/protocol/wire"
 	"github.com/chicorylever/chicorylever/internal/transport/datagram"
@@ -63,22 +64,20 @@
 	}
 	if ok {
 		n.logSelection(c, attemptNumber, instance, sample)
+		c.firstQuote = primaryOf(instance, sample)
 	}
 	return instance, ok
 }
 
-// selectHedgeInstance chooses the instance for a hedged request like selectInstance.
-func (n *Node) selectHedgeInstance(ctx context.Context, c *call, primary string) (*wire.Instance, balance.Candidate, bool) {
-	v := n.selectionView(c)
-	selection, ok := n.selectHedgeVersions(v, c.service)
-	if !ok {
-		return nil, balance.Candidate{}, false
-	}
-	instance, candidate, sample, ok := n.selectByQuotes(ctx, c, v, map[string]bool{primary: true}, selection)
-	if ok {
-		n.logSelection(c, 1, instance, sample)
+// primaryOf returns what a sample says about the chosen instance. A sample of one was not
+// asked.
+func primaryOf(chosen *wire.Instance, sample []quoteCandidate) retry.Primary {
+	for i := range sample {
+		if sample[i].instance == chosen && len(sample) > 1 {
+			return retry.Primary{Asked: true, Quote: sample[i].quote}
+		}
 	}
-	return instance, candidate, ok
+	return retry.Primary{}
 }
 
 func (n *Node) selectByQuotes(ctx context.Context, c *call, v *directory.View, tried map[string]bool, selection versionSelection) (*wire.Instance, balance.Candidate, []quoteCandidate, bool) {
@@ -148,6 +147,16 @@
 // collectQuotes requests the quotes of a sample and waits until all have arrived, one of
 // them is ideal, or quoteTimeout has passed.
 func (n *Node) collectQuotes(ctx context.Context, c *call, sample []quoteCandidate) {
+	n.collectUntil(ctx, c, sample, func(quote *balance.Quote) bool { return quote.IsIdeal() && quote.NetworkCost == 0 })
+}
+
+// collectAllQuotes requests the quotes of a sample and waits until all have arrived or
+// quoteTimeout has passed.
+func (n *Node) collectAllQuotes(ctx context.Context, c *call, sample []quoteCandidate) {
+	n.collectUntil(ctx, c, sample, func(*balance.Quote) bool { return false })
+}
+
+func (n *Node) collectUntil(ctx context.Context, c *call, sample []quoteCandidate, isEnough func(*balance.Quote) bool) {
 	responses := make(chan datagram.Response, len(sample))
 	pending := make(map[uint64]int, len(sample))
 	defer func() {
@@ -169,7 +178,7 @@
 			i := pending[response.RequestID]
 			delete(pending, response.RequestID)
 			sample[i].quote = n.decodeQuote(c, &sample[i], response.Payload)
-			if quote := sample[i].quote; quote != nil && quote.IsIdeal() && quote.NetworkCost == 0 {
+			if quote := sample[i].quote; quote != nil && isEnough(quote) {
 				return
 			}
 		case <-timer.C:
