--- a/review/rig2/crowd.go
+++ b/review/rig2/crowd.go
@@ -102,10 +102,7 @@
 
 // add counts the end of a request.
 func (l *lossCount) add(o Outcome, instances []*Instance, record *Record) {
-	ran := false
-	for _, i := range instances {
-		ran = ran || i.hasRun(o.ID)
-	}
+	ran := hasRun(instances, o.ID)
 	record.add("answer", "id", o.ID, "status", o.Status, "stamp", o.Stamp, "kept", o.Kept, "ran", ran, "err", o.Err)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -23,6 +23,7 @@
 	headerStamp       = "X-Chicorylever-Response-Stamp"
 	headerInstance    = "X-Chicorylever-Instance-Id"
 	headerLoad        = "X-Chicorylever-Server-Load"
+	headerColdMs      = "X-Chicorylever-Cold-Ms"
 
 	healthPath = "/healthz"
 	// heartbeatInterval is the interval of an instance's heartbeats.
@@ -38,40 +39,75 @@
 type Instance struct {
 	machine *Machine
 	plan    *Plan
-	id      string
-	born    int64
 	record  *Record
 
-	slots    chan struct{}
-	waiting  atomic.Int32
-	sequence atomic.Uint64
-	runs     sync.Map // request ID to the number of its runs
+	slots   chan struct{}
+	waiting atomic.Int32
+	runs    sync.Map // the IDs of the requests that were begun
+	cold    coldState
+
+	mu       sync.Mutex
+	id       string
+	born     int64
+	sequence uint64
+	server   *http.Server
 }
 
 func newInstance(plan *Plan, m *Machine, record *Record) *Instance {
-	born := time.Now().UnixMilli()
-	return &Instance{
-		machine: m, plan: plan, id: fmt.Sprintf("i-%s-%d", m.Name, born), born: born, record: record,
-		slots: make(chan struct{}, instanceSlots),
+	i := &Instance{machine: m, plan: plan, record: record, slots: make(chan struct{}, instanceSlots)}
+	i.renew()
+	return i
+}
+
+// renew begins a new incarnation.
+func (i *Instance) renew() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.born = time.Now().UnixMilli()
+	i.id = fmt.Sprintf("i-%s-%d", i.machine.Name, i.born)
+	i.sequence = 0
+}
+
+func (i *Instance) currentID() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.id
+}
+
+// start serves requests and sends heartbeats until ctx ends.
+func (i *Instance) start(ctx context.Context) error {
+	if err := i.listen(); err != nil {
+		return err
 	}
+	go i.heartbeats(ctx)
+	go func() {
+		<-ctx.Done()
+		i.closeServer()
+	}()
+	return nil
 }
 
-// serve serves requests and sends heartbeats until ctx ends.
-func (i *Instance) serve(ctx context.Context) error {
+// listen begins to serve requests.
+func (i *Instance) listen() error {
 	listener, err := net.Listen("tcp", i.machine.address(i.plan.Ports.App))
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(i.handle), ReadHeaderTimeout: time.Minute}
+	i.mu.Lock()
+	i.server = server
+	i.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	go i.heartbeats(ctx)
-	go func() {
-		<-ctx.Done()
-		_ = server.Close()
-	}()
 	return nil
 }
 
+// closeServer closes the listener and all connections.
+func (i *Instance) closeServer() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_ = i.server.Close()
+}
+
 func (i *Instance) heartbeats(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
@@ -87,9 +123,13 @@
 }
 
 func (i *Instance) sendHeartbeat(ctx context.Context, client *http.Client) error {
-	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","sequence":%d,"cold-remaining-ms":0}}`,
-		i.machine.address(i.plan.Ports.App), i.born, i.machine.Service, i.machine.Zone, instanceSlots, i.sequence.Add(1))
-	url := "http://" + i.machine.address(i.plan.Ports.Control) + "/instances/" + i.id + "/heartbeat"
+	i.mu.Lock()
+	i.sequence++
+	id, born, sequence := i.id, i.born, i.sequence
+	i.mu.Unlock()
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","sequence":%d,"cold-remaining-ms":%d}}`,
+		i.machine.address(i.plan.Ports.App), born, i.machine.Service, i.machine.Zone, instanceSlots, sequence, i.cold.remainingMs())
+	url := "http://" + i.machine.address(i.plan.Ports.Control) + "/instances/" + id + "/heartbeat"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return err
@@ -113,15 +153,19 @@
 func (i *Instance) handle(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(headerLoad, i.load())
 	if r.URL.Path == healthPath {
-		w.Header().Set(headerInstance, i.id)
+		w.Header().Set(headerInstance, i.currentID())
+		w.Header().Set(headerColdMs, strconv.FormatInt(i.cold.remainingMs(), 10))
 		return
 	}
 	id := r.Header.Get(headerRequestID)
 	w.Header().Set(headerRequestID, id)
-	if expected := r.Header.Get(headerExpect); expected != "" && expected != i.id {
+	if expected := r.Header.Get(headerExpect); expected != "" && expected != i.currentID() {
 		i.decline(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if i.cold.arrive(time.Now()) {
+		go i.crash()
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil || id == "" {
 		i.decline(w, http.StatusBadRequest)
@@ -159,7 +203,7 @@
 func (i *Instance) run(w http.ResponseWriter, r *http.Request, id string, body []byte, deadline <-chan time.Time) {
 	digest := sha256.Sum256(body)
 	i.runs.Store(id, true)
-	i.record.add("run", "id", id, "instance", i.id, "method", r.Method, "target", r.RequestURI, "body", len(body))
+	i.record.add("run", "id", id, "instance", i.currentID(), "method", r.Method, "target", r.RequestURI, "body", len(body))
 	work, _ := strconv.Atoi(r.URL.Query().Get("work"))
 	status := http.StatusOK
 	select {
@@ -167,13 +211,13 @@
 	case <-deadline:
 		status = http.StatusGatewayTimeout
 	case <-r.Context().Done():
-		i.record.add("run-dropped", "id", id, "instance", i.id)
+		i.record.add("run-dropped", "id", id, "instance", i.currentID())
 		return
 	}
 	w.Header().Set(headerStamp, "stamp."+id)
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, id+" "+hex.EncodeToString(digest[:]))
-	i.record.add("run-ended", "id", id, "instance", i.id, "status", status)
+	i.record.add("run-ended", "id", id, "instance", i.currentID(), "status", status)
 }
 
 // hasRun reports whether the instance has begun to run a request.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,7 +21,9 @@
 type play func(ctx context.Context, p *Plan, instances []*Instance, record *Record, trouble bool) (bool, error)
 
 var cases = map[string]play{
-	"crowd": runCrowd,
+	"crowd":   runCrowd,
+	"cold":    runCold,
+	"changes": runChanges,
 }
 
 func main() {
@@ -80,7 +82,7 @@
 	var instances []*Instance
 	for _, m := range p.Side {
 		i := newInstance(p, m, record)
-		if err := i.serve(ctx); err != nil {
+		if err := i.start(ctx); err != nil {
 			return false, err
 		}
 		instances = append(instances, i)
