--- a/review/rig2/changes.go
+++ b/review/rig2/changes.go
@@ -24,10 +24,10 @@
 	// changeGap is the smallest time between two changes.
 	changeGap = 60 * time.Millisecond
 	// changeTime bounds the time for all changes.
-	changeTime = 75 * time.Second
+	changeTime = 88 * time.Second
 	// readBackTime is how long the operator asks for the configuration at the end; at least
 	// contact-ms, which is 3 s.
-	readBackTime = 15 * time.Second
+	readBackTime = 12 * time.Second
 	// callTimeout is longer than the second after which an operator may turn to another
 	// node: large calls have more.
 	callTimeout = 4 * time.Second
