--- a/review/rig2/changes.go
+++ b/review/rig2/changes.go
@@ -19,12 +19,14 @@
 	// calmRoutesPerChange that of a run without trouble.
 	routesPerChange     = 1400
 	calmRoutesPerChange = 1
-	// changesAtOnce is the number of calls in progress; up to eight are allowed.
-	changesAtOnce = 4
+	// changesAtOnce is the number of calls in progress, as many as are allowed.
+	changesAtOnce = 8
 	// changeGap is the smallest time between two changes.
 	changeGap = 60 * time.Millisecond
 	// changeTime bounds the time for all changes.
 	changeTime = 88 * time.Second
+	// quietTime is the time without an acknowledgement after which no more changes are sent.
+	quietTime = 10 * time.Second
 	// readBackTime is how long the operator asks for the configuration at the end; at least
 	// contact-ms, which is 3 s.
 	readBackTime = 12 * time.Second
@@ -43,15 +45,17 @@
 	mu sync.Mutex
 	// acked is the highest version that was acknowledged, refused the number of final refusals.
 	acked, count, refused int
+	lastAck               time.Time
 	failed                map[string]int
 }
 
-// patch returns a change of all routes, whose timeouts differ from one version to the next.
+// patch returns a change of all routes, whose timeouts and weights differ from one version to the
+// next.
 func (c *changeRun) patch(version int) string {
 	var routes []string
 	for k := range c.routes {
-		routes = append(routes, fmt.Sprintf(`"r-more%04d":{"hostname":%q,"path-prefix":"/more%04d/","kind":"safe","timeout-ms":%d,"target-latency-ms":600,"priority":1,"service":%q,"max-attempts":2,"version":"%08x"}`,
-			k, hostName, k, 1000+version%500, services[0], version))
+		routes = append(routes, fmt.Sprintf(`"r-more%04d":{"hostname":%q,"path-prefix":"/more%04d/","kind":"safe","timeout-ms":%d,"target-latency-ms":600,"priority":1,"traffic-split":[{"service":%q,"weight":%d},{"service":%q,"weight":10}],"max-attempts":2,"version":"%08x"}`,
+			k, hostName, k, 1000+version%500, services[0], 50+version%50, services[1], version))
 	}
 	return `{"upsert":{"routes":{` + strings.Join(routes, ",") + `}},"remove":{"routes":[]}}`
 }
@@ -68,6 +72,7 @@
 		case http.StatusOK:
 			c.acked = max(c.acked, version)
 			c.count++
+			c.lastAck = time.Now()
 		case http.StatusBadRequest:
 			c.refused++
 		default:
@@ -124,10 +129,23 @@
 	return lowest
 }
 
+// endWhenQuiet cancels the changes once none has been acknowledged for quietTime.
+func (c *changeRun) endWhenQuiet(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		time.Sleep(changeGap)
+		c.mu.Lock()
+		isQuiet := time.Since(c.lastAck) >= quietTime
+		c.mu.Unlock()
+		if isQuiet {
+			cancel()
+		}
+	}
+}
+
 // runChanges sends the changes of a long day and reads the configuration back. It returns whether
 // the rule was kept.
 func runChanges(ctx context.Context, p *Plan, _ []*Instance, record *Record, trouble bool) (bool, error) {
-	c := &changeRun{plan: p, record: record, routes: calmRoutesPerChange, client: &http.Client{Timeout: callTimeout}, failed: map[string]int{}}
+	c := &changeRun{plan: p, record: record, routes: calmRoutesPerChange, client: &http.Client{Timeout: callTimeout}, failed: map[string]int{}, lastAck: time.Now()}
 	if trouble {
 		c.routes = routesPerChange
 	}
@@ -136,6 +154,7 @@
 	inProgress := make(chan struct{}, changesAtOnce)
 	var group sync.WaitGroup
 	started := time.Now()
+	go c.endWhenQuiet(changeCtx, cancel)
 	for version := 2; version < changeCount+2 && changeCtx.Err() == nil; version++ {
 		inProgress <- struct{}{}
 		group.Go(func() {
--- a/review/rig2/lib.sh
+++ b/review/rig2/lib.sh
@@ -11,7 +11,7 @@
 # end_all ends every process that the script has started.
 end_all() {
   for pid in "${WATCHERS[@]}"; do kill -KILL "$pid" 2>/dev/null; done
-  for pid in "${PIDS[@]}" $(cat "$DIR/restarted.txt" 2>/dev/null); do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+  for pid in $(cat "$DIR/pids" 2>/dev/null); do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
   rm -rf "$DIR"
 }
@@ -22,6 +22,7 @@
 start() {
   (ulimit -n 4100; CHICORYLEVER_NODE_FILE=$DIR/$3 exec "$2") >>"$DIR/$1.log" 2>&1 &
   PIDS[$1]=$!
+  echo $! >>"$DIR/pids"
   disown $!
 }
 
@@ -51,6 +52,5 @@
     sleep 0.5
     start "$name" "$program" "$settings"
     pid=${PIDS[$name]}
-    echo "$pid" >>"$DIR/restarted.txt"
   done
 }
