--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -8,9 +8,20 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
+// sentTimes holds when each request was sent, by request ID.
+var sentTimes sync.Map
+
+// sentAt returns when a request was sent, the zero time for an unknown one.
+func sentAt(id string) time.Time {
+	sent, _ := sentTimes.Load(id)
+	at, _ := sent.(time.Time)
+	return at
+}
+
 // Client is a client of the platform with one connection that it keeps for many requests.
 type Client struct {
 	address string
@@ -47,6 +58,7 @@
 	_ = c.conn.SetDeadline(time.Now().Add(deadline + clientPatience))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
 		method, target, host, headerRequestID, o.ID, headerDeadline, deadline.Milliseconds(), len(body))
+	sentTimes.Store(o.ID, time.Now())
 	if _, err := c.conn.Write(append([]byte(head), body...)); err != nil {
 		o.Err = err
 		c.close()
--- a/review/rig2/cold.go
+++ b/review/rig2/cold.go
@@ -32,12 +32,18 @@
 	coldInterval = 8 * time.Second
 )
 
+// arrival is when a request was sent by its client and when it arrived at an instance.
+type arrival struct {
+	sent, arrived time.Time
+}
+
 // coldState is whether an instance is cold, and the requests that it has got meanwhile.
 type coldState struct {
 	mu       sync.Mutex
 	until    time.Time
-	arrivals []time.Time
-	// worst is the largest number of arrivals in any second while the instance was cold.
+	arrivals []arrival
+	// worst is the largest number of requests that were sent and arrived in one second while the
+	// instance was cold.
 	worst int
 	// crashing is set from a crash to the next start.
 	crashing bool
@@ -56,19 +62,24 @@
 	return max(0, time.Until(c.until).Milliseconds())
 }
 
-// arrive counts a request and reports whether the instance crashes now.
-func (c *coldState) arrive(now time.Time) bool {
+// arrive counts a request and reports whether the instance crashes now. A request that was sent
+// before the instance became cold isn't counted, nor one whose client isn't known.
+func (c *coldState) arrive(now, sent time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !now.Before(c.until) || c.crashing {
+	if !now.Before(c.until) || c.crashing || sent.Before(c.until.Add(-coldTime)) {
 		return false
 	}
-	c.arrivals = append(c.arrivals, now)
-	for now.Sub(c.arrivals[0]) >= time.Second {
-		c.arrivals = c.arrivals[1:]
+	c.arrivals = append(c.arrivals, arrival{sent, now})
+	// The second that ends with this arrival.
+	begin, count := now.Add(-time.Second), 0
+	for _, a := range c.arrivals {
+		if a.sent.After(begin) && a.arrived.After(begin) {
+			count++
+		}
 	}
-	c.worst = max(c.worst, len(c.arrivals))
-	c.crashing = float64(len(c.arrivals)) > crashFactor*coldBound
+	c.worst = max(c.worst, count)
+	c.crashing = float64(count) > crashFactor*coldBound
 	return c.crashing
 }
 
--- a/review/rig2/crowd.go
+++ b/review/rig2/crowd.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,7 +102,7 @@
 	}
 }
 
-// add counts the end of a request.
+// add counts the end of a request. One that the client itself has given up isn't lost.
 func (l *lossCount) add(o Outcome, instances []*Instance, record *Record) {
 	ran := hasRun(instances, o.ID)
 	record.add("answer", "id", o.ID, "status", o.Status, "stamp", o.Stamp, "kept", o.Kept, "ran", ran, "err", o.Err)
@@ -109,7 +111,7 @@
 	switch {
 	case o.Status != 0:
 		l.answered[o.Status]++
-	case ran && o.Kept:
+	case ran && o.Kept && !errors.Is(o.Err, os.ErrDeadlineExceeded):
 		l.lost++
 	default:
 		l.other++
--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -163,7 +163,7 @@
 		i.decline(w, http.StatusMisdirectedRequest)
 		return
 	}
-	if i.cold.arrive(time.Now()) {
+	if i.cold.arrive(time.Now(), sentAt(id)) {
 		go i.crash()
 	}
 	body, err := io.ReadAll(r.Body)
