Keep the upstream when an announcement of an unknown service arrives

Cause: the check of the service applied only to the instance ID that was announced before. With another ID the announcement replaced that of the sound instance, and its later start made all further heartbeats of the sound instance outdated.

Change: one decision, checkPrecedence, made under the lock that applies it. An unknown service never displaces a known one, and gives way to one whatever start times they state. The search for a running upstream at the start of a node goes on meanwhile. Two tests call announce with a new signature; they check the same.

--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -66,7 +66,7 @@
 	u := newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())
 	for _, startID := range []string{"1", "2"} {
 		a := &httpapi.Announcement{Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: startID, Slots: 1, Sequence: 7}
-		assert.Assert(t, u.announce(a))
+		assert.NilError(t, u.announce(a, hasAnyService))
 	}
 	u.endSignalWait("2")
 	u.confirmStart("1")
--- a/internal/node/discover.go
+++ b/internal/node/discover.go
@@ -40,7 +40,7 @@
 	pool := egress.NewPool(egress.Config{Address: address})
 	defer pool.Close()
 	deadline := time.Now().Add(discoveryTime)
-	for time.Now().Before(deadline) && n.upstream.currentAnnouncement() == nil {
+	for time.Now().Before(deadline) && !n.hasKnownUpstream() {
 		if a := n.askUpstream(ctx, pool, address); a != nil {
 			if err := n.Announce(a); err != nil {
 				_ = level.Warn(n.logger).Log("msg", "health response of the upstream can't be used", "err", err)
@@ -55,6 +55,13 @@
 	}
 }
 
+// hasKnownUpstream reports whether an upstream of a service that the configuration has is
+// announced.
+func (n *Node) hasKnownUpstream() bool {
+	a := n.upstream.currentAnnouncement()
+	return a != nil && n.knowsService(a.Service)
+}
+
 // askUpstream returns the announcement that follows from a health response of the upstream, or
 // nil without one. An upstream that states that it is leaving, or does not say that it is
 // healthy and so may be leaving, has to announce itself: a restarted node has forgotten it.
--- a/internal/node/discover_test.go
+++ b/internal/node/discover_test.go
@@ -96,16 +96,16 @@
 	}
 	announced := &httpapi.Announcement{Service: "s", Address: "127.0.0.1:1", Instance: "i", StartID: "1", Slots: 1, Sequence: 7}
 	u := newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())
-	assert.Assert(t, u.announce(announced))
-	assert.Assert(t, !u.announce(provisional))
+	assert.NilError(t, u.announce(announced, hasAnyService))
+	assert.ErrorIs(t, u.announce(provisional, hasAnyService), errOutdated)
 	assert.Equal(t, u.currentAnnouncement(), announced)
 
 	u = newUpstream(httpapi.DefaultDialect(), admission.ColdTolerance{}, log.NewNopLogger())
-	assert.Assert(t, u.announce(provisional))
+	assert.NilError(t, u.announce(provisional, hasAnyService))
 	assert.Assert(t, !u.isOpen("i"), "control has not reported whether the upstream is departing")
 	assert.Assert(t, u.leave(provisionalStartID))
 	assert.Equal(t, u.gate.Report().GetState(), wire.InstanceState_INSTANCE_LEAVING)
-	assert.Assert(t, u.announce(announced))
+	assert.NilError(t, u.announce(announced, hasAnyService))
 	assert.Assert(t, u.gate.Report().GetState() != wire.InstanceState_INSTANCE_LEAVING, "the departure was of an earlier start")
 	assert.Assert(t, !u.isOpen("i"), "control has not reported on this start")
 }
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -64,9 +64,6 @@
 		return errors.New(problem)
 	}
 	previous := n.upstream.currentAnnouncement()
-	if err := n.checkService(a, previous); err != nil {
-		return err
-	}
 	// The first announcement after a provisional one counts as new here: what control reports
 	// of the start is looked up by its ID.
 	isNewStart := previous == nil || previous.StartID != a.StartID
@@ -74,14 +71,17 @@
 		// No acknowledgement may confirm the new start before a heartbeat has reported it.
 		n.announcedSequence.Store(math.MaxUint64)
 	}
-	accepted := n.upstream.announce(a)
+	err := n.upstream.announce(a, n.knowsService)
 	if isNewStart {
 		n.announcedSequence.Store(n.directory.LastSequence() + 1)
 	}
-	if !accepted {
+	if errors.Is(err, errOutdated) {
 		_ = level.Info(n.logger).Log("msg", "outdated announcement ignored", "instance", a.Instance, "start_id", a.StartID, "sequence", a.Sequence)
 		return nil
 	}
+	if err != nil {
+		return err
+	}
 	n.upstream.setWarmup(a.Service, n.directory.View().Doc.Services[a.Service].WarmupPerSecond)
 	if isNewStart {
 		time.AfterFunc(confirmTimeout, func() { n.upstream.confirmStart(a.StartID) })
@@ -95,27 +95,10 @@
 	return nil
 }
 
-// checkService returns an error for an announcement whose service cannot be that of the
-// instance: another one within the same start, or one that the configuration lacks in place
-// of one that it has. An instance that is new here may be of a service that is not known
-// yet, since the configuration may arrive after it, and a provisional announcement only
-// assumes the service.
-func (n *Node) checkService(a, previous *httpapi.Announcement) error {
-	if previous == nil || previous.Provisional {
-		return nil
-	}
-	if previous.Instance != a.Instance || previous.Service == a.Service {
-		return nil
-	}
-	if previous.StartID == a.StartID {
-		return errors.Errorf("service %q is not that of this start", a.Service)
-	}
-	services := n.directory.View().Doc.Services
-	_, isKnown := services[a.Service]
-	if _, wasKnown := services[previous.Service]; wasKnown && !isKnown {
-		return errors.Errorf("no service %q", a.Service)
-	}
-	return nil
+// knowsService reports whether the configuration of the node has a service.
+func (n *Node) knowsService(service string) bool {
+	_, known := n.directory.View().Doc.Services[service]
+	return known
 }
 
 // RejectAnnouncement counts and logs an announcement of an instance that could not be read.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -20,7 +20,7 @@
 type upstream struct {
 	dialect           *httpapi.Dialect
 	logger            log.Logger
-	signalLogger      log.Logger // rate-limited, for what the upstream states about itself
+	signalLogger      log.Logger // rate-limited, for what the responses of the upstream tell about it
 	gate              *admission.Gate
 	measurementBudget *admission.MeasurementBudget
 
@@ -75,21 +75,6 @@
 	}
 }
 
-// isOutdated reports whether an announcement is older than the current one: it is of an
-// earlier start, or has no higher sequence number in the same start.
-func isOutdated(a, current *httpapi.Announcement) bool {
-	if current == nil {
-		return false
-	}
-	if a.Provisional {
-		return true
-	}
-	if a.StartedMs != 0 && a.StartedMs < current.StartedMs {
-		return true
-	}
-	return a.StartID == current.StartID && a.Sequence != 0 && a.Sequence <= current.Sequence
-}
-
 // continuesStart reports whether an announcement is of the start that the current one
 // describes: it has the same start ID, or is the first one of the upstream itself after a
 // provisional one.
@@ -105,14 +90,15 @@
 		current.Instance == a.Instance && current.Service == a.Service && current.Address == a.Address
 }
 
-// announce applies an announcement. It returns false for an outdated one, which has no
-// effect. A new start ID begins a cold start with new connections.
-func (u *upstream) announce(a *httpapi.Announcement) bool {
+// announce applies an announcement, unless the current one takes precedence; the error then
+// says why, and the announcement has no effect. A new start ID begins a cold start with new
+// connections.
+func (u *upstream) announce(a *httpapi.Announcement, knows serviceSet) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	previous := u.announcement
-	if isOutdated(a, previous) {
-		return false
+	if err := checkPrecedence(a, previous, knows); err != nil {
+		return err
 	}
 	continuesStart := u.continuesStart(a)
 	if !continuesStart || previous.Address != a.Address {
@@ -153,7 +139,7 @@
 		u.version++
 	}
 	u.announcement = a
-	return true
+	return nil
 }
 
 // setWarmup sets the rate of requests that the configuration of the service allows a cold
