Notice a reset of the upstream that only the write was told of

Cause: a reset is reported to the first call after it only. If that is the write of the request, the read sees the end of the stream, which is the regular end of a response without a length.

Change: the connection remembers a write that failed with ECONNRESET; the reader asks at the end of a response without a length, and when a stream ends before a response. A metric and a log line tell broken responses from refusals.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -34,6 +34,7 @@
 		outcome.Result = r.interruptedResult(ctx, err)
 		r.recordUpstreamOutcome(outcome.Result)
 		r.recordBrokenResponse(outcome.Result)
+		r.reportBrokenResponse(outcome.Result, err)
 		return outcome
 	}
 	r.state.Store(int32(stateAnswered))
--- a/internal/node/egress/conn.go
+++ b/internal/node/egress/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,7 +31,10 @@
 	// errResetUnanswered reports that the upstream reset the connection before any byte of a
 	// response.
 	errResetUnanswered = errors.New("connection reset before a response")
-	errNotHTTP         = errors.New("the upstream sent bytes that are no HTTP response")
+	// errResetInBody reports that the upstream reset the connection before the end of a response
+	// that ends with the connection.
+	errResetInBody = errors.New("connection reset within a response")
+	errNotHTTP     = errors.New("the upstream sent bytes that are no HTTP response")
 )
 
 // conn is one connection to the upstream.
@@ -52,6 +56,12 @@
 	beforeDispatch func() error
 	dispatched     atomic.Bool
 	aborted        atomic.Bool
+
+	// writeMu is held during each write. resetByPeer is set once a write has failed because the
+	// upstream has reset the connection; a read then reports the end of the stream in place of
+	// the reset.
+	writeMu     sync.Mutex
+	resetByPeer bool
 }
 
 func newConn(netConn net.Conn) *conn {
@@ -92,7 +102,23 @@
 		}
 		w.dispatched.Store(true)
 	}
-	return w.netConn.Write(p)
+	w.writeMu.Lock()
+	defer w.writeMu.Unlock()
+	n, err := w.netConn.Write(p)
+	if errors.Is(err, syscall.ECONNRESET) {
+		w.resetByPeer = true
+	}
+	return n, err
+}
+
+// wasReset reports whether the upstream has reset the connection while the request was being
+// written. It ends a pending write: only the first call after a reset reports it, and that may
+// have been the write.
+func (c *conn) wasReset() bool {
+	_ = c.netConn.SetWriteDeadline(time.Unix(1, 0))
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return c.resetByPeer
 }
 
 // awaitResponse waits for the beginning of a response. It returns errNotHTTP at the first byte
--- a/internal/node/egress/exchange.go
+++ b/internal/node/egress/exchange.go
@@ -104,7 +104,7 @@
 	defer func() { x.conn.headBytesLeft = -1 }()
 	for i := range maxResponseHeads {
 		err := x.conn.awaitResponse()
-		if i == 0 && x.conn.reader.Buffered() == 0 && isReset(err) {
+		if err != nil && i == 0 && x.conn.reader.Buffered() == 0 && x.isReset(err) {
 			return nil, errors.WithMessagef(errResetUnanswered, "%v", err)
 		}
 		if err != nil {
@@ -139,6 +139,11 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead
 }
 
+// isReset reports whether a read failed because the upstream has reset the connection.
+func (x *exchange) isReset(err error) bool {
+	return isReset(err) || errors.Is(err, io.EOF) && x.conn.wasReset()
+}
+
 func (x *exchange) isForOtherRequest(response *http.Response) bool {
 	isForOtherRequest := x.pool.config.IsForOtherRequest
 	return isForOtherRequest != nil && isForOtherRequest(x.request.Header, response.Header)
@@ -185,15 +190,28 @@
 // and ErrIncomplete when the body ended early.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = r.checkEnd()
+	}
 	switch {
+	case err == nil:
+		return n, nil
 	case errors.Is(err, io.EOF):
 		r.complete = true
-	case err != nil:
+	default:
 		err = errors.WithMessagef(ErrIncomplete, "%v", err)
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF for the end of a complete response, and otherwise why it is none.
+func (r *Response) checkEnd() error {
+	if isCloseDelimited(r.Response, r.exchange.request) && r.exchange.conn.wasReset() {
+		return errResetInBody
+	}
+	return io.EOF
+}
+
 // HasBuffered reports whether buffered data of the response can be read without blocking.
 func (r *Response) HasBuffered() bool { return r.exchange.conn.reader.Buffered() > 0 }
 
--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// reportBrokenResponse counts and logs why a request has got no complete response.
+func (r *receivedAttempt) reportBrokenResponse(result admission.Result, err error) {
+	if result != admission.ResultError {
+		return
+	}
+	r.node.metrics.brokenResponses.Inc()
+	_ = r.node.upstream.signalLogger.Log("msg", "upstream sent no complete response", "request", r.requestID(), "instance", r.head.GetInstance(), "err", err)
+}
+
 // recordBrokenResponse records as evidence that the upstream sent no response or an incomplete
 // one. A request that was cancelled is no failure, but its response would have taken at least
 // until now: the hedged request of another instance may have won, and slow responses of this
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -62,6 +62,9 @@
 	// upstreamResets counts the requests after which the upstream reset the connection at
 	// once, without a response, as when it is full.
 	upstreamResets *metrics.Counter
+	// brokenResponses counts the requests to which the upstream sent no valid response or an
+	// incomplete one.
+	brokenResponses *metrics.Counter
 	// ejections counts the ejections of failing instances by this entry node.
 	ejections *metrics.Counter
 	// rejectedAnnouncements counts the announcements that describe no instance.
@@ -99,6 +102,7 @@
 		cancelledSeconds:      set.NewFloatCounter("chicorylever_attempts_cancelled_seconds_total"),
 		upstreamRequests:      set.NewCounter("chicorylever_upstream_requests_total"),
 		upstreamResets:        set.NewCounter("chicorylever_upstream_resets_total"),
+		brokenResponses:       set.NewCounter("chicorylever_upstream_broken_responses_total"),
 		ejections:             set.NewCounter("chicorylever_ejections_total"),
 		rejectedAnnouncements: set.NewCounter("chicorylever_announcements_rejected_total"),
 		addedLatency:          set.NewPrometheusHistogramExt("chicorylever_added_latency_seconds", addedLatencyBuckets),
--- a/internal/node/refuse.go
+++ b/internal/node/refuse.go
@@ -59,6 +59,7 @@
 	}
 	r.recordUpstreamOutcome(outcome.Result)
 	r.recordBrokenResponse(outcome.Result)
+	r.reportBrokenResponse(outcome.Result, err)
 	r.permit.Release(outcome)
 	r.refuse(reason, "")
 	return outcome
