Take no response whose head is not HTTP/1.x

Cause: http.ReadResponse accepts more than RFC 9112: names with blanks, continued lines, any three digits as a status, chunks in HTTP/1.0.

Change: a scanner checks the bytes of each response head as they are read. Trailers are checked at the end of the body, and the entry checks the status that another node sends.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -234,15 +234,19 @@
 		switch {
 		case head == nil:
 			return unknown
-		case head.GetStatus() != http.StatusContinue:
+		case isFinalStatus(head.GetStatus()):
 			return attemptResult{outcome: outcomeAnswered, head: head, attempt: a}
-		case !a.call.streamed || a.uploadDone != nil:
+		case head.GetStatus() != http.StatusContinue || !a.call.streamed || a.uploadDone != nil:
 			return unknown
 		}
 		a.startUpload()
 	}
 }
 
+// isFinalStatus reports whether a status is that of a final response (RFC 9110, section 15). A
+// node of an earlier version also forwards other status codes of its upstream.
+func isFinalStatus(status uint32) bool { return status >= http.StatusOK && status < 600 }
+
 func (a *attempt) isReused() bool { return a.reusableStream != nil && a.reusableStream.Reused() }
 
 // recordReport records the load and the configuration revision that the node beside the
--- a/internal/node/egress/conn.go
+++ b/internal/node/egress/conn.go
@@ -46,7 +46,9 @@
 
 	// headBytesLeft bounds the bytes read while a response head is read; -1 means no limit.
 	headBytesLeft int
-	idleSince     time.Time
+	// head checks the bytes of a response head as they are read.
+	head      headScanner
+	idleSince time.Time
 	// idleTime is how long the connection was idle before its current request.
 	idleTime time.Duration
 	// maxIdleTime is the longest idle time after which the connection may be reused.
@@ -65,7 +67,7 @@
 }
 
 func newConn(netConn net.Conn) *conn {
-	c := &conn{netConn: netConn, headBytesLeft: -1, maxIdleTime: defaultMaxIdle}
+	c := &conn{netConn: netConn, headBytesLeft: -1, head: headScanner{state: headEnded}, maxIdleTime: defaultMaxIdle}
 	if sc, ok := netConn.(syscall.Conn); ok {
 		c.rawConn, _ = sc.SyscallConn()
 	}
@@ -74,7 +76,7 @@
 	return c
 }
 
-// connReader enforces headBytesLeft.
+// connReader enforces headBytesLeft and checks response heads.
 type connReader conn
 
 func (r *connReader) Read(p []byte) (int, error) {
@@ -88,9 +90,22 @@
 	if r.headBytesLeft > 0 {
 		r.headBytesLeft -= n
 	}
+	if malformed := r.head.scan(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
+// beginHead starts the check of a response head, whose first bytes may have been read already.
+func (c *conn) beginHead() error {
+	c.head = headScanner{}
+	received, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.scan(received)
+}
+
 // connWriter calls beforeDispatch and marks the request as dispatched before its first byte is
 // written.
 type connWriter conn
--- a/internal/node/egress/exchange.go
+++ b/internal/node/egress/exchange.go
@@ -103,6 +103,9 @@
 	x.conn.headBytesLeft = maxHeadBytes
 	defer func() { x.conn.headBytesLeft = -1 }()
 	for i := range maxResponseHeads {
+		if err := x.conn.beginHead(); err != nil {
+			return nil, err
+		}
 		err := x.conn.awaitResponse()
 		if err != nil && i == 0 && x.conn.reader.Buffered() == 0 && x.isReset(err) {
 			return nil, errors.WithMessagef(errResetUnanswered, "%v", err)
@@ -206,6 +209,9 @@
 
 // checkEnd returns io.EOF for the end of a complete response, and otherwise why it is none.
 func (r *Response) checkEnd() error {
+	if err := checkTrailer(r.Trailer); err != nil {
+		return err
+	}
 	if isCloseDelimited(r.Response, r.exchange.request) && r.exchange.conn.wasReset() {
 		return errResetInBody
 	}
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -201,12 +201,13 @@
 }
 
 // TestPeerProtocolViolations guards against forwarding messages of another attempt, or a
-// response without an end or with a wrong length, when the node beside the upstream
-// violates the protocol.
+// response without an end, with a wrong length or with a status that no response has, when the
+// node beside the upstream violates the protocol.
 func TestPeerProtocolViolations(t *testing.T) {
 	control := newFakeControl(t)
 	entry := control.startNode(t, "entry", "a", "")
-	head := func() *wire.Envelope { return responseHead(&wire.ResponseHead{Status: http.StatusOK}) }
+	withStatus := func(status uint32) *wire.Envelope { return responseHead(&wire.ResponseHead{Status: status}) }
+	head := func() *wire.Envelope { return withStatus(http.StatusOK) }
 	end := func(count uint64) *wire.Envelope { return responseEnd(&wire.ResponseEnd{ByteCount: count}) }
 	replies := map[string]func(s *msgstream.MeshStream) []*wire.Envelope{
 		"/other-attempt": func(s *msgstream.MeshStream) []*wire.Envelope {
@@ -221,6 +222,9 @@
 			return []*wire.Envelope{head(), bodyChunk([]byte("part")), end(5)}
 		},
 		"/end-first":      func(*msgstream.MeshStream) []*wire.Envelope { return []*wire.Envelope{end(0)} },
+		"/status-0":       func(*msgstream.MeshStream) []*wire.Envelope { return []*wire.Envelope{withStatus(0), end(0)} },
+		"/status-99":      func(*msgstream.MeshStream) []*wire.Envelope { return []*wire.Envelope{withStatus(99), end(0)} },
+		"/status-600":     func(*msgstream.MeshStream) []*wire.Envelope { return []*wire.Envelope{withStatus(600), end(0)} },
 		"/request-inside": func(*msgstream.MeshStream) []*wire.Envelope { return []*wire.Envelope{head(), bodyEnd(0), end(0)} },
 	}
 	control.addPeer(t, "broken", func(_ context.Context, raw net.Conn) {
