Send no status that neither an upstream nor the node has chosen

Cause: the node stops reading the body by a read deadline. net/http takes the failed read for a caller that has left and ends the context of the request; the call counted as cancelled, and a handler that writes nothing sends 200.

Change: a call knows that it has stopped the reading itself, and that its deadline has passed. A handler without a status ends the connection, on both listeners. callerhttp.TestResponseFraming relied on the implied 200 in one case; the case now sets the status and checks the same, and a new one asks for the closed connection.

Result: 502 or 504 with outcome unknown.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -122,8 +122,10 @@
 	suppressCallerRetries bool
 	// status is the status code of the response that was forwarded.
 	status int
-	// abortBodyRead makes a pending read of bodyRest fail.
-	abortBodyRead func()
+	// abortBodyRead makes a pending read of bodyRest fail. bodyReadAborted is set if the caller had
+	// not left by then: net/http ends the context of the request as if it had.
+	abortBodyRead   func()
+	bodyReadAborted atomic.Bool
 	// clearWriteDeadline removes the write deadline from the caller's connection.
 	clearWriteDeadline func()
 }
--- a/internal/node/callbody.go
+++ b/internal/node/callbody.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -68,9 +69,23 @@
 func (c *call) startStreaming(controller *http.ResponseController, bodyRest io.Reader) {
 	_ = controller.EnableFullDuplex()
 	c.streamed, c.bodyRest = true, bodyRest
-	c.abortBodyRead = func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }
+	c.abortBodyRead = func() {
+		if c.request.Context().Err() == nil {
+			c.bodyReadAborted.Store(true)
+		}
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// hasCallerLeft reports whether the caller has closed its connection, as far as the context of
+// the call tells: after abortBodyRead, and once the read deadline of the body has passed, it does
+// not.
+func (c *call) hasCallerLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !c.bodyReadAborted.Load() && !c.isDeadlinePassed()
 }
 
+func (c *call) isDeadlinePassed() bool { return !time.Now().Before(c.deadline) }
+
 // streamedBodyReader returns a reader of the whole body.
 func (c *call) streamedBodyReader() io.Reader {
 	return io.MultiReader(bytes.NewReader(c.body), c.bodyRest)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -266,7 +266,7 @@
 // writeFailure responds to a call that got no response from an upstream.
 func (n *Node) writeFailure(ctx context.Context, w http.ResponseWriter, c *call, failure attemptResult) callResult {
 	setRetriedHeader(w, c)
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if c.hasCallerLeft(ctx) {
 		return callCancelled
 	}
 	n.recordNestedFailure(c, failure)
@@ -292,7 +292,7 @@
 		return callNotRun
 	}
 	body.Error, body.Outcome = "no complete response", httpapi.OutcomeUnknown
-	writeError(w, statusForUnknownOutcome(ctx, failure), body)
+	writeError(w, c.statusForUnknownOutcome(ctx, failure), body)
 	return callUnknown
 }
 
@@ -336,12 +336,12 @@
 	}
 }
 
-func statusForUnknownOutcome(ctx context.Context, failure attemptResult) int {
+func (c *call) statusForUnknownOutcome(ctx context.Context, failure attemptResult) int {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(failure.uploadErr, &tooLarge):
 		return http.StatusRequestEntityTooLarge
-	case ctx.Err() != nil || failure.reason == wire.RefusalReason_REFUSAL_DEADLINE:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || c.isDeadlinePassed() || failure.reason == wire.RefusalReason_REFUSAL_DEADLINE:
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusBadGateway
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,7 +224,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	entry := callerhttp.NewServer(http.HandlerFunc(n.handleCall), n.callerLimits, n.logPanic)
 	entry.LimitMemory(n.memory.callers, n.refuseForMemory)
-	local := httplisten.NewServer(n.localRoutes())
+	local := httplisten.NewServer(httplisten.StrictResponses(n.localRoutes()))
 	localListener := httplisten.Guard(local, n.localListener, n.memory.local)
 	admin := httplisten.NewServer(n.adminRoutes())
 	admin.MaxHeaderBytes = maxAdminHeaderBytes
--- a/internal/transport/callerhttp/exchange.go
+++ b/internal/transport/callerhttp/exchange.go
@@ -18,6 +18,7 @@
 	errConnClosed      = errors.New("callerhttp: connection to the caller is closed")
 	errResponseTooLong = errors.New("callerhttp: response body is longer than its Content-Length")
 	errResponseEnded   = errors.New("callerhttp: write after the end of the response")
+	errNoStatus        = errors.New("callerhttp: handler has set no status")
 )
 
 // writerPool holds write buffers for responses.
@@ -336,9 +337,12 @@
 }
 
 // completeResponse finishes the response. It returns an error when the response is not
-// complete; the connection must then be aborted, so that the caller notices.
+// complete; the connection must then be aborted, so that the caller notices. A handler that has
+// set no status has no response: unlike net/http, it does not stand for 200.
 func (x *exchange) completeResponse() error {
-	x.WriteHeader(http.StatusOK)
+	if x.status == 0 {
+		return errNoStatus
+	}
 	if !x.started && x.allowsBody() && x.trailerKeys() == nil && x.header.Get("Content-Length") == "" {
 		x.header.Set("Content-Length", strconv.Itoa(len(x.bufferedBody)))
 	}
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -208,6 +208,8 @@
 			_, _ = io.WriteString(w, strings.Repeat("x", 3*maxBufferedResponseBytes))
 		case "/none":
 			w.WriteHeader(http.StatusNoContent)
+		case "/empty":
+			w.WriteHeader(http.StatusOK)
 		}
 	})
 	c, reader := dial(t, address)
@@ -225,7 +227,7 @@
 	assert.NilError(t, err)
 	_ = headResponse.Body.Close()
 
-	for _, path := range []string{"/short", "/abort"} {
+	for _, path := range []string{"/short", "/abort", "/no-status"} {
 		c, reader := dial(t, address)
 		send(t, c, getRequest(path))
 		response, err := http.ReadResponse(reader, nil)
