Reset the connection of a response to HTTP/1.0 that is broken off

Seen by callers (rule MIXED): a response of unknown length that breaks off midway looks complete to a caller of HTTP/1.0, for which the end of the connection is its regular end.

Cause: both listeners abort a response by closing the connection.

Evidence: TestBrokenResponseToHTTP10 failed on on both listeners.

Change: such a response ends with a reset.

--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -133,6 +133,24 @@
 	}
 }
 
+// TestBrokenResponseToHTTP10 guards against a response that is broken off after a part of it was
+// forwarded, and that appears complete to a caller of HTTP/1.0, for whom the connection ends it.
+func TestBrokenResponseToHTTP10(t *testing.T) {
+	upstream := &brokenUpstream{response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n" + strings.Repeat("x", 0x40000) + "\r\n"}
+	n := newFakeControl(t).startNode(t, "n", "a", "")
+	n.announce(t, upstream.listen(t), "1")
+	n.waitForInstances(t, 1)
+	for _, address := range []string{n.EntryAddress(), n.LocalAddress()} {
+		netConn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(netConn, "POST /svc/s/p HTTP/1.0\r\nHost: s\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := io.ReadAll(netConn)
+		assert.NilError(t, netConn.Close())
+		assert.Check(t, err != nil, "%.40q of %d bytes appears complete", response, len(response))
+	}
+}
+
 // TestBrokenResponseToStalledUpload guards against a request that waits for its deadline, or that
 // gets a success nobody gave, because the caller has stopped sending the body when the upstream
 // breaks off; and against one whose own deadline counts as the end of its caller.
--- a/internal/transport/callerhttp/conn.go
+++ b/internal/transport/callerhttp/conn.go
@@ -22,7 +22,7 @@
 // request runs the handler and writes the response after those of earlier requests.
 type conn struct {
 	server  *Server
-	netConn net.Conn
+	netConn *movedConn
 	reader  *bufio.Reader
 	// ctx is cancelled when the caller disconnects or the connection is closed.
 	ctx    context.Context
@@ -264,10 +264,8 @@
 	if c.ctx.Err() != nil || c.isAborted() {
 		return
 	}
-	if halfCloser, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-		_ = halfCloser.CloseWrite()
-		c.linger()
-	}
+	_ = c.netConn.CloseWrite()
+	c.linger()
 }
 
 // discardUntilResponsesDone discards what the caller sends after its last request. It
--- a/internal/transport/callerhttp/exchange.go
+++ b/internal/transport/callerhttp/exchange.go
@@ -93,7 +93,7 @@
 	defer x.end()
 	defer func() {
 		if value := recover(); value != nil {
-			x.conn.abort()
+			x.abort()
 			if value != http.ErrAbortHandler { //nolint:errorlint // the value that net/http defines
 				x.conn.server.reportPanic(value)
 			}
@@ -108,8 +108,17 @@
 		x.WriteHeader(x.rejectStatus)
 	}
 	if err := x.completeResponse(); err != nil {
-		x.conn.abort()
+		x.abort()
+	}
+}
+
+// abort closes the connection at once. A response whose end only the end of the connection marks
+// is reset, since it would appear complete otherwise.
+func (x *exchange) abort() {
+	if x.started && !x.chunked && x.contentLength < 0 && x.allowsBody() {
+		x.conn.netConn.resetOnClose()
 	}
+	x.conn.abort()
 }
 
 // end releases the write buffer, closes the request body and lets the next response be
--- a/internal/transport/callerhttp/memory.go
+++ b/internal/transport/callerhttp/memory.go
@@ -100,6 +100,13 @@
 	return halfCloser.CloseWrite()
 }
 
+// resetOnClose makes Close reset the connection, so that the caller notices an error.
+func (m *movedConn) resetOnClose() {
+	if tcpConn, ok := m.Conn.(*net.TCPConn); ok {
+		_ = tcpConn.SetLinger(0)
+	}
+}
+
 // awaitPipelineMemory waits while the outstanding requests hold more than maxPipelinedBytes. It
 // returns false when the connection is closed.
 func (c *conn) awaitPipelineMemory() bool {
--- a/internal/transport/httplisten/guard.go
+++ b/internal/transport/httplisten/guard.go
@@ -157,6 +157,9 @@
 	return halfCloser.CloseWrite()
 }
 
+// SetLinger sets what Close does with unsent data.
+func (c *guardedConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
+
 // Close closes the connection and its account.
 func (c *guardedConn) Close() error {
 	c.account.Close()
