Answer at once when a response breaks off before a stopped upload

Seen by callers: who has stopped sending a long body when the upstream breaks off gets the answer at the deadline only.

Cause: Pool.Do waited for the sender of the body when it failed, and the sender for the caller.

Evidence: TestBrokenResponseToStalledUpload, parts "no response" and "status 000", had no answer after 4 s on; the deadline is 20 s.

Change: the exchange of a streamed request that has failed ends in the background; the refusal lets the entry end the stream.

--- a/internal/node/egress/pool.go
+++ b/internal/node/egress/pool.go
@@ -89,7 +89,8 @@
 //
 // With streamed, which is meant for bodies of unknown or large size, Do reads the response
 // while the body is still being sent. The caller must then unblock Read of the request body
-// before it calls Response.Close, which waits for the sender.
+// before it calls Response.Close, which waits for the sender, and after Do has failed; until then
+// the connection counts as open.
 func (p *Pool) Do(ctx context.Context, request *http.Request, streamed bool, beforeDispatch func() error) (*Response, error) {
 	c, err := p.acquire(ctx)
 	if err != nil {
@@ -99,11 +100,17 @@
 	x.cancelAbort = context.AfterFunc(ctx, c.abort)
 	c.beforeDispatch = beforeDispatch
 	response, err := x.run(streamed)
-	if err != nil {
+	if err == nil {
+		return response, nil
+	}
+	if streamed {
+		// The sender may wait for the request body, whose source may have stopped sending.
+		c.abort()
+		go x.end(false)
+	} else {
 		x.end(false)
-		return nil, err
 	}
-	return response, nil
+	return nil, err
 }
 
 // Close closes the idle connections. Connections in use are closed when their exchange ends.
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -161,6 +161,8 @@
 		timeoutMs int
 		status    string
 	}{
+		{"no response", "", 20000, "HTTP/1.1 502 "},
+		{"status 000", "HTTP/1.1 000 OK\r\n\r\n", 20000, "HTTP/1.1 502 "},
 		{"part of a response", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", 20000, "HTTP/1.1 502 "},
 		{"deadline", "HTTP/1.1 100 Continue\r\n\r\n", 300, "HTTP/1.1 504 "},
 	} {
