--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -76,6 +76,12 @@
 		"revision", c.view.Revision)
 }
 
+// logRevision logs that a revision of the configuration has come into force.
+func (n *Node) logRevision(change directory.InForce) {
+	_ = level.Info(n.logger).Log("msg", "configuration in force", "revision", change.Revision, "previous", change.Previous,
+		"from_peer", change.FromPeer, "sections", change.Sections, "bytes", change.Bytes)
+}
+
 // logRefusal logs why the node beside an upstream refused an attempt.
 func (r *receivedAttempt) logRefusal(reason wire.RefusalReason, load *wire.LoadReport) {
 	_ = level.Info(r.node.logger).Log("msg", "attempt refused", "request", r.requestID(), "instance", r.head.GetInstance(),
--- a/internal/node/directory/directory.go
+++ b/internal/node/directory/directory.go
@@ -64,10 +64,23 @@
 	// observed is the highest revision that a peer has stated.
 	observed observedRevision
 
+	// onRevision is called with mu held when a revision has come into force.
+	onRevision func(InForce)
+
 	// heartbeatSequence is the number of the last heartbeat since the process started.
 	heartbeatSequence atomic.Uint64
 }
 
+// InForce describes a revision that has come into force at this node.
+type InForce struct {
+	Revision, Previous uint64
+	// FromPeer is set for a revision that came from another node in place of control.
+	FromPeer bool
+	// Sections is the number of sections that changed, 0 for a full document, and Bytes the
+	// size of their JSON or of the document.
+	Sections, Bytes int
+}
+
 // New returns an empty directory. It calls fetch to get later revisions from peers; with
 // a nil fetch it gets none from them.
 func New(fetch Fetcher) *Directory {
@@ -79,18 +92,25 @@
 		registryReceived:   make(chan struct{}),
 		viewReplaced:       make(chan struct{}),
 		fetchUrgent:        make(chan struct{}, 1),
+		onRevision:         func(InForce) {},
 	}
 	d.current.Store(&View{Doc: &document.Document{}, Stale: true})
 	return d
 }
 
+// OnRevision sets the function that is called for each revision that comes into force. It must
+// not block, and is set before the first state arrives.
+func (d *Directory) OnRevision(call func(InForce)) { d.onRevision = call }
+
 // View returns the current view.
 func (d *Directory) View() *View { return d.current.Load() }
 
 // Apply applies a full state from control or a document from a peer. A document whose
 // revision is not higher than the current one is ignored, so that a lagging member cannot
 // roll a node back.
-func (d *Directory) Apply(state *wire.StateFull) {
+func (d *Directory) Apply(state *wire.StateFull) { d.apply(state, false) }
+
+func (d *Directory) apply(state *wire.StateFull, fromPeer bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.current.Load()
@@ -104,7 +124,7 @@
 		close(d.registryReceived)
 		d.registryReceived = make(chan struct{})
 	}
-	d.replaceView(sections, &next)
+	d.replaceView(sections, &next, InForce{FromPeer: fromPeer, Bytes: len(state.GetDocument())})
 }
 
 // replaceDocument sets the full document of the state in the view. If the document cannot
@@ -126,7 +146,9 @@
 
 // ApplyDiff applies a diff. It returns false when the changed sections cannot be applied
 // to the current revision; the registry part is applied regardless.
-func (d *Directory) ApplyDiff(diff *wire.StateDiff) bool {
+func (d *Directory) ApplyDiff(diff *wire.StateDiff) bool { return d.applyDiff(diff, false) }
+
+func (d *Directory) applyDiff(diff *wire.StateDiff, fromPeer bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.current.Load()
@@ -135,7 +157,11 @@
 		next.Stale = diff.GetStale()
 		next.Services = patchInstances(next.Services, diff.GetChanged(), diff.GetRemoved())
 	}
-	d.replaceView(sections, &next)
+	change := InForce{FromPeer: fromPeer, Sections: len(diff.GetSections())}
+	for _, section := range diff.GetSections() {
+		change.Bytes += len(section.GetJson())
+	}
+	d.replaceView(sections, &next, change)
 	return ok
 }
 
@@ -160,9 +186,11 @@
 	return sections, true
 }
 
-// replaceView makes next the current view. The caller must hold d.mu.
-func (d *Directory) replaceView(sections *distribute.Sections, next *View) {
-	isNewRevision := next.Revision > d.current.Load().Revision
+// replaceView makes next the current view, which the change has led to. The caller must hold
+// d.mu.
+func (d *Directory) replaceView(sections *distribute.Sections, next *View, change InForce) {
+	change.Revision, change.Previous = next.Revision, d.current.Load().Revision
+	isNewRevision := change.Revision > change.Previous
 	if isNewRevision {
 		d.subscribeRoutesLocked(next.Doc)
 	}
@@ -172,6 +200,7 @@
 	d.viewReplaced = make(chan struct{})
 	if isNewRevision {
 		d.RequestHeartbeat()
+		d.onRevision(change)
 	}
 }
 
--- a/internal/node/directory/fetch.go
+++ b/internal/node/directory/fetch.go
@@ -102,12 +102,12 @@
 		return // the next message from a peer triggers another fetch
 	}
 	if state := message.GetStateFull(); state != nil {
-		d.Apply(&wire.StateFull{Revision: state.GetRevision(), Document: state.GetDocument(), DocumentOnly: true})
+		d.apply(&wire.StateFull{Revision: state.GetRevision(), Document: state.GetDocument(), DocumentOnly: true}, true)
 	}
 	if diff := message.GetStateDiff(); diff != nil {
-		d.ApplyDiff(&wire.StateDiff{
+		d.applyDiff(&wire.StateDiff{
 			BaseRevision: diff.GetBaseRevision(), Revision: diff.GetRevision(), Sections: diff.GetSections(),
-		})
+		}, true)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,7 @@
 	}
 	n.upstream = newUpstream(n.dialect, admission.ColdTolerance{Factor: s.ColdFactor, Slack: s.ColdSlack}, n.logger)
 	n.directory = directory.New(n.fetchRevision)
+	n.directory.OnRevision(n.logRevision)
 	n.upstream.onDeparture = n.directory.RequestHeartbeat
 	n.liveSettings.Store(s)
 	n.subscription = distribute.NewClient(s.ID, s.Control, n.dialControl, (*controlSink)(n), n.logger)
