Keep the session with control while a large message arrives

Cause: a node judged whether its member is alive by whole messages. On a link of 2 Mbit/s such a change takes 1.3 s and more; the node sent a heartbeat meanwhile, got no whole answer within 0.8 s and left the member, to begin the same message again.

TestStateOnSlowLink failed: the node left the member and never got the state.

Change: bytes that arrive are a sign of life, as for connections of the mesh.

--- a/internal/coordination/distribute/session.go
+++ b/internal/coordination/distribute/session.go
@@ -20,6 +20,7 @@
 	client      *Client
 	address     string
 	conn        *frame.Conn
+	progress    *progressReader
 	incoming    chan *wire.Envelope
 	receiveDone chan struct{}
 	// registryVersion is the version of the registry received last on this stream. It is
@@ -28,8 +29,8 @@
 	hasState        bool
 	// startedAt is when the client began to connect, connectedAt when a member accepted.
 	startedAt, connectedAt time.Time
-	// lastReceived is the time of the last received message, unansweredSince that of the
-	// first heartbeat sent after it; zero when none was sent.
+	// lastReceived is the time at which a message, or a part of one, arrived last, and
+	// unansweredSince that of the first heartbeat sent after it; zero when none was sent.
 	lastReceived, unansweredSince time.Time
 	// services are those of the last sent subscription, sorted.
 	services []string
@@ -44,10 +45,12 @@
 		return address, false, err
 	}
 	defer func() { _ = stream.Close() }()
+	progress := newProgressReader(stream)
 	s := &session{
 		client:      c,
 		address:     address,
-		conn:        frame.NewConn(stream),
+		conn:        frame.NewConn(progress),
+		progress:    progress,
 		incoming:    make(chan *wire.Envelope, receiveBufferMessages),
 		receiveDone: make(chan struct{}),
 		startedAt:   startedAt,
@@ -132,8 +135,12 @@
 
 // checkKeepalive sends a heartbeat as a probe when no message has arrived for
 // keepaliveIdle. It returns errKeepaliveTimeout when a heartbeat has had no reply for
-// keepaliveTimeout.
+// keepaliveTimeout. A member whose message is still arriving is alive: a large document takes
+// longer than that on a slow link, and a new session would start it again.
 func (s *session) checkKeepalive(now time.Time) error {
+	if lastRead := s.progress.lastRead(); lastRead.After(s.lastReceived) {
+		s.lastReceived, s.unansweredSince = lastRead, time.Time{}
+	}
 	switch {
 	case !s.hasState || now.Sub(s.lastReceived) < keepaliveIdle:
 		return nil
--- /dev/null
+++ b/internal/coordination/distribute/slowlink_test.go
@@ -0,0 +1,101 @@
+package distribute
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicorylever/chicorylever/internal/protocol/frame"
+	"github.com/chicorylever/chicorylever/internal/protocol/wire"
+	"github.com/chicorylever/chicorylever/internal/state/document"
+)
+
+const (
+	// slowLinkBytesPerSecond is the rate of a link of 2 Mbit/s.
+	slowLinkBytesPerSecond = 250_000
+
+	manyRoutes = 1400
+)
+
+// documentWithRoutes returns a document with many routes of random names, each split between two
+// services.
+func documentWithRoutes(t testing.TB) []byte {
+	random := rand.New(rand.NewPCG(1, 2))
+	doc := document.Document{Services: map[string]document.Service{"huvo11a": {}, "kafi81c": {}}, Routes: map[string]document.Route{}}
+	for range manyRoutes {
+		doc.Routes[fmt.Sprintf("r-%07x", random.Uint32())] = document.Route{
+			Owner: "operators", Host: fmt.Sprintf("%06x.example", random.Uint32()>>8), PathPrefix: fmt.Sprintf("/%06x/%04x/", random.Uint32()>>8, random.Uint32()>>16),
+			TimeoutMs: 1000 + random.IntN(4000), MaxAttempts: 2,
+			Backends: []document.Backend{{Service: "huvo11a", Weight: 90}, {Service: "kafi81c", Weight: 10}},
+		}
+	}
+	data, err := json.Marshal(doc)
+	assert.NilError(t, err)
+	return data
+}
+
+// revisionSink records the revision of the last state.
+type revisionSink struct {
+	fakeSink
+	revision uint64
+}
+
+func (s *revisionSink) Apply(state *wire.StateFull) { s.revision = state.GetRevision() }
+
+// TestStateOnSlowLink guards against a session that is taken for dead while a large message
+// arrives slowly: the node would begin again at another member and get the message late or never.
+func TestStateOnSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodeConn, memberConn := net.Pipe()
+		dials := 0
+		dial := func(context.Context, string) (net.Conn, error) {
+			dials++
+			return nodeConn, nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		sink := &revisionSink{}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			NewClient("node", []string{"a"}, dial, sink, log.NewNopLogger()).Run(ctx)
+		}()
+		conn := frame.NewConn(memberConn)
+		go func() {
+			for {
+				if _, err := conn.Receive(); err != nil {
+					return
+				}
+			}
+		}()
+		encoded, err := frame.Encode(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{Revision: 1, RegistryVersion: 1}}})
+		assert.NilError(t, err)
+		_, err = memberConn.Write(encoded)
+		assert.NilError(t, err)
+		encoded, err = frame.Encode(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{Revision: 2, Document: documentWithRoutes(t), DocumentOnly: true}}})
+		assert.NilError(t, err)
+		const pieceBytes = slowLinkBytesPerSecond / 20
+		for len(encoded) > 0 {
+			size := min(pieceBytes, len(encoded))
+			// Half of the link is left for requests.
+			time.Sleep(time.Second / 10)
+			if _, err := memberConn.Write(encoded[:size]); err != nil {
+				break
+			}
+			encoded = encoded[size:]
+		}
+		synctest.Wait()
+		assert.Check(t, dials == 1, "the node has left the member")
+		assert.Check(t, sink.revision == 2)
+		cancel()
+		_ = memberConn.Close()
+		<-done
+	})
+}
