Compress long updates of the configuration for nodes on slow links

Cause: the change travels as JSON as it is, 326 KB to each of 91 nodes with links of 2 Mbit/s, and up to once more from a peer that has it already.

TestManyRoutesFitSlowLink failed (301,234 bytes, 125,000 allowed).

Change: a node says that it accepts compressed messages; document updates of 4 KiB and more are then sent in the DEFLATE format, encoded once for all nodes that have the same revision. What a compressed message may take is bounded and counted before it is decompressed.

--- a/internal/coordination/distribute/encode.go
+++ b/internal/coordination/distribute/encode.go
@@ -18,6 +18,16 @@
 type cacheKey struct {
 	servicesKey string
 	from, to    uint64
+	// compressed is set for the encoding of a receiver that accepts compressed messages.
+	compressed bool
+}
+
+// encode returns the encoding of a message for such a receiver, or for any other one.
+func (k cacheKey) encode(message *wire.Envelope) ([]byte, error) {
+	if k.compressed {
+		return frame.EncodeCompressed(message)
+	}
+	return frame.Encode(message)
 }
 
 // encodeCached returns the cached encoding of the message, or builds and encodes it.
@@ -32,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if encoded, err = frame.Encode(message); err != nil {
+	if encoded, err = key.encode(message); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -43,9 +53,10 @@
 	return encoded, nil
 }
 
-// encodeDocumentUpdate returns the encoded DocumentUpdate of a node.
-func (s *Server) encodeDocumentUpdate(current *Sections, haveRevision uint64) ([]byte, error) {
-	key := cacheKey{from: haveRevision, to: current.Revision()}
+// encodeDocumentUpdate returns the encoded DocumentUpdate of a node, which may accept compressed
+// messages.
+func (s *Server) encodeDocumentUpdate(current *Sections, haveRevision uint64, compressed bool) ([]byte, error) {
+	key := cacheKey{from: haveRevision, to: current.Revision(), compressed: compressed}
 	return s.encodeCached(key, func() (*wire.Envelope, error) { return DocumentUpdate(current, haveRevision) })
 }
 
--- a/internal/coordination/distribute/session.go
+++ b/internal/coordination/distribute/session.go
@@ -56,6 +56,7 @@
 		startedAt:   startedAt,
 		connectedAt: time.Now(),
 	}
+	s.conn.AcceptCompressed()
 	readCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go s.receive(readCtx)
@@ -250,6 +251,8 @@
 		NodeId:       s.client.nodeID,
 		Services:     s.services,
 		HaveRevision: s.client.sink.Revision(),
+
+		AcceptsCompressed: true,
 	}}})
 }
 
--- a/internal/coordination/distribute/slowlink_test.go
+++ b/internal/coordination/distribute/slowlink_test.go
@@ -21,6 +21,11 @@
 const (
 	// slowLinkBytesPerSecond is the rate of a link of 2 Mbit/s.
 	slowLinkBytesPerSecond = 250_000
+	// applyTime is the time within which a change has to be in force on such a link.
+	applyTime = 2 * time.Second
+	// maxUpdateShare is the share of the link that an update may take within applyTime; the rest
+	// is for requests.
+	maxUpdateShare = 0.25
 
 	manyRoutes = 1400
 )
@@ -42,6 +47,24 @@
 	return data
 }
 
+// TestManyRoutesFitSlowLink guards against a change of many routes that occupies the link of a
+// node for so long that it is in force late and requests wait behind it, from control and from
+// another node, as a difference and as a full document.
+func TestManyRoutesFitSlowLink(t *testing.T) {
+	empty, _, err := NewSections().Advance(1, []byte(`{}`))
+	assert.NilError(t, err)
+	current, _, err := empty.Advance(2, documentWithRoutes(t))
+	assert.NilError(t, err)
+	for _, have := range []uint64{0, 1} {
+		message, err := DocumentUpdate(current, have)
+		assert.NilError(t, err)
+		encoded, err := cacheKey{compressed: true}.encode(message)
+		assert.NilError(t, err)
+		limit := maxUpdateShare * slowLinkBytesPerSecond * applyTime.Seconds()
+		assert.Assert(t, float64(len(encoded)) <= limit, "%d bytes from revision %d, at most %.0f", len(encoded), have, limit)
+	}
+}
+
 // revisionSink records the revision of the last state.
 type revisionSink struct {
 	fakeSink
--- a/internal/coordination/distribute/subscription.go
+++ b/internal/coordination/distribute/subscription.go
@@ -36,6 +36,8 @@
 	// acknowledgedRevision is the revision in force at the node by its last heartbeat.
 	acknowledgedRevision uint64
 	fullRegistryDue      bool
+	// acceptsCompressed is set when the node accepts compressed messages.
+	acceptsCompressed bool
 	// ackSequence is the sequence of the last heartbeat; ackDue is set while its
 	// acknowledgement has not been sent.
 	ackSequence uint64
@@ -83,6 +85,7 @@
 	s.mu.Lock()
 	s.nodeID, s.services, s.servicesKey = message.GetNodeId(), services, strings.Join(names, "\n")
 	s.nodeRevision, s.fullRegistryDue = message.GetHaveRevision(), true
+	s.acceptsCompressed = message.GetAcceptsCompressed()
 	s.mu.Unlock()
 	s.wakeWriter()
 }
@@ -166,6 +169,8 @@
 	fullRegistryDue bool
 	ackSequence     uint64
 	ackDue          bool
+
+	acceptsCompressed bool
 }
 
 func (s *subscription) takePending() pendingSend {
@@ -178,6 +183,8 @@
 		fullRegistryDue: s.fullRegistryDue,
 		ackSequence:     s.ackSequence,
 		ackDue:          s.ackDue,
+
+		acceptsCompressed: s.acceptsCompressed,
 	}
 	s.fullRegistryDue, s.ackDue = false, false
 	return pending
@@ -217,7 +224,7 @@
 	if current.Revision() == pending.nodeRevision {
 		return nil
 	}
-	encoded, err := s.server.encodeDocumentUpdate(current, pending.nodeRevision)
+	encoded, err := s.server.encodeDocumentUpdate(current, pending.nodeRevision, pending.acceptsCompressed)
 	if err != nil {
 		return err
 	}
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -22,7 +22,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	conn := frame.NewConn(stream)
-	request := &wire.Envelope{Body: &wire.Envelope_FetchRevision{FetchRevision: &wire.FetchRevision{Have: revision}}}
+	conn.AcceptCompressed()
+	request := &wire.Envelope{Body: &wire.Envelope_FetchRevision{FetchRevision: &wire.FetchRevision{
+		Have: revision, AcceptsCompressed: true,
+	}}}
 	if err := conn.SendAndFlush(request); err != nil {
 		return nil, errors.Wrap(err, "node: fetch configuration revision from peer")
 	}
@@ -38,7 +41,18 @@
 		_ = level.Error(n.logger).Log("msg", "configuration revision cannot be sent to peer", "err", err)
 		return
 	}
-	if reply != nil {
-		_ = conn.SendAndFlush(reply)
+	if reply == nil {
+		return
+	}
+	encode := frame.Encode
+	if fetch.GetAcceptsCompressed() {
+		encode = frame.EncodeCompressed
+	}
+	encoded, err := encode(reply)
+	if err == nil {
+		err = conn.SendEncoded(encoded)
+	}
+	if err == nil {
+		_ = conn.Flush()
 	}
 }
--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -51,6 +51,8 @@
 	// counted for the last message.
 	memory       Memory
 	messageBytes int64
+	// acceptsCompressed is set by AcceptCompressed.
+	acceptsCompressed bool
 }
 
 // Memory counts bytes held for the messages of a stream. AcquireMemory returns an error when they
@@ -185,6 +187,9 @@
 	if err := proto.Unmarshal(encoded, message); err != nil {
 		return errors.WithMessage(ErrMalformed, err.Error())
 	}
+	if message.GetCompressed() != nil {
+		return c.decompress(message)
+	}
 	return nil
 }
 
