Count the held requests of TestCancelledWhileQueued where they arrive

The test failed once ("105 != 102: a cancelled attempt ran"). Cause: it read the number of requests at the upstream when all held requests had a place, but a request has its place before it arrives. Shown by a delay of 50 ms in the stand-in before it counts: 129 != 125, each time; with the change it passed 5 of 5 times with that delay.

The test now waits for the held requests to arrive and demands the same number afterwards.

--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -47,11 +47,12 @@
 		done <- struct{}{}
 	}
 	report := beside.Node.upstream.gate.Report
+	served := beside.requests.Load() + int32(beside.slots)
 	for range beside.slots {
 		go get(context.Background(), "/hold")
 	}
-	eventually(t, func() bool { return int(report().GetInFlight()) == beside.slots })
-	served := beside.requests.Load()
+	// A request has its place before it arrives at the upstream.
+	eventually(t, func() bool { return int(report().GetInFlight()) == beside.slots && beside.requests.Load() == served })
 	ctx, cancel := context.WithCancel(context.Background())
 	go get(ctx, "/p")
 	eventually(t, func() bool { return report().GetQueued() == 1 })
