Bound the bytes that are discarded before the last response

Cause: what a caller sends behind a head that can't be read was discarded until the response was written, without a limit; under load, or behind an earlier response that takes long, that is as much as the caller can send.

Evidence: TestEndlessNestedRequest failed once beside load with 16,961,573 bytes; with a pause of 50 ms before the response it failed each time with 21,295,104. TestRejectedBytesAreBounded: 25,140,789 bytes before.

Change: the limits of lingering apply here too.

--- a/internal/transport/callerhttp/conn.go
+++ b/internal/transport/callerhttp/conn.go
@@ -268,11 +268,11 @@
 	c.linger()
 }
 
-// discardUntilResponsesDone discards what the caller sends after its last request. It
-// cancels outstanding requests when the caller disconnects.
+// discardUntilResponsesDone discards what the caller sends after its last request, up to a limit.
+// It cancels outstanding requests when the caller disconnects.
 func (c *conn) discardUntilResponsesDone() {
 	buffer := make([]byte, 512)
-	for {
+	for remaining := c.maxLingerBytes(); remaining > 0; {
 		select {
 		case <-c.responsesDone:
 			return
@@ -280,7 +280,8 @@
 			return
 		default:
 		}
-		_, err := c.reader.Read(buffer)
+		size, err := c.reader.Read(buffer)
+		remaining -= size
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel()
 			return
