--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -50,22 +50,6 @@
 	}
 }
 
-func (u *brokenUpstream) listen(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			netConn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(netConn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestBrokenResponseOnEachWay guards against a response that an upstream broke off, or one that is
 // none, and that a caller gets as a complete success: over each listener, beside the upstream and
 // over the mesh, with each kind of body. An empty success that no upstream gave counts too.
@@ -94,7 +78,7 @@
 			options := Options{Dialect: originDialect()}
 			distant := control.startNodeWith(t, &settings.Node{ID: "distant", Zone: "a"}, "", options)
 			beside := control.startNodeWith(t, &settings.Node{ID: "beside", Zone: "a"}, "", options)
-			beside.announce(t, c.upstream.listen(t), "1")
+			beside.announce(t, listenRaw(t, c.upstream.serve), "1")
 			distant.waitForInstances(t, 1)
 			beside.waitForInstances(t, 1)
 			for _, listener := range []struct{ name, address string }{
@@ -138,7 +122,7 @@
 func TestBrokenResponseToHTTP10(t *testing.T) {
 	upstream := &brokenUpstream{response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n" + strings.Repeat("x", 0x40000) + "\r\n"}
 	n := newFakeControl(t).startNode(t, "n", "a", "")
-	n.announce(t, upstream.listen(t), "1")
+	n.announce(t, listenRaw(t, upstream.serve), "1")
 	n.waitForInstances(t, 1)
 	for _, address := range []string{n.EntryAddress(), n.LocalAddress()} {
 		netConn, err := net.Dial("tcp", address)
@@ -170,7 +154,7 @@
 			t.Parallel()
 			upstream := &brokenUpstream{response: c.response, holds: c.name == "deadline"}
 			n := newFakeControl(t).startNode(t, "n", "a", "")
-			n.announce(t, upstream.listen(t), "1")
+			n.announce(t, listenRaw(t, upstream.serve), "1")
 			n.waitForInstances(t, 1)
 			for _, address := range []string{n.EntryAddress(), n.LocalAddress()} {
 				netConn, err := net.Dial("tcp", address)
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -161,22 +161,10 @@
 }
 
 func startEndlessPair(t *testing.T, upstream *endlessUpstream) (control *fakeControl, entry, beside *testNode) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			netConn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go upstream.serve(netConn)
-		}
-	}()
 	control = newFakeControl(t)
 	entry = control.startNode(t, "entry", "a", "")
 	beside = control.startNode(t, "beside", "a", "")
-	beside.announce(t, listener.Addr().String(), "1")
+	beside.announce(t, listenRaw(t, upstream.serve), "1")
 	entry.waitForInstances(t, 1)
 	return control, entry, beside
 }
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -224,6 +224,23 @@
 	n.announce(t, n.upstream.Listener.Addr().String(), "1")
 }
 
+// listenRaw starts an upstream that serves each connection by itself, and returns its address.
+func listenRaw(t testing.TB, serve func(net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			netConn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(netConn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 func (n *testNode) announce(t testing.TB, address, startID string) {
 	body := `{"service": "s", "address": "` + address + `", "instance": "i-` + n.settings.ID + `", "start_id": "` + startID + `", "slots": ` + strconv.Itoa(n.slots) + `, "connections": 64, "version": "` + n.version + `"}`
 	response, err := http.Post("http://"+n.LocalAddress()+"/v1/announce", "application/json", strings.NewReader(body))
