Give each process of the end-to-end tests a block of ports of its own

Cause: each test process allocated the same ports, and one took a port between the choice and the start of the other's program. Shown by two runs of the test at the same time: one failed so ("mesh_listen: listen tcp 127.0.0.1:20021: bind: address already in use", and a member of the other run answered it).

A listener on the first port of the block holds it for as long as the process runs.

--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -194,15 +194,32 @@
 	}
 }
 
-// lastPortOffset is the offset of the last allocated port. The ports are below the
-// kernel's ephemeral range, so that an allocated address is still free when its process
-// starts.
+const (
+	// The ports are below the kernel's ephemeral range, so that an allocated address is still
+	// free when its process starts.
+	firstPort, portBlocks, blockPorts = 20000, 12, 1000
+)
+
+// portBlock is the first port of the block of this test process. Its listener stays open, so that
+// no other test process allocates from the block.
+var portBlock = sync.OnceValue(func() int {
+	for block := range portBlocks {
+		port := firstPort + block*blockPorts
+		if _, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)); err == nil {
+			return port
+		}
+	}
+	panic("all blocks of ports are in use")
+})
+
+// lastPortOffset is the offset of the last allocated port from portBlock.
 var lastPortOffset atomic.Int32
 
 // freeAddress returns a loopback address with a TCP port that is not in use.
 func freeAddress(t testing.TB) string {
-	for range 1000 {
-		address := fmt.Sprint("127.0.0.1:", 20000+lastPortOffset.Add(1))
+	for range blockPorts {
+		offset := int(lastPortOffset.Add(1))%(blockPorts-1) + 1
+		address := fmt.Sprint("127.0.0.1:", portBlock()+offset)
 		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
 			return address
