--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -243,9 +243,12 @@
 	}
 }
 
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
 // isFinalStatus reports whether a status is that of a final response (RFC 9110, section 15). A
 // node of an earlier version also forwards other status codes of its upstream.
-func isFinalStatus(status uint32) bool { return status >= http.StatusOK && status < 600 }
+func isFinalStatus(status uint32) bool { return status >= http.StatusOK && status <= maxStatus }
 
 func (a *attempt) isReused() bool { return a.reusableStream != nil && a.reusableStream.Reused() }
 
