--- a/internal/coordination/distribute/client_test.go
+++ b/internal/coordination/distribute/client_test.go
@@ -20,9 +20,10 @@
 type fakeSink struct {
 	sequence           uint64
 	heartbeatRequested chan struct{}
+	lastApplied        uint64 // the revision of the last full state
 }
 
-func (s *fakeSink) Apply(*wire.StateFull)               {}
+func (s *fakeSink) Apply(state *wire.StateFull)         { s.lastApplied = state.GetRevision() }
 func (s *fakeSink) ApplyDiff(*wire.StateDiff) bool      { return true }
 func (s *fakeSink) Revision() uint64                    { return 3 }
 func (s *fakeSink) SetNodeCount(int)                    {}
--- a/internal/coordination/distribute/slowlink_test.go
+++ b/internal/coordination/distribute/slowlink_test.go
@@ -65,14 +65,6 @@
 	}
 }
 
-// revisionSink records the revision of the last state.
-type revisionSink struct {
-	fakeSink
-	revision uint64
-}
-
-func (s *revisionSink) Apply(state *wire.StateFull) { s.revision = state.GetRevision() }
-
 // TestStateOnSlowLink guards against a session that is taken for dead while a large message
 // arrives slowly: the node would begin again at another member and get the message late or never.
 func TestStateOnSlowLink(t *testing.T) {
@@ -84,7 +76,7 @@
 			return nodeConn, nil
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		sink := &revisionSink{}
+		sink := &fakeSink{}
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -98,11 +90,8 @@
 				}
 			}
 		}()
-		encoded, err := frame.Encode(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{Revision: 1, RegistryVersion: 1}}})
-		assert.NilError(t, err)
-		_, err = memberConn.Write(encoded)
-		assert.NilError(t, err)
-		encoded, err = frame.Encode(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{Revision: 2, Document: documentWithRoutes(t), DocumentOnly: true}}})
+		assert.NilError(t, conn.SendAndFlush(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{Revision: 1, RegistryVersion: 1}}}))
+		encoded, err := frame.Encode(&wire.Envelope{Body: &wire.Envelope_StateFull{StateFull: &wire.StateFull{Revision: 2, Document: documentWithRoutes(t), DocumentOnly: true}}})
 		assert.NilError(t, err)
 		const pieceBytes = slowLinkBytesPerSecond / 20
 		for len(encoded) > 0 {
@@ -116,7 +105,7 @@
 		}
 		synctest.Wait()
 		assert.Check(t, dials == 1, "the node has left the member")
-		assert.Check(t, sink.revision == 2)
+		assert.Check(t, sink.lastApplied == 2)
 		cancel()
 		_ = memberConn.Close()
 		<-done
--- a/internal/transport/callerhttp/linger_test.go
+++ b/internal/transport/callerhttp/linger_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,58 +92,31 @@
 	}
 }
 
-// countingListener counts the bytes that the server reads.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
+// endlessConn is a connection from which bytes can be read up to a limit.
+type endlessConn struct {
+	net.Conn
+	readBytes, limit int
 }
 
-type countingConn struct {
-	*net.TCPConn
-	bytes *atomic.Int64
-}
+func (c *endlessConn) RemoteAddr() net.Addr            { return &net.TCPAddr{} }
+func (c *endlessConn) SetReadDeadline(time.Time) error { return nil }
 
-func (l *countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func (c *endlessConn) Read(p []byte) (int, error) {
+	if c.readBytes >= c.limit {
+		return 0, io.EOF
 	}
-	return &countingConn{c.(*net.TCPConn), &l.bytes}, nil
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
+	c.readBytes += len(p)
+	return len(p), nil
 }
 
-// TestRejectedBytesAreBounded guards against a caller whose bytes are read without end because the
+// TestRejectedBytesAreBounded guards against a caller whose bytes are read without end while the
 // response that ends its connection waits for an earlier one, or for processor time
 // (node.TestEndlessNestedRequest, seen once).
 func TestRejectedBytesAreBounded(t *testing.T) {
-	tcpListener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	listener := &countingListener{Listener: tcpListener}
-	release := make(chan struct{})
-	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		<-release
-		w.WriteHeader(http.StatusNoContent)
-	}), func() Limits { return Limits{} }, func(any) {})
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	c, err := net.Dial("tcp", tcpListener.Addr().String())
-	assert.NilError(t, err)
-	send(t, c, getRequest("/held")+"no request\r\n\r\n")
-	part := make([]byte, maxRejectedBytes)
-	for range 100 {
-		_ = c.SetWriteDeadline(time.Now().Add(lingerPause))
-		if _, err := c.Write(part); err != nil {
-			break
-		}
-	}
-	assert.Check(t, listener.bytes.Load() < 2*maxRejectedBytes, "%d bytes were read", listener.bytes.Load())
-	close(release)
-	_ = c.Close()
-	_ = listener.Close()
-	assert.ErrorIs(t, <-served, ErrClosed)
+	netConn := &endlessConn{limit: 100 * maxRejectedBytes}
+	c := newConn(NewServer(nil, func() Limits { return Limits{} }, nil), netConn)
+	assert.Assert(t, c.openAccount())
+	c.rejected, c.outstanding = true, 1
+	c.discardUntilResponsesDone()
+	assert.Assert(t, netConn.readBytes < 2*maxRejectedBytes, "%d bytes were read", netConn.readBytes)
 }
